feat(steer): settings are taken while running; entries without the store learn from seeds

Cause: SIGHUP and a changed file were only logged, and an entry that the store refused at its start knew no peer, so it stayed without a configuration; peers ignored its heartbeats because the store did not list it. A peer answers only what is newer. Test: platform.test (both fail on the old code: no seeds key, reloadIgnored).

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -115,7 +115,7 @@
     const checks: Target[] = [];
     const endings = new Map<string, Ending<string>>();
     const poison = createPoisonList(timer);
-    const shift = createRegionShift({ timer, most: 0.15 });
+    const shift = createRegionShift({ timer, most: () => 0.15 });
     const works = createWorkTimes();
     const objectHomes = createObjectHomes(timer);
     const table = createRouteTable(documentOf(options.routes ?? [route()]));
@@ -158,8 +158,7 @@
         pressure: createPressure(timer),
         allowance: createRetryAllowance({
             timer,
-            ratio: 0.2,
-            slack: options.retrySlack ?? 50,
+            bound: () => ({ ratio: 0.2, slack: options.retrySlack ?? 50 }),
             windowMs: 10_000,
             entries: members.sharing,
         }),
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -58,7 +58,7 @@
 test("the repeats of all entries stay within the budget, whoever is cut off", () => {
     const timer = createVirtualTimer();
     const entries = 8;
-    const each = { timer, ratio: 0.2, slack: 56, windowMs: 10_000, entries: () => entries };
+    const each = { timer, bound: () => ({ ratio: 0.2, slack: 56 }), windowMs: 10_000, entries: () => entries };
     const allowances = Array.from({ length: entries }, () => createRetryAllowance(each));
     const repeatedAt: number[] = [];
     const requestedAt: number[] = [];
@@ -87,7 +87,7 @@
 
 test("the share that leaves a region rises and falls by less than the bound from window to window", () => {
     const timer = createVirtualTimer();
-    const shift = createRegionShift({ timer, most: 0.15 });
+    const shift = createRegionShift({ timer, most: () => 0.15 });
     const sent: { readonly at: number; readonly isFar: boolean; }[] = [];
     for (let step = 0; step < 2_400; step++) {
         timer.advance(10);
--- a/packages/core/src/steering/members.ts
+++ b/packages/core/src/steering/members.ts
@@ -29,6 +29,8 @@
 export interface Members {
     /** The store lists this entry. */
     registered(record: MemberRecord): void;
+    /** It told of itself, though the store may not list it; it stays while it can be heard. */
+    introduced(record: MemberRecord): void;
     /** The store no longer lists it; it stays while it can be heard. */
     unregistered(id: InstanceId): void;
     /** The store lists exactly these. */
@@ -56,21 +58,22 @@
         const silence = timer.now() - member.heardAt;
         return !member.isLeaving && silence < (member.hasBeaten ? deadAfterMs : registrationGraceMs);
     };
-    const register = (record: MemberRecord): void => {
+    const add = (record: MemberRecord, isRegistered: boolean): void => {
         if (record.id === self.id) {
             return;
         }
         const known = members.get(record.id);
         if (known !== undefined) {
-            known.isRegistered = true;
+            known.isRegistered ||= isRegistered;
             return;
         }
         // A new run at the same address replaces the one before.
         [...members.values()].filter(member => member.record.mesh === record.mesh).forEach(member =>
             members.delete(member.record.id)
         );
-        members.set(record.id, { record, heardAt: timer.now(), hasBeaten: false, isRegistered: true, isLeaving: false });
+        members.set(record.id, { record, heardAt: timer.now(), hasBeaten: false, isRegistered, isLeaving: false });
     };
+    const register = (record: MemberRecord): void => add(record, true);
     const unregister = (id: InstanceId): void => {
         const member = members.get(id);
         if (member !== undefined) {
@@ -87,6 +90,7 @@
     const live = (): Member[] => [...members.values()].filter(isLive);
     return {
         registered: register,
+        introduced: record => add(record, false),
         unregistered: unregister,
         replaceAll: records => {
             const ids = new Set(records.map(record => record.id));
--- a/packages/core/src/steering/regionShift.ts
+++ b/packages/core/src/steering/regionShift.ts
@@ -17,7 +17,7 @@
 export interface RegionShiftOptions {
     readonly timer: Timer;
     /** Largest change of the share between two windows of two seconds. */
-    readonly most: number;
+    readonly most: () => number;
 }
 
 const windowMs = 2_000;
@@ -75,8 +75,8 @@
             const window = lastWindow();
             const share = window.all === 0 ? 0 : window.left / window.all;
             const gone = isLeaving ? 1 : 0;
-            mayLeave = Math.min(mostCarried, Math.max(0, mayLeave + share + usedShare * most - gone));
-            mustLeave = Math.min(mostCarried, Math.max(0, mustLeave + share - usedShare * most - gone));
+            mayLeave = Math.min(mostCarried, Math.max(0, mayLeave + share + usedShare * most() - gone));
+            mustLeave = Math.min(mostCarried, Math.max(0, mustLeave + share - usedShare * most() - gone));
             current.all++;
             current.left += gone;
         },
--- a/packages/core/src/steering/retryAllowance.ts
+++ b/packages/core/src/steering/retryAllowance.ts
@@ -16,12 +16,17 @@
     left(service: ServiceId): number;
 }
 
-export interface RetryAllowanceOptions {
-    readonly timer: Timer;
-    /** Repeats allowed for each request, over all entries. */
+/** What all entries together may repeat. */
+export interface RetryBound {
+    /** Repeats for each request. */
     readonly ratio: number;
-    /** Repeats allowed besides, over all entries, in a window. */
+    /** Repeats besides in a window. */
     readonly slack: number;
+}
+
+export interface RetryAllowanceOptions {
+    readonly timer: Timer;
+    readonly bound: () => RetryBound;
     readonly windowMs: number;
     /** Most entries that may share the slack at this moment. */
     readonly entries: () => number;
@@ -37,7 +42,7 @@
 }
 
 export function createRetryAllowance(options: RetryAllowanceOptions): RetryAllowance {
-    const { timer, ratio, slack, windowMs, entries } = options;
+    const { timer, windowMs, entries } = options;
     const services = new Map<ServiceId, Counts>();
     const countsOf = (service: ServiceId): Counts => {
         let counts = services.get(service);
@@ -52,6 +57,7 @@
     };
     const left = (service: ServiceId): number => {
         const counts = countsOf(service);
+        const { ratio, slack } = options.bound();
         const allowed = usedShare * (ratio * counts.requests.total() + slack / Math.max(1, entries()));
         return allowed - counts.repeats.total();
     };
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -50,6 +50,12 @@
     peerStateFailed: event(724, "peerStateFailed", "warn", "A peer's state could not be read."),
     datagramFailed: event(730, "datagramFailed", "warn", "A datagram to a peer could not be sent."),
     datagramRefused: event(731, "datagramRefused", "warn", "A datagram that is not one of ours was dropped."),
-    reloadIgnored: event(740, "reloadIgnored", "warn", "SIGHUP came; settings are only read at the start. Restart the process."),
+    settingsTaken: event(741, "settingsTaken", "info", "Changed settings are in force, but for those that need a restart."),
+    settingsRefused: event(
+        742,
+        "settingsRefused",
+        "error",
+        "The changed settings file can't be used; mend it. The old ones stay.",
+    ),
     fault: event(900, "fault", "error", "An unexpected error was caught; please report it with the line."),
 } as const satisfies Record<string, LogEvent>;
--- a/packages/steer/src/settings/settings.ts
+++ b/packages/steer/src/settings/settings.ts
@@ -15,6 +15,8 @@
     readonly mesh: string;
     /** `host:port` for what entries ask of each other. */
     readonly control: string;
+    /** `host:port` at which other entries may be asked for what they know while the store does not answer. */
+    readonly seeds: readonly string[];
     /** Repeats that all entries may send to a service's targets in a window. */
     readonly repeats: { readonly ratio: number; readonly slack: number; readonly windowMs: number; };
     /** Requests a second that reach a cold target: its own figure times `overshoot`, plus `slack`. */
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -68,6 +68,10 @@
     start(): Promise<void>;
     /** Whether callers may be sent here. */
     isReady(): boolean;
+    /**
+     * Takes changed settings. Returns the names of those that only a restart changes; they stay as they are.
+     */
+    reload(next: SteerSettings): readonly string[];
     /** Entries that a caller at a place should use. */
     entriesFor(region: RegionId | undefined, dataCentre: DataCentreId | undefined): readonly MemberRecord[];
     /** Lets accepted requests finish. The value is the number that were cut off. */
@@ -88,7 +92,8 @@
 const stopPollMs = 50;
 
 export function createSteer(options: SteerOptions): Steer {
-    const { settings, store, decoder, wire, timer, random, log, metrics } = options;
+    const { store, decoder, wire, timer, random, log, metrics } = options;
+    let { settings } = options;
     const instance = toInstanceId(`${settings.name}/${timer.wallTime().toString(36)}${random.below(1_296).toString(36)}`);
     const self: MemberRecord = {
         id: instance,
@@ -110,7 +115,7 @@
     const works = createWorkTimes();
     const objectHomes = createObjectHomes(timer);
     const pressure = createPressure(timer);
-    const shift = createRegionShift({ timer, most: settings.regionShift });
+    const shift = createRegionShift({ timer, most: () => settings.regionShift });
     const registry = createTargetRegistry({
         timer,
         changed: (target, change) => {
@@ -221,7 +226,12 @@
         works,
         objectHomes,
         pressure,
-        allowance: createRetryAllowance({ timer, ...settings.repeats, entries: members.sharing }),
+        allowance: createRetryAllowance({
+            timer,
+            bound: () => settings.repeats,
+            windowMs: settings.repeats.windowMs,
+            entries: members.sharing,
+        }),
         poison,
         health,
         isOwnRegion: target => target.record.region === settings.region,
@@ -268,7 +278,7 @@
         pressure: pressure.of,
         told: rooms.setNeed,
     });
-    const peerState = createPeerState({ log, timer, control: settings.control, follower });
+    const peerState = createPeerState({ log, timer, self, members, follower, seeds: () => settings.seeds });
     const heard = (news: News, sender: { readonly record: MemberRecord; }): void => {
         for (const room of news.rooms) {
             if (room.dataCentre !== settings.dataCentre) {
@@ -324,6 +334,13 @@
             registration.start();
         },
         isReady: () => document !== undefined && stoppingSince === undefined,
+        reload: next => {
+            const fixed = fixedSettings.filter(name => JSON.stringify(next[name]) !== JSON.stringify(settings[name]));
+            const kept = Object.fromEntries(fixedSettings.map(name => [name, settings[name]])) as Partial<SteerSettings>;
+            settings = { ...next, ...kept };
+            keeper.retry(follower.state().items);
+            return fixed;
+        },
         entriesFor: (region, dataCentre) => {
             const live = members.live().map(member => member.record);
             return entriesFor(stoppingSince === undefined && document !== undefined ? [...live, self] : live, region, dataCentre);
@@ -344,6 +361,16 @@
     };
 }
 
+/** Settings that name the process and its sockets: a restart takes them. */
+const fixedSettings = [
+    "name",
+    "dataCentre",
+    "region",
+    "callers",
+    "mesh",
+    "control",
+] as const satisfies readonly (keyof SteerSettings)[];
+
 const describe = (
     target: Target,
     change: string,
--- a/packages/steer/src/store/beliefKeeper.ts
+++ b/packages/steer/src/store/beliefKeeper.ts
@@ -27,6 +27,8 @@
 
 export interface BeliefKeeper {
     changed(event: StoreEvent): void;
+    /** Decodes again the items that name no target yet: changed settings may make sense of them. */
+    retry(items: readonly StoreItem[]): void;
     isEvacuated(dataCentre: DataCentreId): boolean;
 }
 
@@ -121,6 +123,14 @@
     };
     return {
         changed: event => (event.kind === "written" ? written(event.item) : removed(event.key, event.revision)),
+        retry: items => {
+            for (const item of items) {
+                const subject = subjectOf(item.key, decoder);
+                if (subject.kind === "target" && registry.find(subject.id) === undefined) {
+                    takeTarget(subject.id, item);
+                }
+            }
+        },
         isEvacuated: dataCentre => evacuated.has(dataCentre),
     };
 }
--- a/packages/steer/src/store/peerState.ts
+++ b/packages/steer/src/store/peerState.ts
@@ -1,84 +1,119 @@
-/** Entries that the store refuses take what it holds from a peer that it answers. */
-import type { MemberRecord } from "@pimentospring/core/steering/members";
+/**
+ * Entries that the store refuses take what it holds from a peer that it answers: a known one, or one that the settings
+ * name. Asking introduces the entry to the peer, which then tells it news although the store does not list it.
+ */
+import type { InstanceId } from "@pimentospring/core/ids";
+import type { MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { Timer } from "@pimentospring/core/time/timer";
-import { createRouter, listen } from "@pimentospring/runtime/http/jsonServer";
+import { createRouter, listen, readBody, splitAddress } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { Packr } from "msgpackr";
-import { request as httpRequest } from "node:http";
+import type { Server } from "node:http";
+import { request } from "undici";
+import { decodeMember, encodeMember } from "./beliefs.js";
 import type { FollowedState, Follower } from "./follower.js";
 
 export interface PeerStateOptions {
     readonly log: Log;
     readonly timer: Timer;
-    /** `host:port` on which peers ask. */
-    readonly control: string;
+    readonly self: MemberRecord;
+    readonly members: Members;
     readonly follower: Follower;
+    /** `host:port` of entries that may be asked though nothing is known of them. */
+    readonly seeds: () => readonly string[];
 }
 
 export interface PeerState {
     start(): Promise<void>;
     /** A peer told the store's revision up to which it knows. */
     peerIsAt(peer: MemberRecord, revision: number): void;
+    close(): void;
+}
+
+/** What an entry asks a peer: everything, if the peer knows more than this revision. */
+interface Question {
+    readonly id: InstanceId;
+    /** The asker's record, as the store would hold it. */
+    readonly record: Buffer;
+    readonly after: number;
 }
 
 const path = "/state";
 const timeoutMs = 800;
 /** Time between two questions to peers. */
 const intervalMs = 500;
+/** An entry without the store asks a seed when no peer told news for this long. */
+const seedIntervalMs = 1_000;
+const mostQuestionBytes = 4_096;
 
 const packr = new Packr({ useRecords: false });
 
 export function createPeerState(options: PeerStateOptions): PeerState {
-    const { log, timer, control, follower } = options;
+    const { log, timer, self, members, follower } = options;
+    const question = (): Question => ({ id: self.id, record: encodeMember(self), after: follower.revision() });
     let askedAt = -Infinity;
-    const adopt = (peer: MemberRecord, bytes: Buffer): void => {
+    let seedTurn = 0;
+    let server: Server | undefined;
+
+    const ask = async (address: string): Promise<void> => {
+        askedAt = timer.now();
         try {
-            const state = packr.unpack(bytes) as FollowedState;
-            if (follower.adopt(state)) {
-                log.write(logEvents.stateAdopted, { peer: peer.id, revision: state.revision });
+            const answer = await request(`http://${address}${path}`, {
+                method: "POST",
+                body: packr.pack(question()),
+                signal: AbortSignal.timeout(timeoutMs),
+            });
+            const bytes = Buffer.from(await answer.body.arrayBuffer());
+            if (answer.statusCode === 200) {
+                adopt(address, packr.unpack(bytes) as FollowedState);
             }
         }
         catch (error) {
-            log.write(logEvents.peerStateFailed, { peer: peer.id, reason: (error as Error).message });
+            log.write(logEvents.peerStateFailed, { peer: address, reason: (error as Error).message });
+        }
+    };
+    const adopt = (peer: string, state: FollowedState): void => {
+        if (follower.adopt(state)) {
+            log.write(logEvents.stateAdopted, { peer, revision: state.revision });
+        }
+    };
+    /** Returns what is known, or `undefined` if that is no more than the asker knows. */
+    const answer = (asked: Question): FollowedState | undefined => {
+        const record = decodeMember(asked.id, Buffer.from(asked.record));
+        if (record.isValid) {
+            members.introduced(record.value);
+        }
+        return follower.revision() > asked.after ? follower.state() : undefined;
+    };
+    const askSeed = (): void => {
+        const seeds = options.seeds().filter(seed => seed !== self.control);
+        if (follower.isConnected() || seeds.length === 0 || timer.now() - askedAt < seedIntervalMs) {
+            return;
         }
+        void ask(seeds[seedTurn++ % seeds.length]!);
     };
     return {
         start: async () => {
-            const [host, port] = control.split(":");
-            const server = createRouter({
-                [`GET ${path}`]: (_request, response) => {
-                    const body = packr.pack(follower.state());
-                    response.writeHead(200, { "content-type": "application/msgpack", "content-length": body.length });
+            const { host, port } = splitAddress(self.control);
+            server = createRouter({
+                [`POST ${path}`]: async (incoming, response) => {
+                    const state = answer(packr.unpack(await readBody(incoming, mostQuestionBytes)) as Question);
+                    const body = state === undefined ? undefined : packr.pack(state);
+                    response.writeHead(body === undefined ? 204 : 200, { "content-type": "application/msgpack" });
                     response.end(body);
                 },
             }, error => log.write(logEvents.fault, { reason: error.message }));
-            await listen(server, host!, Number(port));
+            await listen(server, host, port);
+            timer.subscribe(intervalMs, askSeed);
         },
         peerIsAt: (peer, revision) => {
-            const now = timer.now();
-            if (follower.isConnected() || revision <= follower.revision() || now - askedAt < intervalMs) {
-                return;
+            if (!follower.isConnected() && revision > follower.revision() && timer.now() - askedAt >= intervalMs) {
+                void ask(peer.control);
             }
-            askedAt = now;
-            fetchState(peer, adopt, reason => log.write(logEvents.peerStateFailed, { peer: peer.id, reason }));
+        },
+        close: () => {
+            server?.close();
         },
     };
 }
-
-function fetchState(
-    peer: MemberRecord,
-    done: (peer: MemberRecord, bytes: Buffer) => void,
-    failed: (reason: string) => void,
-): void {
-    const [host, port] = peer.control.split(":");
-    const request = httpRequest({ host, port, path, timeout: timeoutMs }, response => {
-        const chunks: Buffer[] = [];
-        response.on("data", (chunk: Buffer) => chunks.push(chunk));
-        response.on("end", () => done(peer, Buffer.concat(chunks)));
-        response.on("error", error => failed(error.message));
-    });
-    request.on("timeout", () => request.destroy(new Error("no answer in time")));
-    request.on("error", error => failed(error.message));
-    request.end();
-}
--- a/scripts/src/__tests__/docs.test.ts
+++ b/scripts/src/__tests__/docs.test.ts
@@ -75,6 +75,7 @@
             callers: "127.0.0.1:1",
             mesh: "127.0.0.1:1",
             control: "127.0.0.1:1",
+            seeds: [],
             repeats: { ratio: 0, slack: 0, windowMs: 1 },
             cold: { overshoot: 1, slack: 0 },
             regionShift: 0,
--- a/scripts/src/__tests__/platform.test.ts
+++ b/scripts/src/__tests__/platform.test.ts
@@ -27,12 +27,20 @@
 let daemons: Daemon[];
 let sequence = 0;
 
-function start(host: string): Daemon {
+const settingsFile = (host: string): string => join(folder, `${host}.toml`);
+
+function writeSettings(host: string, ...more: readonly string[]): void {
     const listen = ["callers", "readiness", "directory", "control", "mesh", "metrics"]
         .map((name, index) => `${name} = "${host}:${17_410 + index}"`);
     const head = [`name = "${host}"`, "dataCentre = \"cpt-a\"", "region = \"cpt\"", `store = "${store.address}"`];
-    const file = join(folder, `${host}.toml`);
-    writeFileSync(file, [...head, "[listen]", ...listen, "[regions]", "cpt-a = \"cpt\""].join("\n"));
+    const seeds = `seeds = ["${hosts[0]}:17413", "${hosts[1]}:17413"]`;
+    const lines = [...head, seeds, "[listen]", ...listen, "[regions]", "cpt-a = \"cpt\"", ...more];
+    writeFileSync(settingsFile(host), lines.join("\n"));
+}
+
+function start(host: string): Daemon {
+    const file = settingsFile(host);
+    writeSettings(host);
     const child = spawn(process.execPath, [program], {
         env: { PATH: process.env["PATH"], PIMENTOSPRING_CONFIG: file },
         stdio: ["ignore", "pipe", "inherit"],
@@ -48,7 +56,7 @@
 const announce = (index: number, fields: object = {}): void =>
     store.put(`servers/t${index}`, {
         service: "s",
-        address: targets[index]!.address,
+        address: targets[index]?.address,
         zone: "cpt-a",
         version: "v1",
         slots: 4,
@@ -200,6 +208,33 @@
     );
 });
 
+test("an entry that starts while the store refuses it learns all from another, serves and is named to callers", async () => {
+    store.setFault(503);
+    const third = start("127.0.71.3");
+    daemons.push(third);
+    await until("the third is ready", () => isReady(third));
+    await until("the third serves", async () => (await send(third, "/look/1", "third")).status === 200);
+    await until("the first names it", async () => (await resolved(daemons[0]!)).includes("127.0.71.3:17410"));
+    assert.match(third.log, /"name":"stateAdopted"/);
+    store.setFault(undefined);
+    third.child.kill("SIGTERM");
+    assert.equal(await third.exited, 0);
+});
+
+test("changed settings are taken without a restart, at SIGHUP or without; unusable ones are refused by key", async () => {
+    const [first] = daemons as [Daemon];
+    announce(9, { address: targets[0]!.address, zone: "cpt-z" });
+    await until("its data centre is unknown", () => first.log.includes("zone cpt-z is not in the settings"));
+    writeSettings(first.host, "cpt-z = \"cpt\"");
+    first.child.kill("SIGHUP");
+    await until("the data centre is known", () => first.log.includes("\"dataCentre\":\"cpt-z\""));
+    writeSettings(first.host, "[bounds]", "regionShift = 7");
+    await until("a wrong figure is refused", () => /settingsRefused.*bounds.regionShift/.test(first.log));
+    assert.equal((await send(first, "/look/1", "after a reload")).status, 200);
+    store.remove("servers/t9");
+    writeSettings(first.host);
+});
+
 test("without a target that can run it, a request is refused long before its deadline and told when to come back", async () => {
     store.remove("servers/t0");
     store.remove("servers/t1");
