perf(core): data centres serve the same part of their load; agreed slots elsewhere

Change: entries tell the load that their callers offer; from that and the slots that all know each computes the same plan, in which all data centres serve the same part of their load. Entries use their agreed slots elsewhere although one request may have to wait there.

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -6,12 +6,13 @@
 import type { AnswerHead, Attempt, Ending, SteeringRequest } from "../job.js";
 import { createMembers } from "../members.js";
 import { createObjectHomes } from "../objectHomes.js";
+import { createOfferedLoad } from "../offeredLoad.js";
 import { createPlacement } from "../placement.js";
 import { createPressure } from "../pressure.js";
 import { createRegionShift } from "../regionShift.js";
 import { createRetryAllowance } from "../retryAllowance.js";
-import { createRooms } from "../rooms.js";
 import { createRouteTable } from "../routeTable.js";
+import { createSpillover } from "../spillover.js";
 import { createSteerer, type Steerer } from "../steerer.js";
 import type { Route, SteeringDocument } from "../steeringDocument.js";
 import type { Target } from "../target.js";
@@ -118,6 +119,8 @@
     const shift = createRegionShift({ timer, most: () => 0.15 });
     const works = createWorkTimes();
     const objectHomes = createObjectHomes(timer);
+    const pressure = createPressure(timer);
+    const offered = createOfferedLoad(timer);
     const table = createRouteTable(documentOf(options.routes ?? [route()]));
     const health = createTargetHealth({
         timer,
@@ -134,7 +137,14 @@
         random,
         self,
         registry,
-        rooms: createRooms({ timer, inFlight }),
+        spillover: createSpillover({
+            timer,
+            self: { entry: "me", dataCentre },
+            ownLoad: offered.slots,
+            pressure: pressure.of,
+            capacity: (wanted, place) => registry.inDataCentre(wanted, place).length * 2,
+            dataCentres: registry.dataCentres,
+        }),
         shift,
         works,
         objectHomes,
@@ -155,7 +165,8 @@
         shift,
         works,
         objectHomes,
-        pressure: createPressure(timer),
+        offered,
+        pressure,
         allowance: createRetryAllowance({
             timer,
             bound: () => ({ ratio: 0.2, slack: options.retrySlack ?? 50 }),
--- /dev/null
+++ b/packages/core/src/steering/offeredLoad.ts
@@ -0,0 +1,59 @@
+/** The load that this entry's callers offer for each service: arrivals a second times the work of one, in slots. */
+import type { ServiceId } from "../ids.js";
+import type { Timer } from "../time/timer.js";
+
+export interface OfferedLoad {
+    /** A request arrived whose work is expected to take `workMs`; returns of refused ones are not told. */
+    arrived(service: ServiceId, workMs: number): void;
+    /** Work of the service took a target this long. */
+    worked(service: ServiceId, workMs: number): void;
+    /** Slots that serving all of it would keep busy. */
+    slots(service: ServiceId): number;
+    /** Usual work of a request, in milliseconds; `undefined` before the first. */
+    workMs(service: ServiceId): number | undefined;
+}
+
+/** Time constant with which arrivals are forgotten. */
+const fadeMs = 2_000;
+const weight = 0.05;
+
+interface Load {
+    /** Arrivals, faded. */
+    arrivals: number;
+    at: number;
+    workMs: number;
+}
+
+export function createOfferedLoad(timer: Timer): OfferedLoad {
+    const loads = new Map<ServiceId, Load>();
+    const fade = (load: Load): void => {
+        load.arrivals *= Math.exp(-(timer.now() - load.at) / fadeMs);
+        load.at = timer.now();
+    };
+    return {
+        arrived: (service, workMs) => {
+            const known = loads.get(service);
+            if (known === undefined) {
+                loads.set(service, { arrivals: 1, at: timer.now(), workMs });
+                return;
+            }
+            fade(known);
+            known.arrivals++;
+        },
+        worked: (service, workMs) => {
+            const load = loads.get(service);
+            if (load !== undefined) {
+                load.workMs += weight * (workMs - load.workMs);
+            }
+        },
+        slots: service => {
+            const load = loads.get(service);
+            if (load === undefined) {
+                return 0;
+            }
+            fade(load);
+            return (load.arrivals / fadeMs) * load.workMs;
+        },
+        workMs: service => loads.get(service)?.workMs,
+    };
+}
--- a/packages/core/src/steering/placement.ts
+++ b/packages/core/src/steering/placement.ts
@@ -11,7 +11,7 @@
 import type { ObjectHomes } from "./objectHomes.js";
 import type { Place } from "./place.js";
 import type { RegionShift } from "./regionShift.js";
-import type { Rooms } from "./rooms.js";
+import type { Spillover } from "./spillover.js";
 import { freeSlots, isCold, objectKey, slownessOf, type Target } from "./target.js";
 import type { TargetRegistry } from "./targetRegistry.js";
 import type { WorkTimes } from "./workTimes.js";
@@ -52,7 +52,7 @@
     readonly random: Random;
     readonly self: Place;
     readonly registry: TargetRegistry;
-    readonly rooms: Rooms;
+    readonly spillover: Spillover;
     readonly shift: RegionShift;
     readonly works: WorkTimes;
     readonly objectHomes: ObjectHomes;
@@ -95,6 +95,8 @@
 const twoTo32 = 2 ** 32;
 /** Slots that must be free for a request to be sent at once. */
 const roomNeeded = 0.6;
+/** Requests that may wait at a target of another region, where this entry's slots are agreed but rarely free at once. */
+const farQueue = 1;
 /** Work at a cold target takes this many times longer. */
 const coldFactor = 2;
 
@@ -111,7 +113,7 @@
 }
 
 export function createPlacement<Answer>(options: PlacementOptions): Placement<Answer> {
-    const { timer, random, self, registry, rooms, shift, works, objectHomes } = options;
+    const { timer, random, self, registry, spillover, shift, works, objectHomes } = options;
 
     const mayEnter = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
@@ -126,7 +128,7 @@
         if (region === self.region || options.isUnattended(dataCentre)) {
             return true;
         }
-        const allowance = rooms.allowance(job.service, dataCentre) ?? 0;
+        const allowance = spillover.allowance(job.service, dataCentre) ?? 0;
         return options.inFlight(job.service, dataCentre) + 1 <= allowance;
     };
     const mayUse = (job: Job<Answer>, target: Target, now: number): boolean => {
@@ -138,6 +140,8 @@
         }
         return true;
     };
+    const hasFreeSlot = (target: Target, now: number): boolean =>
+        freeSlots(target, now) >= roomNeeded - (target.record.region === self.region ? 0 : farQueue);
     const isWarmAt = (job: Job<Answer>, target: Target): boolean =>
         job.route.isSticky && job.request.object !== undefined && target.memory.knows(objectKey(job.route, job.request.object));
     const rate = (job: Job<Answer>, target: Target, now: number): Choice => {
@@ -201,7 +205,7 @@
             let far: Choice | undefined;
             for (const target of candidates(job, now)) {
                 const choice = rate(job, target, now);
-                if (freeSlots(target, now) < roomNeeded) {
+                if (!hasFreeSlot(target, now)) {
                     fullGain = Math.max(fullGain, choice.gain);
                 }
                 else {
@@ -215,9 +219,7 @@
             const now = timer.now();
             for (const dataCentre of registry.dataCentres(service)) {
                 if (
-                    registry.inDataCentre(service, dataCentre).some(target =>
-                        !target.isSuspect && freeSlots(target, now) >= roomNeeded
-                    )
+                    registry.inDataCentre(service, dataCentre).some(target => !target.isSuspect && hasFreeSlot(target, now))
                 ) {
                     return true;
                 }
--- a/packages/core/src/steering/steerer.ts
+++ b/packages/core/src/steering/steerer.ts
@@ -10,6 +10,7 @@
 import { settleAnswer, type Settlement } from "./answers.js";
 import type { AnswerHead, Attempt, Ending, Job, SteeringRequest } from "./job.js";
 import type { ObjectHomes } from "./objectHomes.js";
+import type { OfferedLoad } from "./offeredLoad.js";
 import { isCrowdedOut, isWorthTaking, mostLateWaiters, waitsUntil } from "./patience.js";
 import type { Choice, Placement } from "./placement.js";
 import type { Pressure } from "./pressure.js";
@@ -57,6 +58,7 @@
     readonly shift: RegionShift;
     readonly works: WorkTimes;
     readonly objectHomes: ObjectHomes;
+    readonly offered: OfferedLoad;
     readonly pressure: Pressure;
     readonly allowance: RetryAllowance;
     readonly poison: PoisonList;
@@ -308,6 +310,9 @@
         if (route.isSticky && request.object !== undefined) {
             options.objectHomes.used(service, objectKey(route, request.object));
         }
+        if (!job.isReturn) {
+            options.offered.arrived(service, works.coldObjectMs(route));
+        }
         finishers.set(job, finish);
         job.cancelTimeout = timer.after(giveUpAt - timer.now(), () => timedOut(job));
         return job;
@@ -352,6 +357,7 @@
             health.answered(target, head, settlement.kind === "deliver");
             if (settlement.kind === "deliver" && head.status < 300) {
                 const took = now - attempt.sentAt - options.roundTripMs(target.record.dataCentre);
+                options.offered.worked(job.service, took);
                 const workMs = took / (head.load?.slowness ?? 1);
                 works.note(job.route, attempt.isWarm, workMs, job.request.bodyBytes + head.bodyBytes);
                 if (attempt.othersBetween !== undefined) {
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -1,21 +1,21 @@
 /**
- * Datagrams between entries. Each tells every entry of its data centre once a second that it lives and how much room
- * there is; one of them, the speaker, tells the speakers of the other data centres. News that can't wait goes at once.
+ * Datagrams between entries. Each tells every entry of its data centre once a second that it lives and how much load
+ * its callers offer; one of them, the speaker, tells the speakers of the other data centres. News that can't wait goes at once.
  */
 import type { Member, MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createSocket, type Socket } from "node:dgram";
-import { type DataCentreRoom, type News, packNews, type PoisonNews, unpackNews } from "./news.js";
+import { type EntryLoads, type News, packNews, type PoisonNews, unpackNews } from "./news.js";
 
 export interface MeshOptions {
     readonly timer: Timer;
     readonly log: Log;
     readonly self: MemberRecord;
     readonly members: Members;
-    /** Room in the own data centre now. */
-    readonly ownRoom: () => DataCentreRoom;
+    /** Load that this entry's callers offer now. */
+    readonly ownLoads: () => EntryLoads;
     readonly revision: () => number;
     readonly heard: (news: News, member: Member) => void;
 }
@@ -31,13 +31,13 @@
 }
 
 const intervalMs = 1_000;
-/** Room heard of another data centre is passed on for this long. */
+/** Loads heard of another data centre are passed on for this long. */
 const passOnMs = 2_500;
 
 export function createMesh(options: MeshOptions): Mesh {
     const { timer, log, self, members } = options;
     const socket: Socket = createSocket("udp4");
-    const distant = new Map<string, { readonly room: DataCentreRoom; readonly heardAt: number; }>();
+    const distant = new Map<string, { readonly loads: EntryLoads; readonly heardAt: number; }>();
     let isLeaving = false;
     let isOpen = false;
     let sentBytes = 0;
@@ -76,17 +76,17 @@
         }
         return found;
     };
-    const news = (rooms: readonly DataCentreRoom[], poison: readonly PoisonNews[] = []): News => ({
+    const news = (loads: readonly EntryLoads[], poison: readonly PoisonNews[] = []): News => ({
         sender: self.id,
         isLeaving,
         revision: options.revision(),
-        rooms,
+        loads,
         poison,
     });
     const beat = (): void => {
-        const own = options.ownRoom();
+        const own = options.ownLoads();
         const now = timer.now();
-        const passedOn = [...distant.values()].filter(entry => now - entry.heardAt < passOnMs).map(entry => entry.room);
+        const passedOn = [...distant.values()].filter(entry => now - entry.heardAt < passOnMs).map(entry => entry.loads);
         const all = speakers();
         const isSpeaker = all.get(self.dataCentre) === undefined;
         const near = packNews(news(isSpeaker ? [own, ...passedOn] : [own]));
@@ -112,7 +112,7 @@
             return;
         }
         if (!isNear(member)) {
-            received.rooms.forEach(room => distant.set(room.entry, { room, heardAt: timer.now() }));
+            received.loads.forEach(loads => distant.set(loads.entry, { loads, heardAt: timer.now() }));
         }
         options.heard(received, member);
     };
--- a/packages/steer/src/mesh/news.ts
+++ b/packages/steer/src/mesh/news.ts
@@ -3,18 +3,17 @@
     type DataCentreId,
     type Fingerprint,
     type InstanceId,
-    type ServiceId,
     toDataCentreId,
     toInstanceId,
     toServiceId,
 } from "@pimentospring/core/ids";
-import type { RoomNews } from "@pimentospring/core/steering/rooms";
+import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import { Packr } from "msgpackr";
 
-export interface DataCentreRoom {
+export interface EntryLoads {
     readonly dataCentre: DataCentreId;
     readonly entry: string;
-    readonly rooms: readonly RoomNews[];
+    readonly loads: readonly ServiceLoad[];
 }
 
 export interface PoisonNews {
@@ -28,34 +27,37 @@
     readonly isLeaving: boolean;
     /** Revision of the store up to which the sender knows. */
     readonly revision: number;
-    /** Room in the sender's data centre, and what it heard of others to pass on. */
-    readonly rooms: readonly DataCentreRoom[];
+    /** Load at the sender, and what it heard of others to pass on. */
+    readonly loads: readonly EntryLoads[];
     readonly poison: readonly PoisonNews[];
 }
 
-type RoomRow = readonly [
+type LoadsRow = readonly [
     dataCentre: string,
     entry: string,
-    rooms: readonly (readonly [service: string, free: number, need: number])[],
+    loads: readonly (readonly [service: string, slots: number])[],
 ];
 type Row = readonly [
     sender: string,
     isLeaving: 0 | 1,
     revision: number,
-    rooms: readonly RoomRow[],
+    loads: readonly LoadsRow[],
     poison: readonly (readonly [string, number])[],
 ];
 
+/** Loads are told to a tenth of a slot. */
+const tenths = 10;
+
 const packr = new Packr({ useRecords: false });
 
 export function packNews(news: News): Buffer {
-    const rooms = news.rooms.map((room): RoomRow => [
-        room.dataCentre,
-        room.entry,
-        room.rooms.map(item => [item.service, Math.round(item.free), Math.round(item.need)] as const),
+    const loads = news.loads.map((item): LoadsRow => [
+        item.dataCentre,
+        item.entry,
+        item.loads.map(load => [load.service, Math.round(load.slots * tenths)] as const),
     ]);
     const poison = news.poison.map(item => [item.fingerprint, item.deaths] as const);
-    return packr.pack([news.sender, news.isLeaving ? 1 : 0, news.revision, rooms, poison] satisfies Row);
+    return packr.pack([news.sender, news.isLeaving ? 1 : 0, news.revision, loads, poison] satisfies Row);
 }
 
 /** Reads a datagram; `undefined` when it is not one of ours. */
@@ -72,14 +74,12 @@
 
 function isRow(row: unknown): row is Row {
     return Array.isArray(row) && row.length >= 5 && typeof row[0] === "string" && typeof row[2] === "number"
-        && Array.isArray(row[3]) && row[3].every(isRoomRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow);
+        && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow);
 }
 
-function isRoomRow(row: unknown): row is RoomRow {
+function isLoadsRow(row: unknown): row is LoadsRow {
     return Array.isArray(row) && typeof row[0] === "string" && typeof row[1] === "string" && Array.isArray(row[2])
-        && row[2].every(item =>
-            Array.isArray(item) && typeof item[0] === "string" && Number.isFinite(item[1]) && Number.isFinite(item[2])
-        );
+        && row[2].every(item => Array.isArray(item) && typeof item[0] === "string" && Number.isFinite(item[1]));
 }
 
 function isPoisonRow(row: unknown): row is readonly [string, number] {
@@ -91,10 +91,10 @@
         sender: toInstanceId(row[0]),
         isLeaving: row[1] === 1,
         revision: row[2],
-        rooms: row[3].map(([dataCentre, entry, rooms]) => ({
+        loads: row[3].map(([dataCentre, entry, loads]) => ({
             dataCentre: toDataCentreId(dataCentre),
             entry,
-            rooms: rooms.map(([service, free, need]) => ({ service: toServiceId(service) as ServiceId, free, need })),
+            loads: loads.map(([service, slots]) => ({ service: toServiceId(service), slots: slots / tenths })),
         })),
         poison: row[4].map(([fingerprint, deaths]) => ({ fingerprint: fingerprint as Fingerprint, deaths })),
     };
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -14,17 +14,18 @@
 import { entriesFor } from "@pimentospring/core/steering/directory";
 import { createMembers, type MemberRecord } from "@pimentospring/core/steering/members";
 import { createObjectHomes } from "@pimentospring/core/steering/objectHomes";
+import { createOfferedLoad } from "@pimentospring/core/steering/offeredLoad";
 import { createPlacement } from "@pimentospring/core/steering/placement";
 import { createPressure } from "@pimentospring/core/steering/pressure";
 import { createRegionShift } from "@pimentospring/core/steering/regionShift";
 import { createRetryAllowance } from "@pimentospring/core/steering/retryAllowance";
-import { createRooms } from "@pimentospring/core/steering/rooms";
 import { createRouteTable, type RouteTable } from "@pimentospring/core/steering/routeTable";
+import { createSpillover } from "@pimentospring/core/steering/spillover";
 import { createSteerer, type Steerer } from "@pimentospring/core/steering/steerer";
 import type { Service, SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { Target } from "@pimentospring/core/steering/target";
 import { createTargetHealth } from "@pimentospring/core/steering/targetHealth";
-import { createTargetRegistry } from "@pimentospring/core/steering/targetRegistry";
+import { createTargetRegistry, type TargetRegistry } from "@pimentospring/core/steering/targetRegistry";
 import { createWeightedTurns } from "@pimentospring/core/steering/weightedTurns";
 import { createWorkTimes } from "@pimentospring/core/steering/workTimes";
 import type { Timer } from "@pimentospring/core/time/timer";
@@ -37,7 +38,6 @@
 import type { News } from "./mesh/news.js";
 import type { SteerMetrics } from "./observe/metrics.js";
 import { createRequestLog } from "./observe/requestLog.js";
-import { createRoomWatch } from "./roomWatch.js";
 import type { SteerSettings } from "./settings/settings.js";
 import { createBeliefKeeper } from "./store/beliefKeeper.js";
 import { type Decoder, encodeMember, memberKey } from "./store/beliefs.js";
@@ -127,7 +127,15 @@
     });
     const connections = createTargetConnections({ timer, answerBytes });
     const inFlight = (service: ServiceId, dataCentre: DataCentreId): number => steerer.inFlightAt(service, dataCentre);
-    const rooms = createRooms({ timer, inFlight });
+    const offered = createOfferedLoad(timer);
+    const spillover = createSpillover({
+        timer,
+        self: { entry: settings.name, dataCentre: settings.dataCentre },
+        ownLoad: offered.slots,
+        pressure: pressure.of,
+        capacity: (service, dataCentre) => keeper.isEvacuated(dataCentre) ? 0 : slotsIn(registry, service, dataCentre),
+        dataCentres: registry.dataCentres,
+    });
     const regionOf = (dataCentre: DataCentreId): RegionId | undefined => settings.regions.get(dataCentre);
     const roundTripMs = (dataCentre: DataCentreId): number => {
         if (dataCentre === settings.dataCentre) {
@@ -197,7 +205,7 @@
         random,
         self: settings,
         registry,
-        rooms,
+        spillover,
         shift,
         works,
         objectHomes,
@@ -225,6 +233,7 @@
         shift,
         works,
         objectHomes,
+        offered,
         pressure,
         allowance: createRetryAllowance({
             timer,
@@ -238,7 +247,7 @@
         roundTripMs,
         send: sender.send,
         cancel: sender.cancel,
-        events: createRequestLog({ timer, log, metrics, lent: rooms.describe }),
+        events: createRequestLog({ timer, log, metrics, lent: spillover.describe }),
     });
     const intake = createIntake({
         timer,
@@ -261,30 +270,9 @@
         applied: () => steerer.dispatch(),
     });
     const registration = createRegistration({ store, timer, random, log, key: memberKey(instance), value: encodeMember(self) });
-    const roomWatch = createRoomWatch({
-        timer,
-        registry,
-        dataCentre: settings.dataCentre,
-        services: () => services.keys(),
-        isEvacuated: () => keeper.isEvacuated(settings.dataCentre),
-        waiting: service => steerer.waiting(service),
-        elsewhere: service => {
-            let count = 0;
-            for (const dataCentre of registry.dataCentres(service)) {
-                count += dataCentre === settings.dataCentre ? 0 : steerer.inFlightAt(service, dataCentre);
-            }
-            return count;
-        },
-        pressure: pressure.of,
-        told: rooms.setNeed,
-    });
     const peerState = createPeerState({ log, timer, self, members, follower, seeds: () => settings.seeds });
     const heard = (news: News, sender: { readonly record: MemberRecord; }): void => {
-        for (const room of news.rooms) {
-            if (room.dataCentre !== settings.dataCentre) {
-                rooms.heard(room.dataCentre, room.entry, room.rooms);
-            }
-        }
+        news.loads.forEach(({ dataCentre, entry, loads }) => spillover.heard(dataCentre, entry, loads));
         news.poison.forEach(item => poison.told(item.fingerprint, item.deaths));
         peerState.peerIsAt(sender.record, news.revision);
     };
@@ -293,7 +281,11 @@
         log,
         self,
         members,
-        ownRoom: () => ({ dataCentre: settings.dataCentre, entry: settings.name, rooms: roomWatch.news() }),
+        ownLoads: () => ({
+            dataCentre: settings.dataCentre,
+            entry: settings.name,
+            loads: [...services.keys()].map(service => ({ service, slots: offered.slots(service) })),
+        }),
         revision: follower.revision,
         heard,
     });
@@ -371,6 +363,14 @@
     "control",
 ] as const satisfies readonly (keyof SteerSettings)[];
 
+/** Slots of a service's targets that are not leaving. */
+function slotsIn(registry: TargetRegistry, service: ServiceId, dataCentre: DataCentreId): number {
+    return registry.inDataCentre(service, dataCentre).reduce(
+        (sum, target) => sum + (target.isSuspect ? 0 : target.record.slots),
+        0,
+    );
+}
+
 const describe = (
     target: Target,
     change: string,
