perf(core): a request waits only where a slot is likely in time

Change: by Little's law the queue's rate is known; a request that is not likely to get a slot by its latest start, nor late within its bounded wait, is refused at once and told when to come back. Returned requests are judged alike.

--- a/packages/core/src/steering/patience.ts
+++ b/packages/core/src/steering/patience.ts
@@ -11,8 +11,10 @@
 const lateWaitShare = 1;
 /** A request that can only be late waits for this part of its time at most. */
 const waitShare = 0.45;
-/** Most requests that wait though they can only be late, for each slot of the data centre. */
-const latePerSlot = 1;
+/** Part of the expected wait that must fit: a job ahead may leave, and slots may come free sooner. */
+const hopefulness = 0.7;
+/** Rate that is assumed where hardly anything was served lately. */
+const leastPerSecond = 1;
 /** A place that is full now is waited for if it would gain this much more. */
 const worthWaiting = 0.2;
 /** Worth of making an object known to a target, for the requests that follow. */
@@ -42,7 +44,19 @@
     return job.request.arrivedAt + (job.isReturn ? longest : Math.min(longest, lateWaitShare * job.route.objectiveMs));
 }
 
-/** Most jobs of a service that wait though they can only be late. */
-export function mostLateWaiters(slots: number): number {
-    return latePerSlot * Math.max(1, slots);
+/** What is known of the queue when a job is to wait in it. */
+export interface Outlook {
+    readonly now: number;
+    /** Jobs that are served before it, among those that can be in time or among those that can't. */
+    readonly ahead: number;
+    /** Jobs that get a slot in a second, of its kind. */
+    readonly perSecond: number;
+    /** Last moment at which it may start. */
+    readonly until: number;
+}
+
+/** Whether a job that waits is likely to get a slot by the moment at which it must start. */
+export function isLikelyServed(outlook: Outlook): boolean {
+    const waitMs = ((outlook.ahead + 1) / Math.max(leastPerSecond, outlook.perSecond)) * 1_000;
+    return outlook.now + hopefulness * waitMs <= outlook.until;
 }
--- a/packages/core/src/steering/placement.ts
+++ b/packages/core/src/steering/placement.ts
@@ -43,8 +43,6 @@
     hasRoom(service: ServiceId): boolean;
     /** Work that the job takes at the target that knows its object best, in milliseconds. */
     leastWorkMs(job: Job<Answer>): number;
-    /** Slots of the service in the own data centre that may be used at all. */
-    ownSlots(job: Job<Answer>): number;
 }
 
 export interface PlacementOptions {
@@ -234,12 +232,5 @@
             }
             return works.coldObjectMs(job.route);
         },
-        ownSlots: job => {
-            let slots = 0;
-            for (const target of registry.inDataCentre(job.service, self.dataCentre)) {
-                slots += target.isSuspect ? 0 : target.record.slots;
-            }
-            return slots;
-        },
     };
 }
--- a/packages/core/src/steering/steerer.ts
+++ b/packages/core/src/steering/steerer.ts
@@ -11,13 +11,14 @@
 import type { AnswerHead, Attempt, Ending, Job, SteeringRequest } from "./job.js";
 import type { ObjectHomes } from "./objectHomes.js";
 import type { OfferedLoad } from "./offeredLoad.js";
-import { isCrowdedOut, isWorthTaking, mostLateWaiters, waitsUntil } from "./patience.js";
+import { isCrowdedOut, isLikelyServed, isWorthTaking, waitsUntil } from "./patience.js";
 import type { Choice, Placement } from "./placement.js";
 import type { Pressure } from "./pressure.js";
 import type { RegionShift } from "./regionShift.js";
 import type { RetryAllowance } from "./retryAllowance.js";
 import { createReturns, retryAfterMs } from "./returns.js";
 import type { RouteTable } from "./routeTable.js";
+import { createSlidingCount, type SlidingCount } from "./slidingCount.js";
 import { noteOutcome, noteReport, objectKey, type Target } from "./target.js";
 import type { TargetHealth } from "./targetHealth.js";
 import { createWaitingRoom, type Waiter } from "./waitingRoom.js";
@@ -78,6 +79,10 @@
 const mostLooks = 8;
 /** A request is only sent again if this part of the usual work fits into the time left. */
 const leastTimeShare = 0.8;
+/** Span over which late starts are counted. */
+const lateWindowMs = 2_000;
+/** Work of a request before anything is known. */
+const usualWorkMs = 300;
 /** Connections that may fail before anything is sent. */
 const mostNotReached = 3;
 
@@ -89,11 +94,31 @@
     const inFlight = new Map<string, number>();
     let attempts = 0;
 
+    const lateSent = new Map<ServiceId, SlidingCount>();
+    const sentTo = new Map<ServiceId, number>();
+    /** Jobs of a service that get a slot in a second: all, by Little's law, and those that could only be late. */
+    const ratesOf = (service: ServiceId): { readonly all: number; readonly late: number; } => {
+        const workMs = options.offered.workMs(service) ?? usualWorkMs;
+        return {
+            all: ((sentTo.get(service) ?? 0) / workMs) * 1_000,
+            late: ((lateSent.get(service)?.total() ?? 0) / lateWindowMs) * 1_000,
+        };
+    };
+    const countLate = (service: ServiceId): void => {
+        let count = lateSent.get(service);
+        if (count === undefined) {
+            count = createSlidingCount(timer, lateWindowMs, 8);
+            lateSent.set(service, count);
+        }
+        count.add();
+    };
+
     const placeKey = (service: ServiceId, dataCentre: DataCentreId): string => `${service} ${dataCentre}`;
     const countIn = (target: Target, by: number): void => {
         const key = placeKey(target.record.service, target.record.dataCentre);
         inFlight.set(key, (inFlight.get(key) ?? 0) + by);
         target.inFlight += by;
+        sentTo.set(target.record.service, (sentTo.get(target.record.service) ?? 0) + by);
     };
 
     const end = (job: Job<Answer>, ending: Ending<Answer>, why: string): void => {
@@ -182,6 +207,9 @@
         if (!isWorthTaking(free, fullGain, canWait) || isCrowdedOut(job, free, pressure.of(job.service))) {
             return "waits";
         }
+        if (!canWait) {
+            countLate(job.service);
+        }
         send(job, free);
         return "sent";
     };
@@ -200,26 +228,31 @@
     /** Decides on a job that found no place: refuse it now, or look again when that would change. */
     const hold = (waiter: Waiter<Answer>): void => {
         const { job } = waiter;
-        const now = timer.now();
         if (job.state !== "waiting") {
             return;
         }
-        if (waiter.latestStart > now) {
-            timer.after(waiter.latestStart - now + 1, () => review(waiter));
-            return;
-        }
+        const now = timer.now();
         const lateUntil = waitsUntil(job);
-        const { all, inTime } = room.counts(job.service, now);
-        const mostLate = mostLateWaiters(placement.ownSlots(job));
-        if (now >= lateUntil || (!job.isReturn && all - inTime > mostLate)) {
-            giveUp(
-                job,
-                results.noRoom,
-                `no room; ${inTime} wait that can be in time, ${all - inTime} that can't, at most ${mostLate}`,
-            );
+        const { ahead, aheadInTime } = room.ahead(waiter, now);
+        const perSecond = ratesOf(job.service);
+        const isInTime = waiter.latestStart > now
+            && isLikelyServed({ now, ahead: aheadInTime, perSecond: perSecond.all, until: waiter.latestStart });
+        const until = isInTime ? waiter.latestStart : lateUntil;
+        const isServed = isInTime
+            || (now < lateUntil
+                && isLikelyServed({
+                    now,
+                    ahead: ahead - aheadInTime,
+                    // Where nobody can be in time, late jobs get the slots of the moment.
+                    perSecond: Math.max(perSecond.late, aheadInTime === 0 ? perSecond.all / 2 : 0),
+                    until: lateUntil,
+                }));
+        if (!isServed) {
+            const rates = `${perSecond.all.toFixed(1)}/s, of them late ${perSecond.late.toFixed(1)}`;
+            giveUp(job, results.noRoom, `no room; ${ahead} ahead, ${aheadInTime} of them in time; served ${rates}`);
             return;
         }
-        timer.after(Math.max(1, lateUntil - now), () => review(waiter));
+        timer.after(Math.max(1, until - now + 1), () => review(waiter));
     };
     const review = (waiter: Waiter<Answer>): void => {
         if (waiter.job.state === "waiting") {
@@ -396,6 +429,6 @@
         },
         inFlight: () => finishers.size,
         inFlightAt: (service, dataCentre) => inFlight.get(placeKey(service, dataCentre)) ?? 0,
-        waiting: service => room.counts(service, timer.now()).all,
+        waiting: service => room.waiting(service),
     };
 }
--- a/packages/core/src/steering/waitingRoom.ts
+++ b/packages/core/src/steering/waitingRoom.ts
@@ -17,8 +17,9 @@
     remove(job: Job<Answer>): void;
     /** Waiters of a service in the order in which they are served at `now`. */
     ordered(service: ServiceId, now: number): readonly Waiter<Answer>[];
-    /** How many wait, and how many of them can still be in time. */
-    counts(service: ServiceId, now: number): { readonly all: number; readonly inTime: number; };
+    /** How many are served before this one, and how many of them can still be in time. */
+    ahead(waiter: Waiter<Answer>, now: number): { readonly ahead: number; readonly aheadInTime: number; };
+    waiting(service: ServiceId): number;
     services(): Iterable<ServiceId>;
 }
 
@@ -44,10 +45,12 @@
             }
         },
         ordered: (service, now) => listOf(service).slice().sort((a, b) => compareWaiters(a, b, now)),
-        counts: (service, now) => {
-            const list = listOf(service);
-            return { all: list.length, inTime: list.filter(waiter => waiter.latestStart >= now).length };
+        ahead: (waiter, now) => {
+            const list = listOf(waiter.job.service);
+            const before = list.filter(other => other !== waiter && compareWaiters(other, waiter, now) < 0);
+            return { ahead: before.length, aheadInTime: before.filter(other => other.latestStart >= now).length };
         },
+        waiting: service => listOf(service).length,
         services: () => lists.keys(),
     };
 }
