perf(core): an object is made known at one own target and one near; long work alone takes no target out

A request without an answer made its target suspect for 0.1 to 1.6 s, though the long tail of work alone does that to 3% of the requests. Change: one own copy and one near; a silent request asks for a health check, and only its failure takes the target out.

--- a/packages/core/src/steering/__tests__/steerer.test.ts
+++ b/packages/core/src/steering/__tests__/steerer.test.ts
@@ -159,3 +159,18 @@
         assert.ok(bench.sent.filter(attempt => attempt.sentAt >= start && attempt.sentAt < start + 1_000).length <= 3);
     }
 });
+
+test("a target stays in use while a request there has no answer, until a health check has none either", () => {
+    const bench = createBench({ targets: [record("one", { slots: 4 })] });
+    bench.arrive("slow");
+    bench.steerer.written(bench.sent[0]!);
+    bench.timer.advance(1_300);
+    assert.equal(codeOf(bench.endings.get("slow")), 3002);
+    assert.deepEqual(bench.checks.map(target => target.record.id), ["one"]);
+    bench.arrive("next");
+    assert.equal(bench.sent.length, 2);
+    const unreached = { isReached: false, isExpected: false, isHealthy: false, coldMs: undefined, load: undefined };
+    bench.health.checked(bench.checks[0]!, unreached);
+    bench.arrive("later");
+    assert.equal(bench.sent.length, 2);
+});
--- a/packages/core/src/steering/objectHomes.ts
+++ b/packages/core/src/steering/objectHomes.ts
@@ -22,7 +22,7 @@
 }
 
 /** Most targets of a group at which an object is made known. */
-const mostCopies = 2;
+const mostCopies = 1;
 /** Part of the memory that is counted on. */
 const memoryShare = 0.95;
 const periodMs = 10_000;
--- a/packages/core/src/steering/targetHealth.ts
+++ b/packages/core/src/steering/targetHealth.ts
@@ -99,7 +99,10 @@
         silent: target => {
             noteOutcome(target, true);
             target.distrustUntil = timer.now() + distrustMs;
-            suspect(target, "a request had no answer");
+            // Long work is more common than a dead target: it stays in use until a health check says otherwise.
+            if (!target.isSuspect && !target.isGone) {
+                options.check(target);
+            }
         },
         checked: (target, answer) => {
             const fingerprints = blamed.get(target) ?? [];
@@ -123,7 +126,7 @@
             }
             if (!target.isSuspect) {
                 if (!answer.isReached) {
-                    suspect(target, "its load could not be read");
+                    suspect(target, "a request and a health check had no answer");
                 }
                 options.recovered();
                 return;
--- /dev/null
+++ b/packages/standin/src/direct/operatorStandin.ts
@@ -0,0 +1,85 @@
+/** Stand-in of the operator and of targets' announcements on the users' platform: the items that they write to the store. */
+import type { StoreStandin } from "./storeStandin.js";
+
+export interface RouteItem {
+    readonly prefix: string;
+    readonly isIdempotent: boolean;
+    /** Services and their weights. */
+    readonly parts: Readonly<Record<string, number>>;
+    readonly timeoutMs: number;
+    readonly objectiveMs: number;
+}
+
+export interface TargetItem {
+    readonly id: string;
+    readonly service: string;
+    readonly address: string;
+    readonly dataCentre: string;
+    readonly slots: number;
+    readonly isDraining: boolean;
+    /** Unix milliseconds of its start. */
+    readonly born: number;
+}
+
+export interface Operator {
+    configure(version: number, routes: readonly RouteItem[]): void;
+    announce(target: TargetItem): void;
+    withdraw(targetId: string): void;
+    /** Asks that a data centre's targets get nothing, or takes that back. */
+    evacuate(dataCentre: string, isEvacuated: boolean): void;
+}
+
+export const standinHost = "a.example";
+const targetKey = (id: string): string => `servers/${id}`;
+
+export function createOperator(store: StoreStandin): Operator {
+    let sequence = 0;
+    const routeItem = (route: RouteItem): object => ({
+        resourceKind: "routes",
+        metadata: { name: route.prefix },
+        specification: {
+            host: standinHost,
+            prefix: route.prefix,
+            kind: route.isIdempotent ? "safe" : "unsafe",
+            timeout: `${route.timeoutMs}ms`,
+            targetLatency: `${route.objectiveMs}ms`,
+            priority: 1,
+            trafficSplit: Object.entries(route.parts).map(([service, weight]) => ({ service, weight })),
+            attempts: 2,
+            stickySessions: false,
+            homeRegions: [],
+        },
+    });
+    return {
+        configure: (version, routes) => {
+            const services = [...new Set(routes.flatMap(route => Object.keys(route.parts)))].map(name => ({
+                resourceKind: "services",
+                metadata: { name },
+                specification: { healthCheckPath: "/health" },
+            }));
+            store.put("op/config", { version, resources: [...routes.map(routeItem), ...services] });
+        },
+        announce: target =>
+            store.put(targetKey(target.id), {
+                service: target.service,
+                address: target.address,
+                zone: target.dataCentre,
+                version: "v1",
+                slots: target.slots,
+                state: target.isDraining ? "draining" : "ready",
+                coldRemaining: "0ms",
+                sequence: ++sequence,
+                born: target.born,
+            }),
+        withdraw: id => store.remove(targetKey(id)),
+        evacuate: (dataCentre, isEvacuated) => {
+            const key = `op/evacuate/${dataCentre}`;
+            if (isEvacuated) {
+                store.put(key, {});
+            }
+            else {
+                store.remove(key);
+            }
+        },
+    };
+}
--- a/packages/standin/src/direct/storeStandin.ts
+++ b/packages/standin/src/direct/storeStandin.ts
@@ -25,6 +25,10 @@
     has(prefix: string): number;
     /** While set, every call is refused with this status, or left without an answer at 0. */
     setFault(status: number | undefined): void;
+    /** Ends all leases at once. */
+    lapse(): void;
+    /** Forgets the history: watches that go on from before it are told so. */
+    compact(): void;
     close(): void;
 }
 
@@ -37,6 +41,7 @@
     let fault: number | undefined;
     const items = new Map<string, Item>();
     const history: Event[] = [];
+    let compactedAt = 0;
     const leaseEnds = new Map<number, number>();
     const write = (key: string, value: string, lease: number): void => {
         revision++;
@@ -60,6 +65,10 @@
     const readJson = async <Body>(request: IncomingMessage): Promise<Body> =>
         JSON.parse((await readBody(request, mostBytes)).toString()) as Body;
     const watch = (response: ServerResponse, prefix: string, after: number, waitMs: number): void => {
+        if (after < compactedAt) {
+            sendJson(response, 410, { error: "this history is gone" });
+            return;
+        }
         const endAt = performance.now() + waitMs;
         const look = (): void => {
             const events = history.filter(event => event.revision > after && event.key.startsWith(prefix));
@@ -142,6 +151,11 @@
         setFault: status => {
             fault = status;
         },
+        lapse: () => [...leaseEnds.keys()].forEach(endLease),
+        compact: () => {
+            history.length = 0;
+            compactedAt = revision;
+        },
         close: () => {
             clearInterval(expiry);
             router.close();
