--- a/packages/soak/src/cluster/daemons.ts
+++ b/packages/soak/src/cluster/daemons.ts
@@ -1,9 +1,9 @@
 /** Steering daemons as processes: started, signalled and ended by their ids, with their logs kept in files. */
-import { listenNames, type Place, settingsText } from "./settingsText.js";
 import { type ChildProcess, spawn } from "node:child_process";
 import { closeSync, mkdirSync, openSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { listenNames, type Place, settingsText } from "./settingsText.js";
 
 /** One run of a daemon's process, from its start to its end, on the steady clock. */
 export interface DaemonRun {
@@ -60,7 +60,12 @@
         runs,
         isUp: () => child !== undefined && latest().stoppedAt === undefined,
         start: () => {
-            const run: DaemonRun = { number: runs.length, startedAt: performance.now(), endedAt: undefined, stoppedAt: undefined };
+            const run: DaemonRun = {
+                number: runs.length,
+                startedAt: performance.now(),
+                endedAt: undefined,
+                stoppedAt: undefined,
+            };
             runs.push(run);
             const log = openSync(join(folder, `${place.name}.${run.number}.log`), "w");
             const started = spawn(process.execPath, [program], {
--- a/packages/soak/src/cluster/targets.ts
+++ b/packages/soak/src/cluster/targets.ts
@@ -9,6 +9,7 @@
     readonly proxy: Proxy;
     readonly dataCentre: string;
     current(): TargetStandin;
+    service(): string;
     /** The target says that it leaves; a while later it ends and another takes its place. */
     replace(service: string, graceMs: number): Promise<void>;
     /** The target ends at once, without a word; the store lists it until its record lapses. */
@@ -69,6 +70,7 @@
         proxy,
         dataCentre: options.dataCentre,
         current: () => target,
+        service: () => service,
         replace: async (next, graceMs) => {
             announce(true);
             left();
--- a/packages/soak/src/faults/proxy.ts
+++ b/packages/soak/src/faults/proxy.ts
@@ -44,10 +44,12 @@
         // A gap in the stream must not be followed by later bytes.
         return pair.isHarmed;
     };
+    // A socket that still dials can't be reset; it would wait for its connection for ever.
+    const end = (socket: net.Socket): void => void (socket.connecting ? socket.destroy() : socket.resetAndDestroy());
     const reset = (pair: Pair): void => {
         pairs.delete(pair);
-        pair.down.resetAndDestroy();
-        pair.up.resetAndDestroy();
+        end(pair.down);
+        end(pair.up);
     };
     const pipe = (pair: Pair, from: net.Socket, to: net.Socket, isUp: boolean): void => {
         const deliver = (act: () => void): void => {
@@ -63,9 +65,9 @@
         };
         from.on("data", chunk => deliver(() => to.write(chunk)));
         from.on("end", () => deliver(() => to.end()));
-        from.on("error", () => deliver(() => to.resetAndDestroy()));
+        from.on("error", () => deliver(() => end(to)));
         from.on("close", () => {
-            if (!isLost(pair, isUp)) {
+            if (pair.down.destroyed && pair.up.destroyed) {
                 pairs.delete(pair);
             }
         });
--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -40,6 +40,7 @@
 
 export function createCallers(options: CallersOptions): Callers {
     const { daemons, random, outcomes } = options;
+    const lookUps = new Agent();
     let sequence = 0;
     const oneIn = (count: number): boolean => random.below(count) === 0;
 
@@ -48,7 +49,7 @@
             const { directory, place } = daemons[(caller + turn) % daemons.length]!;
             try {
                 const url = `http://${directory}/resolve?name=a&region=${place.region}&zone=${place.dataCentre}`;
-                const answer = await request(url, { signal: AbortSignal.timeout(lookUpMs) });
+                const answer = await request(url, { signal: AbortSignal.timeout(lookUpMs), dispatcher: lookUps });
                 const body = (await answer.body.json()) as { readonly addresses?: readonly string[]; };
                 if (answer.statusCode === 200 && body.addresses !== undefined) {
                     return body.addresses;
@@ -156,6 +157,7 @@
     return {
         run: async (callers, until) => {
             await Promise.all(Array.from({ length: callers }, (_, caller) => live(caller, until)));
+            await lookUps.destroy();
         },
     };
 }
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,54 @@
+/** `pimento-soak`: runs soaks by seed and prints what each found. */
+import { results } from "@pimentospring/core/results/resultCode";
+import { exitCodes, printError } from "@pimentospring/runtime/program/program";
+import { cac } from "cac";
+import { randomInt } from "node:crypto";
+import { join } from "node:path";
+import { runSoak } from "./soak.js";
+
+interface Flags {
+    readonly seed?: number;
+    readonly seeds: number;
+    readonly seconds: number;
+    readonly gap: number;
+    readonly callers: number;
+    readonly net: number;
+    readonly keep: string;
+}
+
+async function soak(flags: Flags): Promise<void> {
+    const first = flags.seed ?? randomInt(1_000_000);
+    let failed = 0;
+    for (let seed = first; seed < first + flags.seeds; seed++) {
+        const folder = join(flags.keep, `seed-${seed}`);
+        const { net, callers } = flags;
+        const result = await runSoak({ seed, lengthMs: flags.seconds * 1_000, gapMs: flags.gap, callers, net, folder });
+        const { requests, served, runs, faults, breaches } = result;
+        process.stdout.write(`seed ${seed}: ${faults} faults, ${requests} requests, ${served} served, ${runs} runs, `);
+        process.stdout.write(breaches.length === 0 ? "every promise kept\n" : `${breaches.length} breaches; logs in ${folder}\n`);
+        breaches.slice(0, 5).forEach(({ promise, text }) => process.stdout.write(`  ${promise}: ${text}\n`));
+        failed += breaches.length === 0 ? 0 : 1;
+    }
+    process.stdout.write(`${flags.seeds - failed} of ${flags.seeds} seeds kept every promise\n`);
+    process.exitCode = failed === 0 ? exitCodes.ok : exitCodes.failed;
+}
+
+const cli = cac("pimento-soak");
+cli.command("", "Runs real daemons under seeded faults and checks the promises")
+    .option("--seed <n>", "First seed; a random one if left out")
+    .option("--seeds <n>", "How many seeds, one after the other", { default: 1 })
+    .option("--seconds <n>", "Time in which faults happen", { default: 16 })
+    .option("--gap <ms>", "Mean gap between the starts of faults", { default: 500 })
+    .option("--callers <n>", "Callers at once", { default: 12 })
+    .option("--net <n>", "Third byte of the loopback addresses, for runs beside each other", { default: 81 })
+    .option("--keep <folder>", "Where logs and records are kept", { default: "target/soak" })
+    .action((flags: Flags) => soak(flags));
+cli.help();
+try {
+    cli.parse(process.argv, { run: false });
+    await cli.runMatchedCommand();
+}
+catch (error) {
+    printError(results.badArguments, (error as Error).message);
+    process.exitCode = exitCodes.usage;
+}
--- a/packages/soak/src/promises/promises.ts
+++ b/packages/soak/src/promises/promises.ts
@@ -94,7 +94,10 @@
             && outcome.sentAt > version.writtenAt + applyMs && isStillThere(record, version.version, outcome)
             && isCalm(record, outcome.daemon, version.writtenAt, outcome.endedAt)
         ).map(outcome =>
-            breach("applied", `${outcome.daemon} does not know version ${version.version} after ${since(version.writtenAt, outcome)}`)
+            breach(
+                "applied",
+                `${outcome.daemon} does not know version ${version.version} after ${since(version.writtenAt, outcome)}`,
+            )
         )
     );
 
