--- a/packages/core/src/steering/__tests__/steerer.test.ts
+++ b/packages/core/src/steering/__tests__/steerer.test.ts
@@ -1,7 +1,7 @@
 /** What becomes of a request: one final answer, one target at a time, and "not run" only where it is proved. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { Fingerprint } from "../../ids.js";
+import { type Fingerprint, toDataCentreId, toRegionId } from "../../ids.js";
 import type { Ending } from "../job.js";
 import { createBench, record, route } from "./fixture.js";
 
@@ -174,3 +174,14 @@
     bench.arrive("later");
     assert.equal(bench.sent.length, 2);
 });
+
+test("where the own region has no target left, everything leaves at once, within what is agreed", () => {
+    const elsewhere = { dataCentre: toDataCentreId("dbn-a"), region: toRegionId("dbn"), slots: 8 };
+    const bench = createBench({ targets: [record("far", elsewhere), record("farther", elsewhere)] });
+    for (let index = 0; index < 12; index++) {
+        bench.arrive(`r${index}`, { deadlineAt: bench.timer.now() + 4_000 });
+        bench.timer.advance(40);
+        bench.sent.slice(-1).filter(attempt => attempt.job.state === "sent").forEach(attempt => bench.answer(attempt));
+    }
+    assert.equal([...bench.endings.values()].filter(ending => ending.kind === "answer").length, 12);
+});
--- a/packages/core/src/steering/placement.ts
+++ b/packages/core/src/steering/placement.ts
@@ -122,6 +122,16 @@
 export function createPlacement<Answer>(options: PlacementOptions): Placement<Answer> {
     const { timer, random, self, registry, spillover, shift, works, objectHomes, farObjects } = options;
 
+    /** Where a region has no target left, all that arrives there has to leave at once. */
+    const hasOwnRegionTarget = (service: ServiceId): boolean => {
+        for (const dataCentre of registry.dataCentres(service)) {
+            const isOwn = options.regionOf(dataCentre) === self.region && !options.isEvacuated(dataCentre);
+            if (isOwn && registry.inDataCentre(service, dataCentre).some(target => !target.isSuspect)) {
+                return true;
+            }
+        }
+        return false;
+    };
     const isFarObject = (job: Job<Answer>): boolean =>
         job.route.isSticky && job.request.object !== undefined
         && farObjects.isFar(job.service, objectKey(job.route, job.request.object));
@@ -131,7 +141,7 @@
         if (options.isEvacuated(dataCentre) || (homes.length > 0 && (region === undefined || !homes.includes(region)))) {
             return false;
         }
-        if (region !== self.region && !shift.mayLeave()) {
+        if (region !== self.region && !shift.mayLeave() && hasOwnRegionTarget(job.service)) {
             return false;
         }
         // Within a region reports are fresh, and the few entries there meet at the same targets anyway.
--- a/packages/core/src/steering/regionShift.ts
+++ b/packages/core/src/steering/regionShift.ts
@@ -24,12 +24,12 @@
 const slices = 8;
 /**
  * Part of the bound by which a share may differ from the window before. A share that moves steadily by this moves by
- * 1.8 times as much from window to window.
+ * twice as much from window to window.
  */
-const usedShare = 0.5;
-/** Requests of a window below which there is nothing to move away from. */
-const fewRequests = 8;
-/** Requests that may be made up for at once. */
+const usedShare = 0.45;
+/** Share that may leave from the first request on, when nothing was sent in the window before. */
+const firstShare = 0.35;
+/** Requests that may be made up for at once, after moments in which nothing elsewhere was free. */
 const mostCarried = 2;
 
 interface Slice {
@@ -44,8 +44,10 @@
     let current: Slice = { all: 0, left: 0 };
     let currentNumber = Math.floor(timer.now() / sliceMs);
     /** Requests that may leave, and that have to. */
-    let mayLeave = 0;
+    let mayLeave = 1;
     let mustLeave = 0;
+    /** When the entry's requests began, after none for a window. */
+    let begunAt = -Infinity;
     const roll = (): void => {
         const number = Math.floor(timer.now() / sliceMs);
         const steps = Math.min(number - currentNumber, 2 * slices);
@@ -53,18 +55,16 @@
             past.push(current);
             current = { all: 0, left: 0 };
         }
-        past.splice(0, Math.max(0, past.length - 2 * slices));
+        past.splice(0, Math.max(0, past.length - slices));
         currentNumber = number;
     };
     const sum = (part: readonly Slice[]): Slice =>
         part.reduce((total, slice) => ({ all: total.all + slice.all, left: total.left + slice.left }), { all: 0, left: 0 });
     const lastWindow = (): Slice => sum(past.slice(-slices));
-    const windowBefore = (): Slice => sum(past.slice(0, -slices));
     return {
         mayLeave: () => {
             roll();
-            // Where nothing was sent in the window before, nothing moves.
-            return mayLeave >= 1 || windowBefore().all < fewRequests;
+            return mayLeave >= 1;
         },
         mayStay: () => {
             roll();
@@ -75,7 +75,12 @@
             const window = lastWindow();
             const share = window.all === 0 ? 0 : window.left / window.all;
             const gone = isLeaving ? 1 : 0;
-            mayLeave = Math.min(mostCarried, Math.max(0, mayLeave + share + usedShare * most() - gone));
+            if (window.all + current.all === 0) {
+                begunAt = timer.now();
+            }
+            const isFirstWindow = timer.now() - begunAt < windowMs;
+            const highest = Math.max(share + usedShare * most(), isFirstWindow ? firstShare : 0);
+            mayLeave = Math.min(mostCarried, Math.max(0, mayLeave + highest - gone));
             mustLeave = Math.min(mostCarried, Math.max(0, mustLeave + share - usedShare * most() - gone));
             current.all++;
             current.left += gone;
--- a/packages/core/src/steering/spillover.ts
+++ b/packages/core/src/steering/spillover.ts
@@ -80,7 +80,8 @@
         return loads;
     };
     const makePlan = (service: ServiceId): Plan => {
-        const slots = new Map<DataCentreId, number>();
+        // The own data centre counts, though it may have no targets of the service.
+        const slots = new Map<DataCentreId, number>([[self.dataCentre, 0]]);
         for (const dataCentre of options.dataCentres(service)) {
             slots.set(dataCentre, options.capacity(service, dataCentre));
         }
