fix(core): the share that leaves a region is right from the first request and moves slowly from there

Objects served elsewhere are bounded by their own share. Tests: parts.test (load told whole from the first second on).

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -143,6 +143,7 @@
             timer,
             self: { entry: "me", dataCentre },
             ownLoad: offered.slots,
+            loadAgeMs: offered.ageMs,
             pressure: pressure.of,
             capacity: (wanted, place) => registry.inDataCentre(wanted, place).length * 2,
             dataCentres: registry.dataCentres,
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -11,6 +11,7 @@
 import { createMembers, type MemberRecord } from "../members.js";
 import { createObjectHomes } from "../objectHomes.js";
 import { createObjectMemory } from "../objectMemory.js";
+import { createOfferedLoad } from "../offeredLoad.js";
 import { createRegionShift } from "../regionShift.js";
 import { createRetryAllowance } from "../retryAllowance.js";
 import { createRouteTable } from "../routeTable.js";
@@ -251,6 +252,7 @@
         timer,
         self: { entry: "me", dataCentre: own },
         ownLoad: () => 8,
+        loadAgeMs: () => 5_000,
         pressure: () => 0,
         capacity: (_, place) => slots.get(place)!,
         dataCentres: () => slots.keys(),
@@ -262,6 +264,20 @@
     assert.ok(Math.abs(spillover.farShare(service) - 0.5 * (12 / 16)) < 1e-9);
 });
 
+test("offered load is told whole from its first second on", () => {
+    const timer = createVirtualTimer();
+    const offered = createOfferedLoad(timer);
+    const at: number[] = [];
+    for (let arrival = 0; arrival < 400; arrival++) {
+        offered.arrived(service, 100);
+        timer.advance(20);
+        if (arrival % 25 === 24) {
+            at.push(offered.slots(service));
+        }
+    }
+    assert.ok(at.every(slots => Math.abs(slots - 5) < 0.6), at.join(" "));
+});
+
 test("before any load is heard, a data centre with few slots takes its part of those that others have above the mean", () => {
     const slots = new Map(
         [["cpt-a", 4], ["cpt-b", 4], ["dbn-a", 16]].map(([place, count]) =>
@@ -282,6 +298,7 @@
         timer,
         self: { entry: "me", dataCentre: toDataCentreId("cpt-a") },
         ownLoad: () => 8,
+        loadAgeMs: () => 5_000,
         pressure: () => 0,
         capacity: () => 4,
         dataCentres: () => [toDataCentreId("cpt-a"), place],
--- a/packages/core/src/steering/offeredLoad.ts
+++ b/packages/core/src/steering/offeredLoad.ts
@@ -9,18 +9,22 @@
     worked(service: ServiceId, workMs: number): void;
     /** Slots that serving all of it would keep busy. */
     slots(service: ServiceId): number;
+    /** How long requests for the service have been arriving, in milliseconds; 0 before the first. */
+    ageMs(service: ServiceId): number;
     /** Usual work of a request, in milliseconds; `undefined` before the first. */
     workMs(service: ServiceId): number | undefined;
 }
 
 /** Time constant with which arrivals are forgotten. */
 const fadeMs = 2_000;
+const leastSpanMs = 250;
 const weight = 0.05;
 
 interface Load {
     /** Arrivals, faded. */
     arrivals: number;
     at: number;
+    readonly since: number;
     workMs: number;
 }
 
@@ -34,7 +38,7 @@
         arrived: (service, workMs) => {
             const known = loads.get(service);
             if (known === undefined) {
-                loads.set(service, { arrivals: 1, at: timer.now(), workMs });
+                loads.set(service, { arrivals: 1, at: timer.now(), since: timer.now(), workMs });
                 return;
             }
             fade(known);
@@ -52,7 +56,13 @@
                 return 0;
             }
             fade(load);
-            return (load.arrivals / fadeMs) * load.workMs;
+            // What is remembered covers less than the whole span at first.
+            const covered = fadeMs * (1 - Math.exp(-Math.max(leastSpanMs, timer.now() - load.since) / fadeMs));
+            return (load.arrivals / covered) * load.workMs;
+        },
+        ageMs: service => {
+            const load = loads.get(service);
+            return load === undefined ? 0 : timer.now() - load.since;
         },
         workMs: service => loads.get(service)?.workMs,
     };
--- a/packages/core/src/steering/placement.ts
+++ b/packages/core/src/steering/placement.ts
@@ -141,7 +141,9 @@
         if (options.isEvacuated(dataCentre) || (homes.length > 0 && (region === undefined || !homes.includes(region)))) {
             return false;
         }
-        if (region !== self.region && !shift.mayLeave() && hasOwnRegionTarget(job.service)) {
+        // The share of objects that are served elsewhere is bounded by itself.
+        const isBound = region !== self.region && !isFarObject(job) && hasOwnRegionTarget(job.service);
+        if (isBound && !shift.mayLeave()) {
             return false;
         }
         // Within a region reports are fresh, and the few entries there meet at the same targets anyway.
--- a/packages/core/src/steering/spillover.ts
+++ b/packages/core/src/steering/spillover.ts
@@ -29,6 +29,8 @@
     readonly self: { readonly entry: string; readonly dataCentre: DataCentreId; };
     /** Load that this entry's callers offer, in slots. */
     readonly ownLoad: (service: ServiceId) => number;
+    /** How long its callers have been offering load for the service, in milliseconds. */
+    readonly loadAgeMs: (service: ServiceId) => number;
     /** How hard this entry's targets are pressed, from 0 to 1. */
     readonly pressure: (service: ServiceId) => number;
     /** Slots of the service's targets that may be used there. */
@@ -41,6 +43,8 @@
 
 const newsLifetimeMs = 3_000;
 const planLifetimeMs = 200;
+/** Loads are told once a second: before this age of the own load, those of others say nothing yet. */
+const knownAfterMs = 2_000;
 /** Slots wanted elsewhere for moments at which the own targets are full though they are enough on average. */
 const pressedNeed = 2;
 
@@ -64,7 +68,6 @@
     const { timer, self } = options;
     const heardLoads = new Map<string, { readonly load: EntryLoad; readonly service: ServiceId; readonly heardAt: number; }>();
     const plans = new Map<ServiceId, Plan>();
-    let hasHeard = false;
 
     const loadsOf = (service: ServiceId): EntryLoad[] => {
         const loads: EntryLoad[] = [{
@@ -86,7 +89,7 @@
             slots.set(dataCentre, options.capacity(service, dataCentre));
         }
         const loads = loadsOf(service);
-        if (!hasHeard) {
+        if (options.loadAgeMs(service) < knownAfterMs) {
             const allowances = firstAllowances(self.dataCentre, options.ownEntries(), slots);
             return { madeAt: timer.now(), allowances, lackShare: firstLackShare(self.dataCentre, slots) };
         }
@@ -104,7 +107,6 @@
     };
     return {
         heard: (dataCentre, entry, loads) => {
-            hasHeard ||= dataCentre !== self.dataCentre;
             for (const { service, slots } of loads) {
                 heardLoads.set(`${service} ${entry}`, {
                     service,
@@ -182,7 +184,7 @@
     return allowances;
 }
 
-/** Slots that an entry may fill elsewhere before it heard of any load: as if all data centres offered the same. */
+/** Slots that an entry may fill elsewhere before the others told theirs: as if all data centres offered the same. */
 export function firstAllowances(
     own: DataCentreId,
     ownEntries: number,
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -133,6 +133,7 @@
         timer,
         self: { entry: settings.name, dataCentre: settings.dataCentre },
         ownLoad: offered.slots,
+        loadAgeMs: offered.ageMs,
         pressure: pressure.of,
         capacity: (service, dataCentre) => keeper.isEvacuated(dataCentre) ? 0 : slotsIn(registry, service, dataCentre),
         dataCentres: registry.dataCentres,
