--- a/scripts/src/demo.ts
+++ b/scripts/src/demo.ts
@@ -68,11 +68,14 @@
     const slots = document.targets.reduce((sum, target) => sum + target.slots, 0);
     const perSecond = Math.min(mostPerSecond, slots * perSecondPerSlot);
     say(`load: ${perSecond.toFixed(0)} requests a second for ${loadMs / 1000} s, seed ${seed}`);
+    const usedBefore = performance.eventLoopUtilization();
     const load = startLoad({ callers, classes: file.load, perSecond, durationMs: loadMs, seed, now: () => performance.now() });
     const events = await disturb(deployment);
     const reports = await load.done;
+    const busy = performance.eventLoopUtilization(usedBefore).utilization;
     const counts = await readCounts(deployment);
     printReports(reports);
+    say(`the process of the callers was busy ${(100 * busy).toFixed(0)}% of the time`);
     await closeAll(callers);
     return [
         {
