--- a/packages/core/src/steering/job.ts
+++ b/packages/core/src/steering/job.ts
@@ -77,3 +77,33 @@
 export type Ending<Answer> =
     | { readonly kind: "answer"; readonly answer: Answer; }
     | { readonly kind: "refusal"; readonly result: Result; readonly retryAfterMs: number | undefined; };
+
+/** The final answer leaves this long before the caller stops waiting. */
+const answerMarginMs = 15;
+/** Time on the way to the caller that counts towards the objective. */
+const callerWayMs = 8;
+
+export interface JobOptions {
+    readonly request: SteeringRequest;
+    readonly route: Route;
+    readonly service: ServiceId;
+    readonly isReturn: boolean;
+}
+
+/** Creates the job of a request that arrived. */
+export function createJob<Answer>(options: JobOptions): Job<Answer> {
+    const { request, route } = options;
+    return {
+        ...options,
+        giveUpAt: Math.min(request.deadlineAt - answerMarginMs, request.arrivedAt + route.timeoutMs),
+        objectiveAt: request.arrivedAt + route.objectiveMs - callerWayMs,
+        tried: new Set(),
+        state: "waiting",
+        attempt: undefined,
+        arrivals: 0,
+        notReached: 0,
+        mayHaveRun: false,
+        failure: undefined,
+        cancelTimeout: () => {},
+    };
+}
--- a/packages/core/src/steering/waitingRoom.ts
+++ b/packages/core/src/steering/requestQueue.ts
@@ -12,7 +12,7 @@
     readonly latestStart: number;
 }
 
-export interface WaitingRoom<Answer> {
+export interface RequestQueue<Answer> {
     add(waiter: Waiter<Answer>): void;
     remove(job: Job<Answer>): void;
     /** Waiters of a service in the order in which they are served at `now`. */
@@ -23,7 +23,7 @@
     services(): Iterable<ServiceId>;
 }
 
-export function createWaitingRoom<Answer>(): WaitingRoom<Answer> {
+export function createRequestQueue<Answer>(): RequestQueue<Answer> {
     const lists = new Map<ServiceId, Waiter<Answer>[]>();
     const listOf = (service: ServiceId): Waiter<Answer>[] => {
         let list = lists.get(service);
--- a/packages/core/src/steering/steerer.ts
+++ b/packages/core/src/steering/steerer.ts
@@ -7,21 +7,21 @@
 import type { Random } from "../random/random.js";
 import { type Result, results } from "../results/resultCode.js";
 import type { Timer } from "../time/timer.js";
+import { isCrowdedOut, isLikelyServed, isWorthTaking, waitsUntil } from "./admission.js";
 import { settleAnswer, type Settlement } from "./answers.js";
-import type { AnswerHead, Attempt, Ending, Job, SteeringRequest } from "./job.js";
+import { type AnswerHead, type Attempt, createJob, type Ending, type Job, type SteeringRequest } from "./job.js";
 import type { ObjectHomes } from "./objectHomes.js";
 import type { OfferedLoad } from "./offeredLoad.js";
-import { isCrowdedOut, isLikelyServed, isWorthTaking, waitsUntil } from "./patience.js";
 import type { Choice, Placement } from "./placement.js";
 import type { Pressure } from "./pressure.js";
 import type { RegionShift } from "./regionShift.js";
+import { createRequestQueue, type Waiter } from "./requestQueue.js";
 import type { RetryAllowance } from "./retryAllowance.js";
 import { createReturns, retryAfterMs } from "./returns.js";
 import type { RouteTable } from "./routeTable.js";
-import { createSlidingCount, type SlidingCount } from "./slidingCount.js";
+import { createServiceRates } from "./serviceRates.js";
 import { noteOutcome, noteReport, objectKey, type Target } from "./target.js";
 import type { TargetHealth } from "./targetHealth.js";
-import { createWaitingRoom, type Waiter } from "./waitingRoom.js";
 import type { WeightedTurns } from "./weightedTurns.js";
 import type { WorkTimes } from "./workTimes.js";
 
@@ -71,61 +71,35 @@
     readonly events: SteeringEvents<Answer>;
 }
 
-/** The final answer leaves this long before the caller stops waiting. */
-const answerMarginMs = 15;
-/** Time on the way to the caller that counts towards the objective. */
-const callerWayMs = 8;
 /** Waiting requests that are looked at when room appears and that don't take it. */
 const mostLooks = 8;
 /** A request is only sent again if this part of the usual work fits into the time left. */
 const leastTimeShare = 0.8;
-/** Span over which late starts are counted. */
-const lateWindowMs = 2_000;
-/** Work of a request before anything is known. */
-const usualWorkMs = 300;
 /** Connections that may fail before anything is sent. */
 const mostNotReached = 3;
 
 export function createSteerer<Answer>(options: SteererOptions<Answer>): Steerer<Answer> {
     const { timer, random, placement, pressure, allowance, works, events, health } = options;
-    const room = createWaitingRoom<Answer>();
+    const queue = createRequestQueue<Answer>();
     const returns = createReturns(timer);
+    const rates = createServiceRates(timer, options.offered);
     const finishers = new Map<Job<Answer>, (ending: Ending<Answer>) => void>();
     const inFlight = new Map<string, number>();
     let attempts = 0;
 
-    const lateSent = new Map<ServiceId, SlidingCount>();
-    const sentTo = new Map<ServiceId, number>();
-    /** Jobs of a service that get a slot in a second: all, by Little's law, and those that could only be late. */
-    const ratesOf = (service: ServiceId): { readonly all: number; readonly late: number; } => {
-        const workMs = options.offered.workMs(service) ?? usualWorkMs;
-        return {
-            all: ((sentTo.get(service) ?? 0) / workMs) * 1_000,
-            late: ((lateSent.get(service)?.total() ?? 0) / lateWindowMs) * 1_000,
-        };
-    };
-    const countLate = (service: ServiceId): void => {
-        let count = lateSent.get(service);
-        if (count === undefined) {
-            count = createSlidingCount(timer, lateWindowMs, 8);
-            lateSent.set(service, count);
-        }
-        count.add();
-    };
-
     const placeKey = (service: ServiceId, dataCentre: DataCentreId): string => `${service} ${dataCentre}`;
     const countIn = (target: Target, by: number): void => {
         const key = placeKey(target.record.service, target.record.dataCentre);
         inFlight.set(key, (inFlight.get(key) ?? 0) + by);
         target.inFlight += by;
-        sentTo.set(target.record.service, (sentTo.get(target.record.service) ?? 0) + by);
+        rates.inFlight(target.record.service, by);
     };
 
     const end = (job: Job<Answer>, ending: Ending<Answer>, why: string): void => {
         if (job.state === "ended") {
             return;
         }
-        room.remove(job);
+        queue.remove(job);
         job.state = "ended";
         job.cancelTimeout();
         const finish = finishers.get(job)!;
@@ -171,7 +145,7 @@
 
     const send = (job: Job<Answer>, choice: Choice): void => {
         const { target } = choice;
-        room.remove(job);
+        queue.remove(job);
         const id: AttemptId = toAttemptId(++attempts);
         const { object } = job.request;
         const othersBetween = object === undefined ? undefined : target.memory.begun(objectKey(job.route, object));
@@ -208,7 +182,7 @@
             return "waits";
         }
         if (!canWait) {
-            countLate(job.service);
+            rates.lateStarted(job.service);
         }
         send(job, free);
         return "sent";
@@ -216,7 +190,7 @@
     /** Looks at the first few only: where they find nothing, those behind them hardly do. */
     const dispatchService = (service: ServiceId): void => {
         let looks = mostLooks;
-        for (const waiter of room.ordered(service, timer.now())) {
+        for (const waiter of queue.ordered(service, timer.now())) {
             if (looks === 0 || !placement.hasRoom(service)) {
                 return;
             }
@@ -233,8 +207,8 @@
         }
         const now = timer.now();
         const lateUntil = waitsUntil(job);
-        const { ahead, aheadInTime } = room.ahead(waiter, now);
-        const perSecond = ratesOf(job.service);
+        const { ahead, aheadInTime } = queue.ahead(waiter, now);
+        const perSecond = rates.of(job.service);
         const isInTime = waiter.latestStart > now
             && isLikelyServed({ now, ahead: aheadInTime, perSecond: perSecond.all, until: waiter.latestStart });
         const until = isInTime ? waiter.latestStart : lateUntil;
@@ -248,8 +222,8 @@
                     until: lateUntil,
                 }));
         if (!isServed) {
-            const rates = `${perSecond.all.toFixed(1)}/s, of them late ${perSecond.late.toFixed(1)}`;
-            giveUp(job, results.noRoom, `no room; ${ahead} ahead, ${aheadInTime} of them in time; served ${rates}`);
+            const served = `${perSecond.all.toFixed(1)}/s, of them late ${perSecond.late.toFixed(1)}`;
+            giveUp(job, results.noRoom, `no room; ${ahead} ahead, ${aheadInTime} of them in time; served ${served}`);
             return;
         }
         timer.after(Math.max(1, until - now + 1), () => review(waiter));
@@ -263,7 +237,7 @@
     const enter = (job: Job<Answer>): void => {
         const waiter = { job, latestStart: latestStart(job) };
         job.state = "waiting";
-        room.add(waiter);
+        queue.add(waiter);
         const outcome = tryPlace(waiter);
         pressure.noted(job.service, outcome === "full");
         if (outcome !== "sent") {
@@ -323,23 +297,8 @@
         }
         const service = options.turns.next(route);
         allowance.requested(service);
-        const giveUpAt = Math.min(request.deadlineAt - answerMarginMs, request.arrivedAt + route.timeoutMs);
-        const job: Job<Answer> = {
-            request,
-            route,
-            service,
-            giveUpAt,
-            objectiveAt: request.arrivedAt + route.objectiveMs - callerWayMs,
-            isReturn: returns.take(request.fingerprint()),
-            tried: new Set(),
-            state: "waiting",
-            attempt: undefined,
-            arrivals: 0,
-            notReached: 0,
-            mayHaveRun: false,
-            failure: undefined,
-            cancelTimeout: () => {},
-        };
+        const isReturn = returns.take(request.fingerprint());
+        const job = createJob<Answer>({ request, route, service, isReturn });
         if (route.isSticky && request.object !== undefined) {
             options.objectHomes.used(service, objectKey(route, request.object));
         }
@@ -347,7 +306,7 @@
             options.offered.arrived(service, works.coldObjectMs(route));
         }
         finishers.set(job, finish);
-        job.cancelTimeout = timer.after(giveUpAt - timer.now(), () => timedOut(job));
+        job.cancelTimeout = timer.after(job.giveUpAt - timer.now(), () => timedOut(job));
         return job;
     };
     return {
@@ -426,12 +385,12 @@
             dispatchService(job.service);
         },
         dispatch: () => {
-            for (const service of room.services()) {
+            for (const service of queue.services()) {
                 dispatchService(service);
             }
         },
         inFlight: () => finishers.size,
         inFlightAt: (service, dataCentre) => inFlight.get(placeKey(service, dataCentre)) ?? 0,
-        waiting: service => room.waiting(service),
+        waiting: service => queue.waiting(service),
     };
 }
