--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -18,6 +18,7 @@
 import { createOfferedLoad } from "@pimentospring/core/steering/offeredLoad";
 import { createPlacement } from "@pimentospring/core/steering/placement";
 import { createPressure } from "@pimentospring/core/steering/pressure";
+import { createReach, roundTrips } from "@pimentospring/core/steering/reach";
 import { createRegionShift } from "@pimentospring/core/steering/regionShift";
 import { createRetryAllowance } from "@pimentospring/core/steering/retryAllowance";
 import { createRouteTable, type RouteTable } from "@pimentospring/core/steering/routeTable";
@@ -37,6 +38,7 @@
 import { createIntake } from "./callers/intake.js";
 import { createMesh } from "./mesh/mesh.js";
 import type { News } from "./mesh/news.js";
+import { registerGauges } from "./observe/gauges.js";
 import type { SteerMetrics } from "./observe/metrics.js";
 import { createRequestLog } from "./observe/requestLog.js";
 import type { SteerSettings } from "./settings/settings.js";
@@ -80,8 +82,6 @@
     stop(): Promise<number>;
 }
 
-/** Round trips, in milliseconds, used to judge whether an answer can come in time. */
-const roundTrips = { dataCentre: 1, region: 3, far: 73 };
 /** Largest answer of a target that is taken. */
 const answerBytes = 32 * 1024 * 1024;
 const pauseMs = 300;
@@ -127,7 +127,8 @@
     });
     const connections = createTargetConnections({ timer, answerBytes });
     const inFlight = (service: ServiceId, dataCentre: DataCentreId): number => steerer.inFlightAt(service, dataCentre);
-    const regionOf = (dataCentre: DataCentreId): RegionId | undefined => settings.regions.get(dataCentre);
+    const reach = createReach({ self, regions: () => settings.regions, members });
+    const { roundTripMs, isUnattended } = reach;
     const offered = createOfferedLoad(timer);
     const spillover = createSpillover({
         timer,
@@ -138,32 +139,19 @@
         capacity: (service, dataCentre) => keeper.isEvacuated(dataCentre) ? 0 : slotsIn(registry, service, dataCentre),
         dataCentres: registry.dataCentres,
         ownEntries: () => members.countIn(settings.dataCentre),
-        isOwnRegion: dataCentre => regionOf(dataCentre) === settings.region,
+        isOwnRegion: reach.isOwnRegion,
     });
-    const roundTripMs = (dataCentre: DataCentreId): number => {
-        if (dataCentre === settings.dataCentre) {
-            return roundTrips.dataCentre;
-        }
-        return regionOf(dataCentre) === settings.region ? roundTrips.region : roundTrips.far;
-    };
-    /** A data centre without entries is served by those of its region, or by all when the region has none. */
-    const isUnattended = (dataCentre: DataCentreId): boolean => {
-        const live = members.live();
-        if (dataCentre === settings.dataCentre || live.some(member => member.record.dataCentre === dataCentre)) {
-            return false;
-        }
-        const region = regionOf(dataCentre);
-        return region === settings.region || !live.some(member => member.record.region === region);
-    };
-    const isFirstFor = (): boolean =>
-        !members.live().some(member => member.record.region === settings.region && member.record.id < instance);
     const coldShareOf = (target: Target): number => {
         const { dataCentre, service } = target.record;
         const bound = { perSecond: services.get(service)?.coldPerSecond, ...settings.cold };
         if (dataCentre === settings.dataCentre) {
             return coldShare(bound, members.countIn(dataCentre));
         }
-        return bound.perSecond === undefined ? Infinity : isUnattended(dataCentre) && isFirstFor() ? coldShare(bound, 2) : 0;
+        return bound.perSecond === undefined
+            ? Infinity
+            : isUnattended(dataCentre) && reach.isFirstOfRegion()
+            ? coldShare(bound, 2)
+            : 0;
     };
     const farObjects = createFarObjects({ timer, planned: spillover.farShare, most: () => settings.regionShift });
     const checks = createHealthChecks({
@@ -214,7 +202,7 @@
         works,
         objectHomes,
         farObjects,
-        regionOf,
+        regionOf: reach.regionOf,
         isEvacuated: keeper.isEvacuated,
         isUnattended,
         coldShare: coldShareOf,
@@ -306,17 +294,15 @@
         isFollowing: follower.isFollowing,
         heard,
     });
-    metrics.gauge("pimento_document_version", "Version of the configuration in force", () => document?.version ?? 0);
-    metrics.gauge("pimento_in_flight", "Requests without a final answer", () => steerer.inFlight());
-    metrics.gauge("pimento_entries_live", "Other entries that are taken to live", () => members.live().length);
-    metrics.gauge("pimento_target_connections", "Open connections to targets", () => connections.open());
-    metrics.gauge("pimento_mesh_sent_bytes", "Bytes of datagrams sent to other entries", () => mesh.sentBytes());
-    metrics.gauge("pimento_store_connected", "1 while the platform's store answers", () => (follower.isConnected() ? 1 : 0));
-    metrics.gauge(
-        "pimento_waiting",
-        "Requests that wait for a slot",
-        () => [...services.keys()].reduce((sum, service) => sum + steerer.waiting(service), 0),
-    );
+    registerGauges(metrics, {
+        version: () => document?.version ?? 0,
+        inFlight: steerer.inFlight,
+        liveEntries: () => members.live().length,
+        targetConnections: connections.open,
+        meshSentBytes: mesh.sentBytes,
+        isStoreAnswering: follower.isConnected,
+        waiting: () => [...services.keys()].reduce((sum, service) => sum + steerer.waiting(service), 0),
+    });
 
     const finish = async (): Promise<number> => {
         for (;;) {
