feat(client): pimento steering and pimento route ask entries on the users' platform

Operators could look at metrics and logs only. Entries answer /status and /explain on their control address; 5009 names one that does not. Test: platform.test (status of both entries, a route, an unknown path, a silent entry).

--- a/packages/client/src/main.ts
+++ b/packages/client/src/main.ts
@@ -7,6 +7,7 @@
 import { cac } from "cac";
 import { apply, check, type CommandContext, diff, history, setEntry, setTarget, show } from "./commands/changeCommands.js";
 import { explain, status } from "./commands/statusCommands.js";
+import { explainRoute, steeringStatus } from "./commands/steeringCommands.js";
 import { trace } from "./commands/traceCommand.js";
 import { type ClientSettings, clientSettings } from "./settings/settings.js";
 
@@ -62,6 +63,14 @@
     .action((caller: string, flags: Flags) =>
         withContext(flags, (context, settings) => explain(settings.entries, caller, flags.service, context.asJson))
     );
+cli.command("steering <control>", "Show a steering entry and those it knows, by the address of its control socket")
+    .action(async (control: string, flags: Flags) => {
+        process.exitCode = await steeringStatus(control, flags.json === true);
+    });
+cli.command("route <control> <host> <path>", "Say how a steering entry would treat a request")
+    .action(async (control: string, host: string, path: string, flags: Flags) => {
+        process.exitCode = await explainRoute(control, host, path, flags.json === true);
+    });
 cli.command("trace <request> [...files]", "Print a request's way through logs, with what its entry believed")
     .action((request: string, files: readonly string[]) => {
         process.exitCode = trace(request, files);
--- a/packages/core/src/results/resultCode.ts
+++ b/packages/core/src/results/resultCode.ts
@@ -142,6 +142,7 @@
         504,
         "The revision is not in force everywhere yet; the detail says where not.",
     ),
+    entryUnreachable: result(5009, "entryUnreachable", "notRun", 504, "The entry does not answer on its control address."),
     badSettings: result(
         6001,
         "badSettings",
--- /dev/null
+++ b/packages/steer/src/observe/operatorView.ts
@@ -0,0 +1,86 @@
+/** What operators may ask of an entry: its status, and how it would treat a request. */
+import type { DataCentreId, ServiceId } from "@pimentospring/core/ids";
+import type { FarObjects } from "@pimentospring/core/steering/farObjects";
+import type { Members } from "@pimentospring/core/steering/members";
+import type { OfferedLoad } from "@pimentospring/core/steering/offeredLoad";
+import type { RouteTable } from "@pimentospring/core/steering/routeTable";
+import type { Spillover } from "@pimentospring/core/steering/spillover";
+import type { Steerer } from "@pimentospring/core/steering/steerer";
+import type { RouteExplanation, ServiceStatus, SteeringStatus, TargetStatus } from "@pimentospring/core/steering/steeringStatus";
+import { freeSlots, isCold, type Target } from "@pimentospring/core/steering/target";
+import type { TargetRegistry } from "@pimentospring/core/steering/targetRegistry";
+import type { Timer } from "@pimentospring/core/time/timer";
+import { type Routes, sendJson } from "@pimentospring/runtime/http/jsonServer";
+import type { Answer } from "../targets/answer.js";
+
+export interface OperatorViewOptions {
+    readonly timer: Timer;
+    readonly members: Members;
+    readonly registry: TargetRegistry;
+    readonly spillover: Spillover;
+    readonly farObjects: FarObjects;
+    readonly offered: OfferedLoad;
+    readonly steerer: Steerer<Answer>;
+    readonly services: () => Iterable<ServiceId>;
+    readonly routes: () => RouteTable | undefined;
+    /** The part of the status that says who the entry is and what it knows. */
+    readonly self: () => Omit<SteeringStatus, "entries" | "services" | "inFlight">;
+}
+
+/** Routes for the control address. */
+export function createOperatorView(options: OperatorViewOptions): Routes {
+    const { timer, registry, steerer } = options;
+    const stateOf = (target: Target): TargetStatus["state"] => {
+        if (target.isSuspect) {
+            return "suspect";
+        }
+        if (target.ejectedUntil > timer.now()) {
+            return "ejected";
+        }
+        return isCold(target, timer.now()) ? "cold" : "serving";
+    };
+    const targetsIn = (service: ServiceId, dataCentre: DataCentreId): TargetStatus[] =>
+        registry.inDataCentre(service, dataCentre).map(target => ({
+            id: target.record.id,
+            dataCentre,
+            state: stateOf(target),
+            slots: target.record.slots,
+            inFlight: target.inFlight,
+            free: Number(freeSlots(target, timer.now()).toFixed(1)),
+        }));
+    const targetsOf = (service: ServiceId): TargetStatus[] =>
+        [...registry.dataCentres(service)].flatMap(dataCentre => targetsIn(service, dataCentre));
+    const serviceStatus = (service: ServiceId): ServiceStatus => ({
+        service,
+        waiting: steerer.waiting(service),
+        load: Number(options.offered.slots(service).toFixed(1)),
+        farShare: Number(options.farObjects.share(service).toFixed(2)),
+        agreedElsewhere: options.spillover.describe(service),
+        targets: targetsOf(service),
+    });
+    const status = (): SteeringStatus => ({
+        ...options.self(),
+        inFlight: steerer.inFlight(),
+        entries: options.members.live().map(({ record }) => ({ instance: record.id, control: record.control })),
+        services: [...options.services()].map(serviceStatus),
+    });
+    const explain = (host: string, path: string): RouteExplanation => {
+        const route = options.routes()?.find(host, path);
+        return {
+            version: options.self().version,
+            route: route?.name,
+            prefix: route?.prefix,
+            isIdempotent: route?.isIdempotent,
+            timeoutMs: route?.timeoutMs,
+            objectiveMs: route?.objectiveMs,
+            attempts: route?.attempts,
+            homes: route?.homes ?? [],
+            parts: (route?.parts ?? []).map(part => ({ ...part, targets: targetsOf(part.service).length })),
+        };
+    };
+    return {
+        "GET /status": (_request, response) => sendJson(response, 200, status()),
+        "GET /explain": (_request, response, url) =>
+            sendJson(response, 200, explain(url.searchParams.get("host") ?? "", url.searchParams.get("path") ?? "/")),
+    };
+}
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -31,7 +31,7 @@
 import { createWeightedTurns } from "@pimentospring/core/steering/weightedTurns";
 import { createWorkTimes } from "@pimentospring/core/steering/workTimes";
 import type { Timer } from "@pimentospring/core/time/timer";
-import { listen } from "@pimentospring/runtime/http/jsonServer";
+import { createRouter, listen, splitAddress } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createCallerServer } from "./callers/callerServer.js";
@@ -40,6 +40,7 @@
 import type { News } from "./mesh/news.js";
 import { registerGauges } from "./observe/gauges.js";
 import type { SteerMetrics } from "./observe/metrics.js";
+import { createOperatorView } from "./observe/operatorView.js";
 import { createRequestLog } from "./observe/requestLog.js";
 import type { SteerSettings } from "./settings/settings.js";
 import { createBeliefKeeper } from "./store/beliefKeeper.js";
@@ -294,6 +295,26 @@
         isFollowing: follower.isFollowing,
         heard,
     });
+    const operatorView = createOperatorView({
+        timer,
+        members,
+        registry,
+        spillover,
+        farObjects,
+        offered,
+        steerer,
+        services: () => services.keys(),
+        routes: () => table,
+        self: () => ({
+            instance,
+            dataCentre: settings.dataCentre,
+            region: settings.region,
+            version: document?.version ?? 0,
+            revision: follower.revision(),
+            isWatching: follower.isFollowing(),
+            isLeaving: stoppingSince !== undefined,
+        }),
+    });
     registerGauges(metrics, {
         version: () => document?.version ?? 0,
         inFlight: steerer.inFlight,
@@ -322,7 +343,10 @@
         instance,
         start: async () => {
             const [host, port] = settings.callers.split(":");
-            await peerState.start();
+            const control = splitAddress(settings.control);
+            const faults = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
+            await listen(createRouter({ ...peerState.routes, ...operatorView }, faults), control.host, control.port);
+            peerState.start();
             await mesh.start();
             await listen(callers.server, host!, Number(port));
             follower.start();
--- a/packages/steer/src/store/peerState.ts
+++ b/packages/steer/src/store/peerState.ts
@@ -5,11 +5,10 @@
 import type { InstanceId } from "@pimentospring/core/ids";
 import type { MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { Timer } from "@pimentospring/core/time/timer";
-import { createRouter, listen, readBody, splitAddress } from "@pimentospring/runtime/http/jsonServer";
+import { readBody, type Routes } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { Packr } from "msgpackr";
-import type { Server } from "node:http";
 import { request } from "undici";
 import { decodeMember, encodeMember } from "./beliefs.js";
 import type { FollowedNews, Follower } from "./follower.js";
@@ -25,10 +24,11 @@
 }
 
 export interface PeerState {
-    start(): Promise<void>;
+    /** What peers ask on the control address. */
+    readonly routes: Routes;
+    start(): void;
     /** A peer told the store's revision up to which it knows. */
     peerIsAt(peer: MemberRecord, revision: number): void;
-    close(): void;
 }
 
 /** What an entry asks a peer: everything, if the peer knows more than this revision. */
@@ -55,7 +55,6 @@
     let askedAt = -Infinity;
     let isAsking = false;
     let seedTurn = 0;
-    let server: Server | undefined;
 
     const ask = async (address: string): Promise<void> => {
         askedAt = timer.now();
@@ -99,17 +98,15 @@
         void ask(seeds[seedTurn++ % seeds.length]!);
     };
     return {
-        start: async () => {
-            const { host, port } = splitAddress(self.control);
-            server = createRouter({
-                [`POST ${path}`]: async (incoming, response) => {
-                    const state = answer(packr.unpack(await readBody(incoming, mostQuestionBytes)) as Question);
-                    const body = state === undefined ? undefined : packr.pack(state);
-                    response.writeHead(body === undefined ? 204 : 200, { "content-type": "application/msgpack" });
-                    response.end(body);
-                },
-            }, error => log.write(logEvents.fault, { reason: error.message }));
-            await listen(server, host, port);
+        routes: {
+            [`POST ${path}`]: async (incoming, response) => {
+                const state = answer(packr.unpack(await readBody(incoming, mostQuestionBytes)) as Question);
+                const body = state === undefined ? undefined : packr.pack(state);
+                response.writeHead(body === undefined ? 204 : 200, { "content-type": "application/msgpack" });
+                response.end(body);
+            },
+        },
+        start: () => {
             timer.subscribe(intervalMs, askSeed);
         },
         peerIsAt: (peer, revision) => {
@@ -117,8 +114,5 @@
                 void ask(peer.control);
             }
         },
-        close: () => {
-            server?.close();
-        },
     };
 }
--- a/scripts/src/__tests__/platform.test.ts
+++ b/scripts/src/__tests__/platform.test.ts
@@ -3,7 +3,7 @@
 import { startStoreStandin, type StoreStandin } from "@pimentospring/standin/direct/storeStandin";
 import { startTargetStandin, type TargetStandin } from "@pimentospring/standin/direct/targetStandin";
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -153,6 +153,27 @@
     assert.deepEqual([answer.status, answer.code], [404, 4014]);
 });
 
+const client = fileURLToPath(new URL("../../../packages/client/dist/main.js", import.meta.url));
+
+function pimento(...words: readonly string[]): { readonly code: number | null; readonly text: string; } {
+    const ended = spawnSync(process.execPath, [client, ...words], { encoding: "utf8" });
+    return { code: ended.status, text: ended.stdout + ended.stderr };
+}
+
+test("operators see the entries, and how a request would be treated", () => {
+    const status = pimento("steering", `${hosts[0]}:17413`);
+    assert.equal(status.code, 0, status.text);
+    hosts.forEach(host => assert.match(status.text, new RegExp(`${host}/\\S+ +cpt-a +3 +\\d+ +watches`)));
+    const route = pimento("route", `${hosts[0]}:17413`, standinHost, "/order/1");
+    assert.equal(route.code, 0, route.text);
+    assert.match(route.text, /route \/order\/ \(\/order\/\) of version 3\nmay run more than once: no; at most 2 targets/);
+    const none = pimento("route", `${hosts[0]}:17413`, standinHost, "/none/1");
+    assert.deepEqual([none.code, none.text], [1, "a.example/none/1: no route in version 3\n"]);
+    const silent = pimento("steering", "127.0.71.200:17413");
+    assert.equal(silent.code, 5);
+    assert.match(silent.text, /5009/);
+});
+
 test("at-most-once work whose answer is lost is not sent again, and not called not run", async () => {
     targets.forEach(target => target.setFault("loseAnswer"));
     const answer = await send(daemons[0]!, "/order/1", "three", "POST");
