fix(core): a popular request is not refused as deadly because targets crashed for other reasons

Every copy of a request that a dying target had counted as a death of its own, each entry counted the same death again, and nothing took it back when the request was served elsewhere. Change: a death counts once a target and once over entries that tell each other within a second; a served request is cleared. Tests: steerer.test (two, failed first), parts.test.

--- a/packages/core/src/poison/poisonList.ts
+++ b/packages/core/src/poison/poisonList.ts
@@ -15,18 +15,25 @@
     targetDied(fingerprint: Fingerprint): number;
     /** A peer knows of this many deaths. */
     told(fingerprint: Fingerprint, deaths: number): void;
+    /** The request was served: what died before died of something else. */
+    served(fingerprint: () => Fingerprint): void;
 }
 
 interface Entry {
-    deaths: number;
-    forgetAt: number;
+    readonly deaths: number;
+    readonly forgetAt: number;
+    /** When a peer told of the last death. */
+    readonly toldAt: number;
 }
 
+/** A death seen here so soon after a peer told of one is the same: entries share targets. */
+const sameDeathMs = 1_000;
+
 export function createPoisonList(timer: Timer): PoisonList {
     const entries = new Map<Fingerprint, Entry>();
-    const put = (fingerprint: Fingerprint, deaths: number): number => {
+    const put = (fingerprint: Fingerprint, deaths: number, toldAt: number): number => {
         entries.delete(fingerprint);
-        entries.set(fingerprint, { deaths, forgetAt: timer.now() + poisonMemoryMs });
+        entries.set(fingerprint, { deaths, forgetAt: timer.now() + poisonMemoryMs, toldAt });
         if (entries.size > poisonEntries) {
             entries.delete(entries.keys().next().value!);
         }
@@ -39,10 +46,19 @@
     return {
         isPoison: fingerprint => entries.size > 0 && deaths(fingerprint()) >= poisonDeaths,
         deaths,
-        targetDied: fingerprint => put(fingerprint, deaths(fingerprint) + 1),
+        targetDied: fingerprint => {
+            const toldAt = entries.get(fingerprint)?.toldAt ?? -Infinity;
+            const isSame = timer.now() - toldAt < sameDeathMs;
+            return put(fingerprint, deaths(fingerprint) + (isSame ? 0 : 1), isSame ? toldAt : -Infinity);
+        },
         told: (fingerprint, known) => {
             if (known > deaths(fingerprint)) {
-                put(fingerprint, known);
+                put(fingerprint, known, timer.now());
+            }
+        },
+        served: fingerprint => {
+            if (entries.size > 0) {
+                entries.delete(fingerprint());
             }
         },
     };
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -2,7 +2,16 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type DataCentreId, toDataCentreId, toInstanceId, toRegionId, toServiceId, toTargetId } from "../../ids.js";
+import {
+    type DataCentreId,
+    type Fingerprint,
+    toDataCentreId,
+    toInstanceId,
+    toRegionId,
+    toServiceId,
+    toTargetId,
+} from "../../ids.js";
+import { createPoisonList } from "../../poison/poisonList.js";
 import { createRandom } from "../../random/random.js";
 import { createVirtualTimer } from "../../time/virtualTimer.js";
 import { coldShare } from "../coldArrivals.js";
@@ -278,6 +287,17 @@
     assert.ok(at.every(slots => Math.abs(slots - 5) < 0.6), at.join(" "));
 });
 
+test("a death that a peer told of and that is seen here too counts once", () => {
+    const timer = createVirtualTimer();
+    const poison = createPoisonList(timer);
+    const popular = "popular" as Fingerprint;
+    poison.told(popular, 1);
+    timer.advance(300);
+    assert.equal(poison.targetDied(popular), 1);
+    timer.advance(3_000);
+    assert.equal(poison.targetDied(popular), 2);
+});
+
 test("before any load is heard, a data centre with few slots takes its part of those that others have above the mean", () => {
     const slots = new Map(
         [["cpt-a", 4], ["cpt-b", 4], ["dbn-a", 16]].map(([place, count]) =>
--- a/packages/core/src/steering/__tests__/steerer.test.ts
+++ b/packages/core/src/steering/__tests__/steerer.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { type Fingerprint, toDataCentreId, toRegionId } from "../../ids.js";
 import type { Ending } from "../job.js";
-import { createBench, record, route } from "./fixture.js";
+import { type Bench, createBench, record, route } from "./fixture.js";
 
 const codeOf = (ending: Ending<string> | undefined): number | string | undefined =>
     ending?.kind === "refusal" ? ending.result.code : ending?.answer;
@@ -185,3 +185,44 @@
     }
     assert.equal([...bench.endings.values()].filter(ending => ending.kind === "answer").length, 12);
 });
+
+const unreachedAnswer = { isReached: false, isExpected: false, isHealthy: false, coldMs: undefined, load: undefined };
+/** Sends the same request this many times at once, and lets the target die under them. */
+function dieUnder(bench: Bench, target: string, copies: number): void {
+    for (let copy = 0; copy < copies; copy++) {
+        bench.arrive(`${target}-${copy}`, { fingerprint: () => "popular" as Fingerprint });
+    }
+    const attempts = bench.sent.filter(attempt => attempt.target.record.id === target && attempt.job.attempt === attempt);
+    attempts.forEach(attempt => {
+        bench.steerer.written(attempt);
+        bench.steerer.broken(attempt, "reset");
+    });
+    bench.health.checked(attempts[0]!.target, unreachedAnswer);
+}
+
+test("one death of a target counts once, however many copies of a request it had", () => {
+    const bench = createBench({ routes: [unsafe], targets: [record("one", { slots: 4 })] });
+    dieUnder(bench, "one", 3);
+    bench.arrive("again", { fingerprint: () => "popular" as Fingerprint });
+    assert.notEqual(codeOf(bench.endings.get("again")), 2011);
+});
+
+test("a request that succeeds is not to blame for targets that died before", () => {
+    const bench = createBench({ routes: [unsafe], targets: [record("one", { slots: 4 })] });
+    const again = (id: string): void => void bench.arrive(id, { fingerprint: () => "popular" as Fingerprint });
+    const revive = (): void =>
+        bench.health.checked(bench.sent[0]!.target, { ...unreachedAnswer, isReached: true, isExpected: true, isHealthy: true });
+    dieUnder(bench, "one", 1);
+    revive();
+    again("served");
+    bench.answer(bench.sent.at(-1)!);
+    dieUnder(bench, "one", 1);
+    revive();
+    again("later");
+    assert.notEqual(codeOf(bench.endings.get("later")), 2011);
+    bench.steerer.written(bench.sent.at(-1)!);
+    bench.steerer.broken(bench.sent.at(-1)!, "reset");
+    bench.health.checked(bench.sent.at(-1)!.target, unreachedAnswer);
+    again("third");
+    assert.equal(codeOf(bench.endings.get("third")), 2011);
+});
--- a/packages/core/src/steering/steerer.ts
+++ b/packages/core/src/steering/steerer.ts
@@ -263,6 +263,7 @@
     const settle = (job: Job<Answer>, target: Target, settlement: Settlement<Answer>): void => {
         switch (settlement.kind) {
             case "deliver":
+                options.poison.served(job.request.fingerprint);
                 end(job, { kind: "answer", answer: settlement.answer }, "answered");
                 break;
             case "repeat":
--- a/packages/core/src/steering/targetHealth.ts
+++ b/packages/core/src/steering/targetHealth.ts
@@ -116,7 +116,7 @@
                 return;
             }
             if (!answer.isReached) {
-                fingerprints.forEach(options.diedUnder);
+                new Set(fingerprints).forEach(options.diedUnder);
             }
             if (answer.coldMs !== undefined) {
                 target.coldUntil = timer.now() + answer.coldMs;
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -9,4 +9,11 @@
 
 export const regressions: readonly Regression[] = [
     { seed: 1, lengthMs: 6_000, gapMs: 400, cause: "the first seed" },
+    {
+        seed: 5026,
+        lengthMs: 12_000,
+        gapMs: 400,
+        cause:
+            "popular requests were refused as deadly after targets crashed for other reasons: each copy, and each entry, counted",
+    },
 ];
