--- a/packages/core/src/poison/poisonList.ts
+++ b/packages/core/src/poison/poisonList.ts
@@ -13,10 +13,10 @@
     deaths(fingerprint: Fingerprint): number;
     /** A target died while running the request; returns the number of deaths now known. */
     targetDied(fingerprint: Fingerprint): number;
-    /** A peer knows of this many deaths. */
+    /** A peer knows of this many deaths; 0 when it served the request. */
     told(fingerprint: Fingerprint, deaths: number): void;
-    /** The request was served: what died before died of something else. */
-    served(fingerprint: () => Fingerprint): void;
+    /** The request was served: what died before died of something else. Returns whether deaths were known. */
+    served(fingerprint: () => Fingerprint): boolean;
 }
 
 interface Entry {
@@ -52,14 +52,13 @@
             return put(fingerprint, deaths(fingerprint) + (isSame ? 0 : 1), isSame ? toldAt : -Infinity);
         },
         told: (fingerprint, known) => {
+            if (known === 0) {
+                entries.delete(fingerprint);
+            }
             if (known > deaths(fingerprint)) {
                 put(fingerprint, known, timer.now());
             }
         },
-        served: fingerprint => {
-            if (entries.size > 0) {
-                entries.delete(fingerprint());
-            }
-        },
+        served: fingerprint => entries.size > 0 && entries.delete(fingerprint()),
     };
 }
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -296,6 +296,11 @@
     assert.equal(poison.targetDied(popular), 1);
     timer.advance(3_000);
     assert.equal(poison.targetDied(popular), 2);
+    poison.told(popular, 0);
+    assert.equal(poison.isPoison(() => popular), false);
+    assert.equal(poison.targetDied(popular), 1);
+    assert.equal(poison.served(() => popular), true);
+    assert.equal(poison.served(() => popular), false);
 });
 
 test("before any load is heard, a data centre with few slots takes its part of those that others have above the mean", () => {
--- a/packages/core/src/steering/__tests__/steerer.test.ts
+++ b/packages/core/src/steering/__tests__/steerer.test.ts
@@ -226,3 +226,14 @@
     again("third");
     assert.equal(codeOf(bench.endings.get("third")), 2011);
 });
+
+test("a free slot that nobody else wants is taken, however long the work is expected to take", () => {
+    const slow = route({ objectiveMs: 300, timeoutMs: 5_000 });
+    const bench = createBench({ routes: [slow], targets: [record("one", { slots: 4 })] });
+    for (let index = 0; index < 40; index++) {
+        bench.arrive(`slow${index}`, { deadlineAt: bench.timer.now() + 6_000 });
+        bench.timer.advance(2_000);
+        bench.sent.filter(attempt => attempt.job.attempt === attempt).forEach(attempt => bench.answer(attempt));
+    }
+    assert.equal([...bench.endings.values()].filter(ending => ending.kind === "answer").length, 40);
+});
--- a/packages/core/src/steering/admission.ts
+++ b/packages/core/src/steering/admission.ts
@@ -23,8 +23,9 @@
 const lateValue = 0.4;
 
 /** Whether a place is worth taking now, or the job had better wait for a better one that is full. */
-export function isWorthTaking(choice: Choice, fullGain: number, canWait: boolean): boolean {
-    if (choice.gain + (choice.isFirst ? firstRunWorth : 0) <= 0) {
+export function isWorthTaking(choice: Choice, fullGain: number, canWait: boolean, pressure: number): boolean {
+    // Without pressure nobody else wants the slot: a poor estimate must not keep requests from it for ever.
+    if (pressure > pressedLevel && choice.gain + (choice.isFirst ? firstRunWorth : 0) <= 0) {
         return false;
     }
     return !canWait || choice.gain >= fullGain - worthWaiting;
--- a/packages/core/src/steering/steerer.ts
+++ b/packages/core/src/steering/steerer.ts
@@ -47,6 +47,8 @@
     placed(attempt: Attempt<Answer>, choice: Choice): void;
     queued(job: Job<Answer>, pressure: number): void;
     repeated(job: Job<Answer>, reason: string, target: Target): void;
+    /** The request was served although targets had died under it: it is not to blame. */
+    absolved(job: Job<Answer>): void;
     ended(job: Job<Answer>, ending: Ending<Answer>, why: string): void;
 }
 
@@ -178,7 +180,8 @@
             return "full";
         }
         const canWait = waiter.latestStart > timer.now();
-        if (!isWorthTaking(free, fullGain, canWait) || isCrowdedOut(job, free, pressure.of(job.service))) {
+        const pressed = pressure.of(job.service);
+        if (!isWorthTaking(free, fullGain, canWait, pressed) || isCrowdedOut(job, free, pressed)) {
             return "waits";
         }
         if (!canWait) {
@@ -263,7 +266,9 @@
     const settle = (job: Job<Answer>, target: Target, settlement: Settlement<Answer>): void => {
         switch (settlement.kind) {
             case "deliver":
-                options.poison.served(job.request.fingerprint);
+                if (options.poison.served(job.request.fingerprint)) {
+                    events.absolved(job);
+                }
                 end(job, { kind: "answer", answer: settlement.answer }, "answered");
                 break;
             case "repeat":
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -30,7 +30,12 @@
     peerSilent: event(303, "peerSilent", "warn", "A connection to a peer went silent and was replaced."),
     viewChanged: event(304, "viewChanged", "info", "The entries counted in for this data centre changed."),
     targetState: event(400, "targetState", "info", "A target changed its state; the line gives the cause."),
-    poison: event(401, "poison", "warn", "A target died while running a request; after two deaths it is refused."),
+    poison: event(
+        401,
+        "poison",
+        "warn",
+        "A target died while running a request; after two deaths it is refused. With 0 deaths: it was served, and is not to blame.",
+    ),
     callerError: event(500, "callerError", "debug", "A caller sent bytes that are not a request."),
     changeSubmitted: event(600, "changeSubmitted", "info", "An operator submitted a change; the line is the audit record."),
     operatorRefused: event(601, "operatorRefused", "warn", "A request without a valid operator's token was refused."),
--- a/packages/steer/src/observe/requestLog.ts
+++ b/packages/steer/src/observe/requestLog.ts
@@ -3,7 +3,7 @@
  * the tries that led there. A sampled request is sampled at every entry, since its id decides.
  */
 import { hashText } from "@pimentospring/core/hash/hash";
-import type { ServiceId } from "@pimentospring/core/ids";
+import type { Fingerprint, ServiceId } from "@pimentospring/core/ids";
 import { createTokenBucket } from "@pimentospring/core/policy/budget";
 import type { Ending, Job } from "@pimentospring/core/steering/job";
 import type { SteeringEvents } from "@pimentospring/core/steering/steerer";
@@ -20,6 +20,8 @@
     readonly metrics: SteerMetrics;
     /** Room that other data centres lend for a service, in short. */
     readonly lent: (service: ServiceId) => string;
+    /** Others should know that the request is not to blame for deaths of targets. */
+    readonly absolved: (fingerprint: Fingerprint) => void;
 }
 
 /** One in this many ordinary requests is logged. */
@@ -87,6 +89,11 @@
             note(job, `${target.record.id}: ${reason}`);
             metrics.repeated(job.service);
         },
+        absolved: job => {
+            const fingerprint = job.request.fingerprint();
+            log.write(logEvents.poison, { request: job.request.id, fingerprint, deaths: 0 });
+            options.absolved(fingerprint);
+        },
         ended: (job, ending, why) => {
             metrics.ended(job, ending, timer.now());
             const isGood = ending.kind === "answer" && ending.answer.status < 300 && timer.now() <= job.objectiveAt &&
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -242,7 +242,13 @@
         roundTripMs,
         send: sender.send,
         cancel: sender.cancel,
-        events: createRequestLog({ timer, log, metrics, lent: spillover.describe }),
+        events: createRequestLog({
+            timer,
+            log,
+            metrics,
+            lent: spillover.describe,
+            absolved: fingerprint => mesh.tellPoison({ fingerprint, deaths: 0 }),
+        }),
     });
     const intake = createIntake({
         timer,
