--- a/packages/core/src/steering/placement.ts
+++ b/packages/core/src/steering/placement.ts
@@ -101,7 +101,7 @@
 /** Requests that may wait at a target of another region, where this entry's slots are agreed but rarely free at once. */
 const farQueue = 1;
 /** An object that is served elsewhere is kept there although its target is full, for this part of the objective. */
-const farPatienceShare = 0.3;
+const farHoldShare = 0.3;
 /** Requests in flight elsewhere may exceed the agreed slots by this factor for a moment. */
 const farFluctuation = 1.5;
 /** Work at a cold target takes this many times longer. */
@@ -223,7 +223,7 @@
         const key = objectKey(job.route, object);
         const homes = objectHomes.near(key, own, near, objectHomes.inUse(job.service));
         const farHome = objectHomes.far(key, far);
-        if (farHome !== undefined && isFarObject(job) && now < job.request.arrivedAt + farPatienceShare * job.route.objectiveMs) {
+        if (farHome !== undefined && isFarObject(job) && now < job.request.arrivedAt + farHoldShare * job.route.objectiveMs) {
             return [farHome];
         }
         const isCandidate = (target: Target): boolean =>
