fix(core): a death of a target's run counts once by its name, not by time

Change: deaths are told with the run of the target (id and start); each run counts once, others count at once.

--- a/packages/core/src/poison/poisonList.ts
+++ b/packages/core/src/poison/poisonList.ts
@@ -3,7 +3,7 @@
  * `poisonDeaths` deaths, seen here or told by peers, it is refused.
  */
 import { poisonDeaths, poisonEntries, poisonMemoryMs } from "../constants.js";
-import type { Fingerprint } from "../ids.js";
+import type { Fingerprint, TargetRun } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 
 export interface PoisonList {
@@ -11,10 +11,10 @@
     isPoison(fingerprint: () => Fingerprint): boolean;
     /** Deaths known of a request; a request under suspicion is run by one target at a time. */
     deaths(fingerprint: Fingerprint): number;
-    /** A target died while running the request; returns the number of deaths now known. */
-    targetDied(fingerprint: Fingerprint): number;
-    /** A peer knows of this many deaths; 0 when it served the request. */
-    told(fingerprint: Fingerprint, deaths: number): void;
+    /** A target died while running the request; returns the number of deaths now known. A named run counts once. */
+    targetDied(fingerprint: Fingerprint, targetRun?: TargetRun): number;
+    /** A peer knows of this many deaths, the last of this run of a target if it says so; 0 when it served the request. */
+    told(fingerprint: Fingerprint, deaths: number, targetRun?: TargetRun): void;
     /** The request was served: what died before died of something else. Returns whether deaths were known. */
     served(fingerprint: () => Fingerprint): boolean;
 }
@@ -22,18 +22,21 @@
 interface Entry {
     readonly deaths: number;
     readonly forgetAt: number;
-    /** When a peer told of the last death. */
-    readonly toldAt: number;
+    /** Runs of targets whose deaths are counted, as far as they are named. */
+    readonly targets: ReadonlySet<TargetRun>;
 }
 
-/** A death seen here so soon after a peer told of one is the same: entries share targets. */
-const sameDeathMs = 1_000;
-
 export function createPoisonList(timer: Timer): PoisonList {
     const entries = new Map<Fingerprint, Entry>();
-    const put = (fingerprint: Fingerprint, deaths: number, toldAt: number): number => {
+    const targetsOf = (fingerprint: Fingerprint): ReadonlySet<TargetRun> =>
+        deaths(fingerprint) === 0 ? new Set() : entries.get(fingerprint)!.targets;
+    const put = (fingerprint: Fingerprint, deaths: number, targetRun: TargetRun | undefined): number => {
+        const targets = new Set(targetsOf(fingerprint));
+        if (targetRun !== undefined) {
+            targets.add(targetRun);
+        }
         entries.delete(fingerprint);
-        entries.set(fingerprint, { deaths, forgetAt: timer.now() + poisonMemoryMs, toldAt });
+        entries.set(fingerprint, { deaths, forgetAt: timer.now() + poisonMemoryMs, targets });
         if (entries.size > poisonEntries) {
             entries.delete(entries.keys().next().value!);
         }
@@ -46,17 +49,16 @@
     return {
         isPoison: fingerprint => entries.size > 0 && deaths(fingerprint()) >= poisonDeaths,
         deaths,
-        targetDied: fingerprint => {
-            const toldAt = entries.get(fingerprint)?.toldAt ?? -Infinity;
-            const isSame = timer.now() - toldAt < sameDeathMs;
-            return put(fingerprint, deaths(fingerprint) + (isSame ? 0 : 1), isSame ? toldAt : -Infinity);
+        targetDied: (fingerprint, targetRun) => {
+            const isCounted = targetRun !== undefined && targetsOf(fingerprint).has(targetRun);
+            return put(fingerprint, deaths(fingerprint) + (isCounted ? 0 : 1), targetRun);
         },
-        told: (fingerprint, known) => {
+        told: (fingerprint, known, targetRun) => {
             if (known === 0) {
                 entries.delete(fingerprint);
             }
             if (known > deaths(fingerprint)) {
-                put(fingerprint, known, timer.now());
+                put(fingerprint, known, targetRun);
             }
         },
         served: fingerprint => entries.size > 0 && entries.delete(fingerprint()),
--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -18,7 +18,7 @@
 import type { Route, SteeringDocument } from "../steeringDocument.js";
 import type { Target } from "../target.js";
 import { createTargetHealth, type TargetHealth } from "../targetHealth.js";
-import type { TargetRecord } from "../targetRecord.js";
+import { runOf, type TargetRecord } from "../targetRecord.js";
 import { createTargetRegistry, type TargetRegistry } from "../targetRegistry.js";
 import { createWeightedTurns } from "../weightedTurns.js";
 import { createWorkTimes } from "../workTimes.js";
@@ -130,7 +130,7 @@
         registry,
         check: target => checks.push(target),
         changed: () => {},
-        diedUnder: poison.targetDied,
+        diedUnder: (fingerprint, target) => void poison.targetDied(fingerprint, runOf(target.record)),
         recovered: () => steerer.dispatch(),
     });
     const inFlight = (...place: Parameters<Steerer<string>["inFlightAt"]>): number => steerer.inFlightAt(...place);
--- a/packages/core/src/steering/targetHealth.ts
+++ b/packages/core/src/steering/targetHealth.ts
@@ -37,7 +37,7 @@
     readonly check: (target: Target) => void;
     readonly changed: (target: Target, what: "suspect" | "cleared" | "ejected" | "misdirected", reason: string) => void;
     /** A target died while it ran the request. */
-    readonly diedUnder: (fingerprint: Fingerprint) => void;
+    readonly diedUnder: (fingerprint: Fingerprint, target: Target) => void;
     /** A target can be used again. */
     readonly recovered: () => void;
 }
@@ -116,7 +116,7 @@
                 return;
             }
             if (!answer.isReached) {
-                new Set(fingerprints).forEach(options.diedUnder);
+                new Set(fingerprints).forEach(fingerprint => options.diedUnder(fingerprint, target));
             }
             if (answer.coldMs !== undefined) {
                 target.coldUntil = timer.now() + answer.coldMs;
--- a/packages/core/src/steering/targetRecord.ts
+++ b/packages/core/src/steering/targetRecord.ts
@@ -1,5 +1,5 @@
 /** What a target says of itself, or what the document says of it, in the product's terms. */
-import type { DataCentreId, RegionId, ServiceId, TargetId } from "../ids.js";
+import { type DataCentreId, type RegionId, type ServiceId, type TargetId, type TargetRun, toTargetRun } from "../ids.js";
 
 export interface TargetRecord {
     readonly id: TargetId;
@@ -24,3 +24,6 @@
     /** How long work takes at this moment, as a factor of usual; 1 when it does not say. */
     readonly slowness: number;
 }
+
+/** Two starts under one id are two runs. */
+export const runOf = (record: TargetRecord): TargetRun => toTargetRun(`${record.id}@${record.born}`);
--- a/packages/steer/src/mesh/news.ts
+++ b/packages/steer/src/mesh/news.ts
@@ -3,9 +3,11 @@
     type DataCentreId,
     type Fingerprint,
     type InstanceId,
+    type TargetRun,
     toDataCentreId,
     toInstanceId,
     toServiceId,
+    toTargetRun,
 } from "@pimentospring/core/ids";
 import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import { Packr } from "msgpackr";
@@ -18,7 +20,10 @@
 
 export interface PoisonNews {
     readonly fingerprint: Fingerprint;
+    /** 0 when the sender served the request. */
     readonly deaths: number;
+    /** The run of a target that died last. */
+    readonly targetRun: TargetRun | undefined;
 }
 
 /** A sign of life with all that others should know at once. */
@@ -44,7 +49,7 @@
     flags: number,
     revision: number,
     loads: readonly LoadsRow[],
-    poison: readonly (readonly [string, number])[],
+    poison: readonly (readonly [fingerprint: string, deaths: number, targetRun: string])[],
 ];
 
 const flags = { leaving: 1, following: 2 } as const;
@@ -59,7 +64,7 @@
         item.entry,
         item.loads.map(load => [load.service, Math.round(load.slots * tenths)] as const),
     ]);
-    const poison = news.poison.map(item => [item.fingerprint, item.deaths] as const);
+    const poison = news.poison.map(item => [item.fingerprint, item.deaths, item.targetRun ?? ""] as const);
     return packr.pack(
         [
             news.sender,
@@ -94,8 +99,8 @@
         && row[2].every(item => Array.isArray(item) && typeof item[0] === "string" && Number.isFinite(item[1]));
 }
 
-function isPoisonRow(row: unknown): row is readonly [string, number] {
-    return Array.isArray(row) && typeof row[0] === "string" && Number.isFinite(row[1]);
+function isPoisonRow(row: unknown): row is readonly [string, number, string] {
+    return Array.isArray(row) && typeof row[0] === "string" && Number.isFinite(row[1]) && typeof row[2] === "string";
 }
 
 function toNews(row: Row): News {
@@ -109,6 +114,10 @@
             entry,
             loads: loads.map(([service, slots]) => ({ service: toServiceId(service), slots: slots / tenths })),
         })),
-        poison: row[4].map(([fingerprint, deaths]) => ({ fingerprint: fingerprint as Fingerprint, deaths })),
+        poison: row[4].map(([fingerprint, deaths, targetRun]) => ({
+            fingerprint: fingerprint as Fingerprint,
+            deaths,
+            targetRun: targetRun === "" ? undefined : toTargetRun(targetRun),
+        })),
     };
 }
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -27,6 +27,7 @@
 import type { Service, SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { Target } from "@pimentospring/core/steering/target";
 import { createTargetHealth } from "@pimentospring/core/steering/targetHealth";
+import { runOf } from "@pimentospring/core/steering/targetRecord";
 import { createTargetRegistry, type TargetRegistry } from "@pimentospring/core/steering/targetRegistry";
 import { createWeightedTurns } from "@pimentospring/core/steering/weightedTurns";
 import { createWorkTimes } from "@pimentospring/core/steering/workTimes";
@@ -169,10 +170,11 @@
         registry,
         check: checks.check,
         changed: (target, what, reason) => log.write(logEvents.targetJudged, { ...describe(target, what), reason }),
-        diedUnder: fingerprint => {
-            const deaths = poison.targetDied(fingerprint);
-            log.write(logEvents.poison, { fingerprint, deaths });
-            mesh.tellPoison({ fingerprint, deaths });
+        diedUnder: (fingerprint, { record }) => {
+            const targetRun = runOf(record);
+            const deaths = poison.targetDied(fingerprint, targetRun);
+            log.write(logEvents.poison, { fingerprint, deaths, target: record.id });
+            mesh.tellPoison({ fingerprint, deaths, targetRun });
         },
         recovered: () => steerer.dispatch(),
     });
@@ -247,7 +249,7 @@
             log,
             metrics,
             lent: spillover.describe,
-            absolved: fingerprint => mesh.tellPoison({ fingerprint, deaths: 0 }),
+            absolved: fingerprint => mesh.tellPoison({ fingerprint, deaths: 0, targetRun: undefined }),
         }),
     });
     const intake = createIntake({
@@ -281,7 +283,7 @@
     const peerState = createPeerState({ log, timer, self, members, follower, seeds: () => settings.seeds });
     const heard = (news: News, sender: { readonly record: MemberRecord; }): void => {
         news.loads.forEach(({ dataCentre, entry, loads }) => spillover.heard(dataCentre, entry, loads));
-        news.poison.forEach(item => poison.told(item.fingerprint, item.deaths));
+        news.poison.forEach(item => poison.told(item.fingerprint, item.deaths, item.targetRun));
         if (news.isFollowing && !news.isLeaving) {
             watch.heardFollower(sender.record);
         }
