feat(steer): lines 701 and 702 tell lack of slots, slow work, targets filled twice and crowding apart

Change: every 2 s a line a service (load, slots, free, own and waiting requests, requests queued at targets, age of reports, objects in use, memory) and one a route (in time, late, refused, failed; runs with a known and a new object, and how many were quick); counter pimento_runs_total; request lines name the object. No decision changes.

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -186,7 +186,7 @@
         roundTripMs: () => 1,
         send: attempt => sent.push(attempt),
         cancel: attempt => cancelled.push(attempt),
-        events: { placed: () => {}, queued: () => {}, repeated: () => {}, absolved: () => {}, ended: () => {} },
+        events: { placed: () => {}, queued: () => {}, repeated: () => {}, worked: () => {}, absolved: () => {}, ended: () => {} },
     });
     return {
         timer,
--- a/packages/core/src/steering/steerer.ts
+++ b/packages/core/src/steering/steerer.ts
@@ -47,6 +47,8 @@
     placed(attempt: Attempt<Answer>, choice: Choice): void;
     queued(job: Job<Answer>, pressure: number): void;
     repeated(job: Job<Answer>, reason: string, target: Target): void;
+    /** A target's work ended well; `wasQuick` where it remembered the object. */
+    worked(attempt: Attempt<Answer>, wasQuick: boolean): void;
     /** The request was served although targets had died under it: it is not to blame. */
     absolved(job: Job<Answer>): void;
     ended(job: Job<Answer>, ending: Ending<Answer>, why: string): void;
@@ -358,6 +360,7 @@
                 options.offered.worked(job.service, took);
                 const workMs = took / (head.load?.slowness ?? 1);
                 const wasQuick = workMs < (works.warmMs(job.route) + works.coldObjectMs(job.route)) / 2;
+                events.worked(attempt, wasQuick);
                 if (job.route.isSticky && !attempt.isWarm && attempt.othersBetween === undefined) {
                     works.noteFirst(job.route, wasQuick);
                 }
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -45,6 +45,18 @@
         "info",
         "A request had its final answer; the line gives each try with its reasons. Ordinary successes are sampled.",
     ),
+    serviceState: event(
+        701,
+        "serviceState",
+        "info",
+        "A service's load, its slots in this region and what targets remember, while it has requests.",
+    ),
+    routeState: event(
+        702,
+        "routeState",
+        "info",
+        "How a route's requests ended since the last such line, and how many runs found their object known.",
+    ),
     targetChanged: event(710, "targetChanged", "info", "A target was announced, changed what it says, or went."),
     targetJudged: event(711, "targetJudged", "info", "A target was taken out of use or back, by what happened to requests."),
     evacuation: event(712, "evacuation", "info", "An operator empties a data centre, or takes it back."),
--- a/packages/steer/src/observe/metrics.ts
+++ b/packages/steer/src/observe/metrics.ts
@@ -6,6 +6,7 @@
 export interface SteerMetrics {
     sent(attempt: Attempt<Answer>): void;
     repeated(service: string): void;
+    worked(attempt: Attempt<Answer>, wasQuick: boolean): void;
     ended(job: Job<Answer>, ending: Ending<Answer>, now: number): void;
     logDropped(): void;
     storeCall(kind: string, outcome: string): void;
@@ -54,6 +55,12 @@
         labelNames: ["service"],
         registers,
     });
+    const runs = new Counter({
+        name: "pimento_runs_total",
+        help: "Runs of requests that ended well, by service, whether the target was expected to know the object and did",
+        labelNames: ["service", "expected", "found"],
+        registers,
+    });
     const dropped = new Counter({
         name: "pimento_log_lines_dropped_total",
         help: "Log lines left out to bound the volume",
@@ -73,6 +80,8 @@
             }
         },
         repeated: service => repeats.inc({ service }),
+        worked: ({ job, isWarm }, wasQuick) =>
+            runs.inc({ service: job.service, expected: isWarm ? "known" : "new", found: wasQuick ? "known" : "new" }),
         ended: (job, ending, now) => {
             const outcome = ending.kind === "answer" ? `${Math.floor(ending.answer.status / 100)}xx` : String(ending.result.code);
             ended.inc({ service: job.service, priority: String(job.route.priority), outcome });
--- a/packages/steer/src/observe/requestLog.ts
+++ b/packages/steer/src/observe/requestLog.ts
@@ -13,11 +13,13 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { Answer } from "../targets/answer.js";
 import type { SteerMetrics } from "./metrics.js";
+import type { ServiceTally } from "./serviceTally.js";
 
 export interface RequestLogOptions {
     readonly timer: Timer;
     readonly log: Log;
     readonly metrics: SteerMetrics;
+    readonly tally: ServiceTally;
     /** Room that other data centres lend for a service, in short. */
     readonly lent: (service: ServiceId) => string;
     /** Others should know that the request is not to blame for deaths of targets. */
@@ -31,7 +33,7 @@
 const burstMs = 1_000;
 
 export function createRequestLog(options: RequestLogOptions): SteeringEvents<Answer> {
-    const { timer, log, metrics } = options;
+    const { timer, log, metrics, tally } = options;
     const bucket = createTokenBucket(timer, linesPerSecond, burstMs);
     const trails = new Map<Job<Answer>, string[]>();
     let dropped = 0;
@@ -57,6 +59,7 @@
             request: job.request.id,
             route: job.route.name,
             service: job.service,
+            object: job.request.object,
             status,
             result: ending.kind === "answer" ? undefined : ending.result.code,
             why,
@@ -89,6 +92,10 @@
             note(job, `${target.record.id}: ${reason}`);
             metrics.repeated(job.service);
         },
+        worked: (attempt, wasQuick) => {
+            metrics.worked(attempt, wasQuick);
+            tally.worked(attempt, wasQuick);
+        },
         absolved: job => {
             const fingerprint = job.request.fingerprint();
             log.write(logEvents.poison, { request: job.request.id, fingerprint, deaths: 0 });
@@ -96,6 +103,7 @@
         },
         ended: (job, ending, why) => {
             metrics.ended(job, ending, timer.now());
+            tally.ended(job, ending);
             const isGood = ending.kind === "answer" && ending.answer.status < 300 && timer.now() <= job.objectiveAt &&
                 job.arrivals <= 1;
             if (!isGood || hashText(job.request.id) % sampleOf === 0) {
--- /dev/null
+++ b/packages/steer/src/observe/serviceLog.ts
@@ -0,0 +1,105 @@
+/**
+ * Every few seconds a line a service and one a route: what callers ask for, which slots there are, and what targets
+ * remember. They tell apart too few slots, slots that stay empty, one route's work that keeps out another's, and work that is slow
+ * because targets forget its objects.
+ */
+import type { DataCentreId, ServiceId } from "@pimentospring/core/ids";
+import type { FarObjects } from "@pimentospring/core/steering/farObjects";
+import type { ObjectHomes } from "@pimentospring/core/steering/objectHomes";
+import type { OfferedLoad } from "@pimentospring/core/steering/offeredLoad";
+import type { Pressure } from "@pimentospring/core/steering/pressure";
+import type { Spillover } from "@pimentospring/core/steering/spillover";
+import type { Steerer } from "@pimentospring/core/steering/steerer";
+import type { Route } from "@pimentospring/core/steering/steeringDocument";
+import { freeSlots, type Target } from "@pimentospring/core/steering/target";
+import type { TargetRegistry } from "@pimentospring/core/steering/targetRegistry";
+import type { WorkTimes } from "@pimentospring/core/steering/workTimes";
+import type { Timer } from "@pimentospring/core/time/timer";
+import type { Log } from "@pimentospring/runtime/logs/log";
+import { logEvents } from "@pimentospring/runtime/logs/logEvents";
+import type { Answer } from "../targets/answer.js";
+import type { RouteCounts, ServiceTally } from "./serviceTally.js";
+
+export interface ServiceLogOptions {
+    readonly timer: Timer;
+    readonly log: Log;
+    readonly tally: ServiceTally;
+    readonly registry: TargetRegistry;
+    readonly works: WorkTimes;
+    readonly objectHomes: ObjectHomes;
+    readonly farObjects: FarObjects;
+    readonly spillover: Spillover;
+    readonly offered: OfferedLoad;
+    readonly pressure: Pressure;
+    readonly steerer: Steerer<Answer>;
+    readonly services: () => Iterable<ServiceId>;
+    readonly routes: () => readonly Route[];
+    readonly isOwnRegion: (dataCentre: DataCentreId) => boolean;
+}
+
+const intervalMs = 2_000;
+
+/** Starts to write the lines; services without requests get none. */
+export function startServiceLog(options: ServiceLogOptions): void {
+    const { timer, log, tally, registry, steerer } = options;
+    const writeRoute = (service: ServiceId, route: Route, counts: RouteCounts): void =>
+        log.write(logEvents.routeState, {
+            service,
+            route: route.name,
+            ...counts,
+            warmMs: Math.round(options.works.warmMs(route)),
+            coldMs: Math.round(options.works.coldObjectMs(route)),
+        });
+    const write = (service: ServiceId): void => {
+        const counts = tally.take(service);
+        if (counts.size === 0) {
+            return;
+        }
+        const targets = targetsIn(registry, service, options.isOwnRegion);
+        log.write(logEvents.serviceState, {
+            service,
+            load: rounded(options.offered.slots(service)),
+            slots: sum(targets, target => target.record.slots),
+            free: rounded(sum(targets, target => Math.max(0, freeSlots(target, timer.now())))),
+            own: sum(targets, target => target.inFlight),
+            queued: sum(targets, target => target.report?.load.waiting ?? 0),
+            reportAgeMs: meanAge(targets, timer.now()),
+            waiting: steerer.waiting(service),
+            pressure: rounded(options.pressure.of(service)),
+            farShare: rounded(options.farObjects.share(service)),
+            lent: options.spillover.describe(service),
+            objects: options.objectHomes.inUse(service),
+            memory: sum(targets, target => target.memory.size()),
+        });
+        for (const route of options.routes()) {
+            const routeCounts = counts.get(route.name);
+            if (routeCounts !== undefined) {
+                writeRoute(service, route, routeCounts);
+            }
+        }
+    };
+    timer.subscribe(intervalMs, () => {
+        for (const service of options.services()) {
+            write(service);
+        }
+    });
+}
+
+/** Targets of the own region that may be used. */
+function targetsIn(registry: TargetRegistry, service: ServiceId, isOwnRegion: (dataCentre: DataCentreId) => boolean): Target[] {
+    return [...registry.dataCentres(service)]
+        .filter(isOwnRegion)
+        .flatMap(dataCentre => registry.inDataCentre(service, dataCentre))
+        .filter(target => !target.isSuspect);
+}
+
+const sum = (targets: readonly Target[], of: (target: Target) => number): number =>
+    targets.reduce((total, target) => total + of(target), 0);
+
+/** Mean age of the targets' last reports, in milliseconds; `undefined` without any. */
+function meanAge(targets: readonly Target[], now: number): number | undefined {
+    const ages = targets.flatMap(({ report }) => report === undefined ? [] : [now - report.at]);
+    return ages.length === 0 ? undefined : Math.round(ages.reduce((total, age) => total + age, 0) / ages.length);
+}
+
+const rounded = (figure: number): number => Number(figure.toFixed(2));
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -43,6 +43,8 @@
 import type { SteerMetrics } from "./observe/metrics.js";
 import { createOperatorView } from "./observe/operatorView.js";
 import { createRequestLog } from "./observe/requestLog.js";
+import { startServiceLog } from "./observe/serviceLog.js";
+import { createServiceTally } from "./observe/serviceTally.js";
 import type { SteerSettings } from "./settings/settings.js";
 import { createBeliefKeeper } from "./store/beliefKeeper.js";
 import { type Decoder, encodeMember, memberKey } from "./store/beliefs.js";
@@ -132,6 +134,7 @@
     const reach = createReach({ self, regions: () => settings.regions, members });
     const { roundTripMs, isUnattended } = reach;
     const offered = createOfferedLoad(timer);
+    const tally = createServiceTally(timer);
     const spillover = createSpillover({
         timer,
         self: { entry: settings.name, dataCentre: settings.dataCentre },
@@ -248,6 +251,7 @@
             timer,
             log,
             metrics,
+            tally,
             lent: spillover.describe,
             absolved: fingerprint => mesh.tellPoison({ fingerprint, deaths: 0, targetRun: undefined }),
         }),
@@ -359,6 +363,22 @@
             await listen(callers.server, host!, Number(port));
             follower.start();
             registration.start();
+            startServiceLog({
+                timer,
+                log,
+                tally,
+                registry,
+                works,
+                objectHomes,
+                farObjects,
+                spillover,
+                offered,
+                pressure,
+                steerer,
+                services: () => services.keys(),
+                routes: () => document?.routes ?? [],
+                isOwnRegion: reach.isOwnRegion,
+            });
         },
         isReady: () => document !== undefined && stoppingSince === undefined,
         reload: next => {
