refactor(core): the decisions of an entry are wired in one module

Cause: steer.ts (426 lines) wired decisions and I/O; a world of several entries in virtual time would have needed the same wiring a third time. Change: core/steering/steering.ts wires the decisions, steer.ts (339 lines) what speaks to the outside. No behaviour changes.

--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -10,27 +10,13 @@
 } from "@pimentospring/core/ids";
 import { createPoisonList } from "@pimentospring/core/poison/poisonList";
 import type { Random } from "@pimentospring/core/random/random";
-import { coldShare } from "@pimentospring/core/steering/coldArrivals";
 import { entriesFor } from "@pimentospring/core/steering/directory";
-import { createFarObjects } from "@pimentospring/core/steering/farObjects";
 import { createMembers, type MemberRecord } from "@pimentospring/core/steering/members";
-import { createObjectHomes } from "@pimentospring/core/steering/objectHomes";
-import { createOfferedLoad } from "@pimentospring/core/steering/offeredLoad";
-import { createPlacement } from "@pimentospring/core/steering/placement";
-import { createPressure } from "@pimentospring/core/steering/pressure";
-import { createReach, roundTrips } from "@pimentospring/core/steering/reach";
-import { createRegionShift } from "@pimentospring/core/steering/regionShift";
-import { createRetryAllowance } from "@pimentospring/core/steering/retryAllowance";
 import { createRouteTable, type RouteTable } from "@pimentospring/core/steering/routeTable";
-import { createSpillover } from "@pimentospring/core/steering/spillover";
-import { createSteerer, type Steerer } from "@pimentospring/core/steering/steerer";
+import { createSteering, type Steering } from "@pimentospring/core/steering/steering";
 import type { Service, SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { Target } from "@pimentospring/core/steering/target";
-import { createTargetHealth } from "@pimentospring/core/steering/targetHealth";
 import { runOf } from "@pimentospring/core/steering/targetRecord";
-import { createTargetRegistry, type TargetRegistry } from "@pimentospring/core/steering/targetRegistry";
-import { createWeightedTurns } from "@pimentospring/core/steering/weightedTurns";
-import { createWorkTimes } from "@pimentospring/core/steering/workTimes";
 import type { Timer } from "@pimentospring/core/time/timer";
 import { createRouter, listen, splitAddress } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
@@ -115,72 +101,60 @@
 
     const members = createMembers(timer, self);
     const poison = createPoisonList(timer);
-    const turns = createWeightedTurns();
-    const works = createWorkTimes();
-    const objectHomes = createObjectHomes(timer);
-    const pressure = createPressure(timer);
-    const shift = createRegionShift({ timer, most: () => settings.regionShift });
-    const registry = createTargetRegistry({
-        timer,
-        changed: (target, change) => {
-            log.write(logEvents.targetChanged, describe(target, change));
-            if (change === "removed" || change === "draining") {
-                connections.closeIdle(target.record.address);
-            }
-        },
-    });
     const connections = createTargetConnections({ timer, answerBytes });
-    const inFlight = (service: ServiceId, dataCentre: DataCentreId): number => steerer.inFlightAt(service, dataCentre);
-    const reach = createReach({ self, regions: () => settings.regions, members });
-    const { roundTripMs, isUnattended } = reach;
-    const offered = createOfferedLoad(timer);
     const tally = createServiceTally(timer);
-    const spillover = createSpillover({
-        timer,
-        self: { entry: settings.name, dataCentre: settings.dataCentre },
-        ownLoad: offered.slots,
-        loadAgeMs: offered.ageMs,
-        pressure: pressure.of,
-        capacity: (service, dataCentre) => keeper.isEvacuated(dataCentre) ? 0 : slotsIn(registry, service, dataCentre),
-        dataCentres: registry.dataCentres,
-        ownEntries: () => members.countIn(settings.dataCentre),
-        isOwnRegion: reach.isOwnRegion,
-    });
-    const coldShareOf = (target: Target): number => {
-        const { dataCentre, service } = target.record;
-        const bound = { perSecond: services.get(service)?.coldPerSecond, ...settings.cold };
-        if (dataCentre === settings.dataCentre) {
-            return coldShare(bound, members.countIn(dataCentre));
-        }
-        return bound.perSecond === undefined
-            ? Infinity
-            : isUnattended(dataCentre) && reach.isFirstOfRegion()
-            ? coldShare(bound, 2)
-            : 0;
-    };
-    const farObjects = createFarObjects({ timer, planned: spillover.farShare, most: () => settings.regionShift });
     const checks = createHealthChecks({
         connections,
         timer,
         wire,
         pathOf: target => services.get(target.record.service)?.healthPath ?? "/",
-        roundTripMs,
-        checked: (target, answer) => health.checked(target, answer),
+        roundTripMs: dataCentre => steering.reach.roundTripMs(dataCentre),
+        checked: (target, answer) => steering.health.checked(target, answer),
+    });
+    const sender = createTargetSender({
+        timer,
+        wire,
+        connections,
+        roundTripMs: dataCentre => steering.reach.roundTripMs(dataCentre),
+        steerer: () => steerer,
     });
-    const health = createTargetHealth({
+    const steering: Steering<Answer> = createSteering<Answer>({
         timer,
         random,
-        registry,
-        check: checks.check,
-        changed: (target, what, reason) => log.write(logEvents.targetJudged, { ...describe(target, what), reason }),
+        self,
+        name: settings.name,
+        members,
+        poison,
+        bounds: () => settings,
+        routes: () => table,
+        service: id => services.get(id),
+        isEvacuated: dataCentre => keeper.isEvacuated(dataCentre),
+        targetChanged: (target, change) => {
+            log.write(logEvents.targetChanged, describe(target, change));
+            if (change === "removed" || change === "draining") {
+                connections.closeIdle(target.record.address);
+            }
+        },
+        targetJudged: (target, what, reason) => log.write(logEvents.targetJudged, { ...describe(target, what), reason }),
         diedUnder: (fingerprint, { record }) => {
             const targetRun = runOf(record);
             const deaths = poison.targetDied(fingerprint, targetRun);
             log.write(logEvents.poison, { fingerprint, deaths, target: record.id });
             mesh.tellPoison({ fingerprint, deaths, targetRun });
         },
-        recovered: () => steerer.dispatch(),
+        check: checks.check,
+        send: sender.send,
+        cancel: sender.cancel,
+        events: createRequestLog({
+            timer,
+            log,
+            metrics,
+            tally,
+            lent: service => steering.spillover.describe(service),
+            absolved: fingerprint => mesh.tellPoison({ fingerprint, deaths: 0, targetRun: undefined }),
+        }),
     });
+    const { steerer, registry, spillover, offered } = steering;
     const keeper = createBeliefKeeper({
         timer,
         log,
@@ -194,68 +168,10 @@
             document = next;
             table = createRouteTable(next);
             services = new Map(next.services.map(service => [service.id, service]));
-            turns.keep(next.routes);
+            steering.turns.keep(next.routes);
             callers.setLimits(next.limits);
         },
     });
-    const placement = createPlacement<Answer>({
-        timer,
-        random,
-        self: settings,
-        registry,
-        spillover,
-        shift,
-        works,
-        objectHomes,
-        farObjects,
-        regionOf: reach.regionOf,
-        isEvacuated: keeper.isEvacuated,
-        isUnattended,
-        coldShare: coldShareOf,
-        roundTripMs,
-        farRoundTripMs: roundTrips.far,
-        inFlight,
-        prices: settings.prices,
-    });
-    const sender = createTargetSender({
-        timer,
-        wire,
-        connections,
-        roundTripMs,
-        steerer: () => steerer,
-    });
-    const steerer: Steerer<Answer> = createSteerer<Answer>({
-        timer,
-        random,
-        routes: () => table,
-        turns,
-        placement,
-        shift,
-        works,
-        objectHomes,
-        offered,
-        pressure,
-        allowance: createRetryAllowance({
-            timer,
-            bound: () => settings.repeats,
-            windowMs: settings.repeats.windowMs,
-            entries: members.sharing,
-        }),
-        poison,
-        health,
-        isOwnRegion: target => target.record.region === settings.region,
-        roundTripMs,
-        send: sender.send,
-        cancel: sender.cancel,
-        events: createRequestLog({
-            timer,
-            log,
-            metrics,
-            tally,
-            lent: spillover.describe,
-            absolved: fingerprint => mesh.tellPoison({ fingerprint, deaths: 0, targetRun: undefined }),
-        }),
-    });
     const intake = createIntake({
         timer,
         wire,
@@ -310,11 +226,7 @@
     const operatorView = createOperatorView({
         timer,
         members,
-        registry,
-        spillover,
-        farObjects,
-        offered,
-        steerer,
+        ...steering,
         services: () => services.keys(),
         routes: () => table,
         self: () => ({
@@ -367,17 +279,10 @@
                 timer,
                 log,
                 tally,
-                registry,
-                works,
-                objectHomes,
-                farObjects,
-                spillover,
-                offered,
-                pressure,
-                steerer,
+                ...steering,
                 services: () => services.keys(),
                 routes: () => document?.routes ?? [],
-                isOwnRegion: reach.isOwnRegion,
+                isOwnRegion: steering.reach.isOwnRegion,
             });
         },
         isReady: () => document !== undefined && stoppingSince === undefined,
@@ -418,14 +323,6 @@
     "control",
 ] as const satisfies readonly (keyof SteerSettings)[];
 
-/** Slots of a service's targets that are not leaving. */
-function slotsIn(registry: TargetRegistry, service: ServiceId, dataCentre: DataCentreId): number {
-    return registry.inDataCentre(service, dataCentre).reduce(
-        (sum, target) => sum + (target.isSuspect ? 0 : target.record.slots),
-        0,
-    );
-}
-
 const describe = (
     target: Target,
     change: string,
