fix(core): no request is sent to another region to wait there

Reports from there are 1.4 s old, and several entries lend from the same target, so that the one became several. Change: a target elsewhere needs a free slot like any other; what finds none waits in the entry, where it can still be placed or refused. One rule and one constant less. Test: steerer.test.ts, "no request is sent to a full target of another region to wait there" (2 sent before, 1 now).

--- a/packages/core/src/steering/__tests__/steerer.test.ts
+++ b/packages/core/src/steering/__tests__/steerer.test.ts
@@ -237,3 +237,14 @@
     }
     assert.equal([...bench.endings.values()].filter(ending => ending.kind === "answer").length, 40);
 });
+
+test("no request is sent to a full target of another region to wait there", () => {
+    const elsewhere = { dataCentre: toDataCentreId("dbn-a"), region: toRegionId("dbn") };
+    const bench = createBench({
+        targets: [record("far", { ...elsewhere, slots: 1 }), record("farther", { ...elsewhere, slots: 0 })],
+    });
+    for (let index = 0; index < 4; index++) {
+        bench.arrive(`r${index}`, { deadlineAt: bench.timer.now() + 4_000 });
+    }
+    assert.equal(bench.sent.length, 1);
+});
--- a/packages/core/src/steering/placement.ts
+++ b/packages/core/src/steering/placement.ts
@@ -100,8 +100,6 @@
 const twoTo32 = 2 ** 32;
 /** Slots that must be free for a request to be sent at once. */
 const roomNeeded = 0.6;
-/** Requests that may wait at a target of another region, where this entry's slots are agreed but rarely free at once. */
-const farQueue = 1;
 /** An object that is served elsewhere is kept there although its target is full, for this part of the objective. */
 const farHoldShare = 0.3;
 /** Requests in flight elsewhere may exceed the agreed slots by this factor for a moment. */
@@ -166,8 +164,7 @@
         return true;
     };
     const hasFreeSlot = (target: Target, now: number): boolean =>
-        freeSlots(target, now, options.stayMs(target.record.service)) >=
-            roomNeeded - (target.record.region === self.region ? 0 : farQueue);
+        freeSlots(target, now, options.stayMs(target.record.service)) >= roomNeeded;
     /** The entries of its data centre try a target that joined. */
     const isNewcomer = (target: Target): boolean => target.isUntried && target.record.dataCentre === self.dataCentre;
     const isWarmAt = (job: Job<Answer>, target: Target): boolean =>
