fix(steer): a target that sends without end is cut off, also in interim answers, and many hold bounded memory

What callers would see: a target in trouble that sends interim answers (1xx) without end kept its connection, its request and the entry's processor busy until the route's timeout; answers that stay under the bound of 32 MB each and never end could take an entry over its memory together, and all its callers with it. Cause: each answer had a bound, all of them had none; interim answers had none at all; the head's bound was the library's. Change: 16 interim answers at most, 16 KiB of head, and 64 MiB for all answers that are being received: over that the largest is given up. Tests: eight cases of endless bytes in targetConnections.test.ts (no answer, head, one header, interim answers, bodies with and without chunks, trailers, many bodies at once). On the old code two failed: interim answers (no end within 10 s) and many bodies (none of twelve given up, nine have to be); the others passed.

--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -74,6 +74,8 @@
 
 /** Largest answer of a target that is taken. */
 const answerBytes = 32 * 1024 * 1024;
+/** Answers that are being received take no more memory than this, all together. */
+const heldBytes = 64 * 1024 * 1024;
 const pauseMs = 300;
 /** Requests that come later than this after the order to stop are refused. */
 const lastAcceptMs = 3_000;
@@ -101,7 +103,7 @@
 
     const members = createMembers(timer, self);
     const poison = createPoisonList(timer);
-    const connections = createTargetConnections({ timer, answerBytes });
+    const connections = createTargetConnections({ timer, answerBytes, heldBytes });
     const tally = createServiceTally(timer);
     const checks = createHealthChecks({
         connections,
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -39,7 +39,7 @@
     check: (connections: TargetConnections, address: string) => Promise<void>,
 ): Promise<void> {
     const { server, address } = await startTarget(script);
-    const connections = createTargetConnections({ timer: createClockTimer(), answerBytes: 1_000_000 });
+    const connections = createTargetConnections({ timer: createClockTimer(), answerBytes: 1_000_000, heldBytes: 3_000_000 });
     try {
         await check(connections, address);
     }
@@ -89,7 +89,7 @@
     ));
 
 test("nothing is said to be written when the connection is refused", async () => {
-    const connections = createTargetConnections({ timer: createClockTimer(), answerBytes: 1_000 });
+    const connections = createTargetConnections({ timer: createClockTimer(), answerBytes: 1_000, heldBytes: 3_000 });
     let isWritten = false;
     const reason = await new Promise<string>(resolve =>
         connections.send("127.0.0.1:1", { method: "GET", path: "/", headers: ["Host", "a"], body: undefined }, false, 500, {
@@ -104,3 +104,79 @@
     assert.match(reason, /ECONNREFUSED/);
     assert.equal(isWritten, false);
 });
+
+/** Writes the same bytes without end, until the other side closes. */
+function writeWithoutEnd(socket: Socket, head: string, piece: string): void {
+    const bytes = Buffer.from(piece);
+    const more = (): void => {
+        while (!socket.destroyed && socket.write(bytes)) {
+            // Until the other side is full.
+        }
+    };
+    socket.on("drain", more);
+    socket.write(head);
+    more();
+}
+
+const closed = (socket: Socket): Promise<void> => new Promise(resolve => socket.once("close", () => resolve()));
+
+const endless = {
+    "bytes that are no answer": ["", "\0garbage\0".repeat(1_000)],
+    "a head": ["HTTP/1.1 200 OK\r\n", "X-More: and more\r\n".repeat(500)],
+    "one header": ["HTTP/1.1 200 OK\r\nX-Long: ", "a".repeat(10_000)],
+    "interim answers": ["", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(100)],
+    "a body without a length": ["HTTP/1.1 200 OK\r\n\r\n", "a".repeat(10_000)],
+    "a body in chunks": [
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        `${(10_000).toString(16)}\r\n${"a".repeat(10_000)}\r\n`,
+    ],
+    "trailers": ["HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "X-More: and more\r\n".repeat(500)],
+} as const;
+
+for (const [what, [head, piece]] of Object.entries(endless)) {
+    test(`a target that sends ${what} without end is cut off, and the request fails`, { timeout: 10_000 }, async () => {
+        let ends: Promise<void> | undefined;
+        await withTarget(
+            socket => {
+                ends = closed(socket);
+                writeWithoutEnd(socket, head, piece);
+            },
+            async (connections, address) => {
+                assert.equal((await get(connections, address)).kind, "broken");
+                await ends;
+                assert.equal(connections.open(), 0);
+            },
+        );
+    });
+}
+
+test(
+    "many answers without end hold no more memory together than they may, and whole ones still pass",
+    { timeout: 20_000 },
+    async () => {
+        let turn = 0;
+        const endlessHead = "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n";
+        await withTarget(
+            socket => {
+                if (turn++ < 12) {
+                    // Each stays under the bound on one answer and never ends.
+                    socket.write(endlessHead + "a".repeat(850_000));
+                }
+                else {
+                    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+                }
+            },
+            async (connections, address) => {
+                const outcomes: Outcome[] = [];
+                for (let index = 0; index < 12; index++) {
+                    void get(connections, address).then(outcome => outcomes.push(outcome));
+                }
+                await pause(1_000);
+                // Three of 850,000 bytes fit into 3,000,000.
+                assert.equal(outcomes.filter(outcome => outcome.kind === "broken").length, 9);
+                const outcome = await get(connections, address);
+                assert.equal(outcome.kind === "answer" ? outcome.answer.body.toString() : outcome.reason, "whole");
+            },
+        );
+    },
+);
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -6,6 +6,7 @@
 import net from "node:net";
 import { Client, type Dispatcher } from "undici";
 import type { Answer } from "./answer.js";
+import { createHeldAnswers, type HeldAnswer, type HeldAnswers } from "./heldAnswers.js";
 
 export interface Outgoing {
     readonly method: string;
@@ -40,12 +41,18 @@
     readonly timer: Timer;
     /** Largest answer that is taken, in bytes. */
     readonly answerBytes: number;
+    /** Most bytes of answers that are being received, all together. */
+    readonly heldBytes: number;
 }
 
 /** Idle connections are closed after this time when the target names none. */
 const keepMs = 4_000;
 /** Closed this long before the time that the target names, since the request takes a while to arrive. */
 const keepMarginMs = 1_500;
+/** Interim answers (1xx) that may come before an answer. */
+const mostInterim = 16;
+/** Largest head of an answer, in bytes. */
+const headBytes = 16 * 1_024;
 
 interface Connection {
     readonly client: Client;
@@ -60,6 +67,7 @@
     const { timer, answerBytes } = options;
     const idle = new Map<string, Connection[]>();
     const all = new Set<Connection>();
+    const held = createHeldAnswers(options.heldBytes);
 
     const discard = (connection: Connection): void => {
         all.delete(connection);
@@ -76,6 +84,7 @@
         const client = new Client(`http://${address}`, {
             pipelining: 1,
             headersTimeout: 0,
+            maxHeaderSize: headBytes,
             bodyTimeout: 0,
             keepAliveTimeout: keepMs,
             keepAliveTimeoutThreshold: keepMarginMs,
@@ -149,6 +158,7 @@
             };
             const handler = createHandler({
                 answerBytes,
+                held,
                 written: () => {
                     if (!isOver) {
                         reception.written();
@@ -180,6 +190,7 @@
 
 interface HandlerOptions {
     readonly answerBytes: number;
+    readonly held: HeldAnswers;
     readonly written: () => void;
     readonly answered: (answer: Answer) => void;
     readonly broken: (reason: string) => void;
@@ -187,31 +198,55 @@
 
 /** Collects one answer. */
 function createHandler(options: HandlerOptions): Dispatcher.DispatchHandler {
+    const { answerBytes, held } = options;
     let status = 0;
     let statusText = "";
     let rawHeaders: string[] = [];
     let size = 0;
-    const chunks: Buffer[] = [];
+    let interim = 0;
+    let chunks: Buffer[] = [];
+    let controller: Dispatcher.DispatchController | undefined;
+    const answer: HeldAnswer = {
+        bytes: () => size,
+        giveUp: reason => {
+            chunks = [];
+            controller?.abort(new Error(reason));
+        },
+    };
     return {
-        onRequestStart: () => options.written(),
-        onResponseStart: (controller, statusCode, _headers, statusMessage) => {
+        onRequestStart: started => {
+            controller = started;
+            held.begun(answer);
+            options.written();
+        },
+        onResponseStart: (started, statusCode, _headers, statusMessage) => {
             if (statusCode >= 200) {
                 status = statusCode;
                 statusText = statusMessage ?? "";
-                rawHeaders = ((controller.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item => item.toString("latin1"));
+                rawHeaders = ((started.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item => item.toString("latin1"));
             }
-        },
-        onResponseData: (controller, chunk) => {
-            size += chunk.length;
-            if (size > options.answerBytes) {
-                controller.abort(new Error(`the answer is larger than ${options.answerBytes} bytes`));
-                return;
+            else if (++interim > mostInterim) {
+                started.abort(new Error(`more than ${mostInterim} interim answers`));
             }
+        },
+        onResponseData: (_started, chunk) => {
             // The parser may use its memory again.
             chunks.push(Buffer.from(chunk));
+            size += chunk.length;
+            held.grown(chunk.length);
+            if (size > answerBytes) {
+                answer.giveUp(`the answer is larger than ${answerBytes} bytes`);
+            }
+        },
+        onResponseEnd: () => {
+            held.ended(answer);
+            options.answered({ status, statusText, rawHeaders, body: Buffer.concat(chunks, size) });
+        },
+        onResponseError: (_started, error) => {
+            held.ended(answer);
+            chunks = [];
+            options.broken(error.message);
         },
-        onResponseEnd: () => options.answered({ status, statusText, rawHeaders, body: Buffer.concat(chunks, size) }),
-        onResponseError: (_controller, error) => options.broken(error.message),
     };
 }
 
