--- a/packages/harness/src/steering/patterns.ts
+++ b/packages/harness/src/steering/patterns.ts
@@ -1,6 +1,6 @@
 /** Load patterns at the users' sizes, for the world of several entries. */
 import type { TargetTraits } from "./sharedTarget.js";
-import type { WorldClass, WorldOptions, WorldService } from "./steeringWorld.js";
+import type { WorldClass, WorldOptions, WorldService } from "./worldOptions.js";
 
 const traits: TargetTraits = {
     slots: 4,
