fix(steer): other data centres hear the load of all entries of a data centre

What callers would see: where a data centre has several entries, entries elsewhere plan with the load of one of them; the plan lends slots that are needed there and the entries' plans differ. Change: it tells the sum of the loads that it heard in its data centre, as one item under the data centre's name, so that the datagram stays as short.

--- /dev/null
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -0,0 +1,70 @@
+/** What entries of other data centres hear of a data centre's load. */
+import { toDataCentreId, toInstanceId, toRegionId, toServiceId } from "@pimentospring/core/ids";
+import { createMembers, type MemberRecord } from "@pimentospring/core/steering/members";
+import { createVirtualTimer } from "@pimentospring/core/time/virtualTimer";
+import type { Log } from "@pimentospring/runtime/logs/log";
+import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { test } from "node:test";
+import { createMesh, type Mesh } from "../mesh.js";
+
+const service = toServiceId("tokens");
+const silent = { write: () => {} } as unknown as Log;
+const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** A loopback address for datagrams that was free a moment ago. */
+function freeAddress(): Promise<string> {
+    return new Promise(resolve => {
+        const socket = createSocket("udp4");
+        socket.bind(0, "127.0.0.1", () => {
+            const { port } = socket.address();
+            socket.close(() => resolve(`127.0.0.1:${port}`));
+        });
+    });
+}
+
+async function recordOf(id: string, dataCentre: string): Promise<MemberRecord> {
+    return {
+        id: toInstanceId(id),
+        callers: "",
+        mesh: await freeAddress(),
+        control: "",
+        dataCentre: toDataCentreId(dataCentre),
+        region: toRegionId(dataCentre.split("-")[0]!),
+    };
+}
+
+test("other data centres hear the load of all entries of a data centre", { timeout: 10_000 }, async () => {
+    const timer = createVirtualTimer();
+    const records = [await recordOf("a1", "cpt-a"), await recordOf("a2", "cpt-a"), await recordOf("b1", "jhb-a")];
+    const slots = new Map([["a1", 5], ["a2", 7], ["b1", 1]]);
+    const heard = new Map<string, number>();
+    const start = async (self: MemberRecord): Promise<Mesh> => {
+        const members = createMembers(timer, self);
+        members.replaceAll(records.filter(record => record !== self));
+        const mesh = createMesh({
+            timer,
+            log: silent,
+            self,
+            members,
+            ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [{ service, slots: slots.get(self.id)! }] }),
+            revision: () => 1,
+            isFollowing: () => true,
+            heard: news => {
+                const fromCpt = news.loads.filter(({ dataCentre }) => dataCentre === "cpt-a");
+                if (self.id === "b1") {
+                    fromCpt.forEach(({ entry, loads }) => heard.set(entry, loads[0]!.slots));
+                }
+            },
+        });
+        await mesh.start();
+        return mesh;
+    };
+    const meshes = await Promise.all(records.map(start));
+    for (let beat = 0; beat < 3; beat++) {
+        timer.advance(1_000);
+        await pause(50);
+    }
+    meshes.forEach(mesh => mesh.close());
+    assert.equal([...heard.values()].reduce((sum, count) => sum + count, 0), 12);
+});
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -1,7 +1,9 @@
 /**
  * Datagrams between entries. Each tells every entry of its data centre once a second that it lives and how much load
- * its callers offer; one of them, the speaker, tells the speakers of the other data centres. News that can't wait goes at once.
+ * its callers offer; one of them, the speaker, tells the speakers of the other data centres the sum. News that can't wait
+ * goes at once.
  */
+import type { DataCentreId, ServiceId } from "@pimentospring/core/ids";
 import type { Member, MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
@@ -39,10 +41,26 @@
 /** Loads heard of another data centre are passed on for this long. */
 const passOnMs = 2_500;
 
+interface HeardLoads {
+    readonly loads: EntryLoads;
+    readonly heardAt: number;
+}
+
+/** The load of a data centre's entries as one, under the data centre's name. */
+export function sumOf(dataCentre: DataCentreId, entries: readonly EntryLoads[]): EntryLoads {
+    const slots = new Map<ServiceId, number>();
+    for (const load of entries.flatMap(entry => entry.loads)) {
+        slots.set(load.service, (slots.get(load.service) ?? 0) + load.slots);
+    }
+    const loads = [...slots].map(([service, count]) => ({ service, slots: count }));
+    return { dataCentre, entry: dataCentre, loads };
+}
+
 export function createMesh(options: MeshOptions): Mesh {
     const { timer, log, self, members } = options;
     const socket: Socket = createSocket("udp4");
-    const distant = new Map<string, { readonly loads: EntryLoads; readonly heardAt: number; }>();
+    const near = new Map<string, HeardLoads>();
+    const distant = new Map<string, HeardLoads>();
     let isLeaving = false;
     let isOpen = false;
     let isTelling = false;
@@ -90,17 +108,17 @@
         loads,
         poison,
     });
+    const recent = (heard: ReadonlyMap<string, HeardLoads>): EntryLoads[] =>
+        [...heard.values()].filter(({ heardAt }) => timer.now() - heardAt < passOnMs).map(({ loads }) => loads);
     const beat = (): void => {
         const own = options.ownLoads();
-        const now = timer.now();
-        const passedOn = [...distant.values()].filter(entry => now - entry.heardAt < passOnMs).map(entry => entry.loads);
         const all = speakers();
         const isSpeaker = all.get(self.dataCentre) === undefined;
-        const near = packNews(news(isSpeaker ? [own, ...passedOn] : [own]));
+        const toNear = packNews(news(isSpeaker ? [own, ...recent(distant)] : [own]));
         // Registered entries that were silent are told too: they may have lost us, not died.
-        [...members.all()].filter(isNear).forEach(member => sendTo(member, near));
+        [...members.all()].filter(isNear).forEach(member => sendTo(member, toNear));
         if (isSpeaker) {
-            const far = packNews(news([own]));
+            const far = packNews(news([sumOf(self.dataCentre, [own, ...recent(near)])]));
             all.forEach((member, dataCentre) => {
                 if (member !== undefined && dataCentre !== self.dataCentre) {
                     sendTo(member, far);
@@ -118,8 +136,9 @@
         if (member === undefined) {
             return;
         }
-        if (!isNear(member)) {
-            received.loads.forEach(loads => distant.set(loads.entry, { loads, heardAt: timer.now() }));
+        for (const loads of received.loads) {
+            // Other entries of the data centre tell their own load, its speaker those of other data centres too.
+            (loads.dataCentre === self.dataCentre ? near : distant).set(loads.entry, { loads, heardAt: timer.now() });
         }
         options.heard(received, member);
     };
