fix(steer): lines about routes are bounded, however many routes have requests

Cause: line 702 came for each route with requests; a configuration that grows by many routes would have made hundreds of lines every two seconds. Change: the twelve routes with most requests have a line, 701 says how many there are. A weight in target.ts has a name. Test: serviceTally.test.ts.

--- a/packages/core/src/steering/target.ts
+++ b/packages/core/src/steering/target.ts
@@ -12,6 +12,8 @@
 const slownessFadeMs = 350;
 /** Factor on work at a target whose moment is unknown. */
 const usualSlowness = 1.15;
+/** Weight of the newest report in the average of others' requests. */
+const reportWeight = 0.3;
 /** Weight of the newest outcome in the failure rate. */
 const failureWeight = 0.15;
 
@@ -64,7 +66,7 @@
 /** Notes a load report that came with an answer; the request that it answers still counts as in flight. */
 export function noteReport(target: Target, load: LoadReport, now: number): void {
     const others = Math.max(0, load.running + load.waiting - target.inFlight);
-    target.othersAverage += 0.3 * (others - target.othersAverage);
+    target.othersAverage += reportWeight * (others - target.othersAverage);
     target.report = { load, at: now, own: target.inFlight };
 }
 
--- a/packages/steer/src/observe/__tests__/serviceTally.test.ts
+++ b/packages/steer/src/observe/__tests__/serviceTally.test.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Answer } from "../../targets/answer.js";
-import { createServiceTally } from "../serviceTally.js";
+import { busiestRoutes, createServiceTally } from "../serviceTally.js";
 
 const service = toServiceId("tokens");
 const job = { service, route: { name: "look-up" }, objectiveAt: 300 } as Job<Answer>;
@@ -39,3 +39,13 @@
     const { known, knownQuick, fresh, freshQuick } = tally.take(service).get("look-up")!;
     assert.deepEqual({ known, knownQuick, fresh, freshQuick }, { known: 2, knownQuick: 1, fresh: 1, freshQuick: 1 });
 });
+
+test("however many routes have requests, only the busiest are told", () => {
+    const tally = createServiceTally(createVirtualTimer());
+    for (let index = 0; index < 100; index++) {
+        const other = { ...job, route: { name: `route-${index}` } } as Job<Answer>;
+        tally.ended(other, answered(200));
+        tally.ended(index === 42 ? other : job, answered(200));
+    }
+    assert.deepEqual(busiestRoutes(tally.take(service), 2), ["look-up", "route-42"]);
+});
--- a/packages/steer/src/observe/serviceLog.ts
+++ b/packages/steer/src/observe/serviceLog.ts
@@ -1,7 +1,7 @@
 /**
  * Every few seconds a line a service and one a route: what callers ask for, which slots there are, and what targets
- * remember. They tell apart too few slots, slots that stay empty, one route's work that keeps out another's, and work that is slow
- * because targets forget its objects.
+ * remember. They tell apart too few slots, slots that stay empty, one route's work that keeps out another's, and work that
+ * is slow because targets forget its objects.
  */
 import type { DataCentreId, ServiceId } from "@pimentospring/core/ids";
 import type { FarObjects } from "@pimentospring/core/steering/farObjects";
@@ -18,7 +18,7 @@
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { Answer } from "../targets/answer.js";
-import type { RouteCounts, ServiceTally } from "./serviceTally.js";
+import { busiestRoutes, type RouteCounts, type ServiceTally } from "./serviceTally.js";
 
 export interface ServiceLogOptions {
     readonly timer: Timer;
@@ -38,6 +38,8 @@
 }
 
 const intervalMs = 2_000;
+/** Routes of a service that get a line of their own: those with the most requests. */
+const mostRoutes = 12;
 
 /** Starts to write the lines; services without requests get none. */
 export function startServiceLog(options: ServiceLogOptions): void {
@@ -59,6 +61,7 @@
         const stayMs = options.offered.workMs(service);
         log.write(logEvents.serviceState, {
             service,
+            routes: counts.size,
             load: rounded(options.offered.slots(service)),
             slots: sum(targets, target => target.record.slots),
             free: rounded(sum(targets, target => Math.max(0, freeSlots(target, timer.now(), stayMs)))),
@@ -72,12 +75,10 @@
             objects: options.objectHomes.inUse(service),
             memory: sum(targets, target => target.memory.size()),
         });
-        for (const route of options.routes()) {
-            const routeCounts = counts.get(route.name);
-            if (routeCounts !== undefined) {
-                writeRoute(service, route, routeCounts);
-            }
-        }
+        const busiest = busiestRoutes(counts, mostRoutes);
+        options.routes()
+            .filter(route => busiest.includes(route.name))
+            .forEach(route => writeRoute(service, route, counts.get(route.name)!));
     };
     timer.subscribe(intervalMs, () => {
         for (const service of options.services()) {
--- a/packages/steer/src/observe/serviceTally.ts
+++ b/packages/steer/src/observe/serviceTally.ts
@@ -82,3 +82,11 @@
         },
     };
 }
+
+const endedOf = (counts: RouteCounts): number => counts.inTime + counts.late + counts.refused + counts.failed;
+
+/** Names of the routes with the most requests, `most` at the most. */
+export function busiestRoutes(counts: ReadonlyMap<string, RouteCounts>, most: number): readonly string[] {
+    const byRequests = [...counts].sort(([, a], [, b]) => endedOf(b) - endedOf(a));
+    return byRequests.slice(0, most).map(([name]) => name);
+}
