fix: a configuration with a word that the daemon doesn't know stays in force for everything else

Callers of Nile Grit saw only 503: one route of the kind `upload` made the decoder refuse the whole document (event 720), so no route of any workspace was served. The class of fault: one schema for the whole document, so that one unknown word in one field decides for all routes.

Faults are logged (event 725), counted (`pimento_document_faults`) and listed by `pimento steering`.

Weighed: leaving unknown resources out silently (404 for routes that exist), keeping the last readable form of a route (two versions in force at once), refusing the document (what failed).

Bodies: all callers' request bodies together hold at most 64 MB; beyond that 503 with a time to retry. A refusal before the end of a body is complete at once, and the rest of the body is read before the connection closes. A stop waits for responses that are not yet with the operating system, and for requests that are still being received.

--- a/packages/client/src/commands/steeringCommands.ts
+++ b/packages/client/src/commands/steeringCommands.ts
@@ -52,6 +52,9 @@
         String(status.inFlight),
         String(status.entries.length),
     ]);
+    const faults = statuses.flatMap(status =>
+        status.documentFaults.map(({ resource, reason, effect }) => [status.instance, resource, reason, effect])
+    );
     const services = statuses.flatMap(status => status.services.map(service => serviceRow(status, service)));
     return [
         formatTable({ headings: ["entry", "data centre", "version", "revision", "store", "in flight", "others"], rows: entries }),
@@ -60,6 +63,9 @@
             headings: ["entry", "service", "waiting", "load", "served remotely", "targets", "not serving", "agreed elsewhere"],
             rows: services,
         }),
+        ...(faults.length === 0
+            ? []
+            : ["", formatTable({ headings: ["entry", "can't be read", "reason", "effect"], rows: faults })]),
     ].join("\n");
 }
 
@@ -79,7 +85,9 @@
 
 function formatExplanation(explanation: RouteExplanation, host: string, path: string): string {
     if (explanation.route === undefined) {
-        return `${host}${path}: no route in version ${explanation.version}`;
+        return explanation.isUnreadable
+            ? `${host}${path}: refused, its route in version ${explanation.version} can't be read; see pimento steering`
+            : `${host}${path}: no route in version ${explanation.version}`;
     }
     const services = explanation.parts
         .map(({ service, weight, targets }) => `${service} (weight ${weight}, ${targets} targets)`)
--- a/packages/core/src/results/resultCode.ts
+++ b/packages/core/src/results/resultCode.ts
@@ -57,6 +57,14 @@
         503,
         "Targets died while running an identical request; it is not sent to another target for now.",
     ),
+    unreadableRoute: result(
+        2012,
+        "unreadableRoute",
+        "notRun",
+        503,
+        "This entry can't read the route's configuration; the operator finds the fault in the entry's log and status.",
+    ),
+    noMemory: result(2013, "noMemory", "notRun", 503, "The bodies of requests in progress use all of the entry's memory; retry."),
     outcomeUnknown: result(
         3001,
         "outcomeUnknown",
--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -53,7 +53,7 @@
         coldMs: 3_000,
         maxColdRequestsPerSecond: 5.8,
     }];
-    return { version, routes, services, limits };
+    return { version, routes, unreadableRoutes: [], services, limits, faults: [] };
 }
 
 export function record(id: string, fields: Partial<TargetRecord> = {}): TargetRecord {
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -320,7 +320,7 @@
         }
         const route = table.find(request.host, request.path);
         if (route === undefined) {
-            return refuse(results.unknownRoute);
+            return refuse(table.isUnreadable(request.host, request.path) ? results.unreadableRoute : results.unknownRoute);
         }
         if (options.poisonList.isPoison(request.fingerprint)) {
             return refuse(results.poisonRequest);
--- a/packages/core/src/steering/steeringDocument.ts
+++ b/packages/core/src/steering/steeringDocument.ts
@@ -54,10 +54,31 @@
     readonly idleTimeoutMs: number;
 }
 
+/** A route of which too much could not be decoded to serve it. Its requests are refused, not sent along another route. */
+export interface UnreadableRoute {
+    readonly name: string;
+    /** `undefined` if the host itself could not be decoded. */
+    readonly host: string | undefined;
+    /** `undefined` if the prefix itself could not be decoded. */
+    readonly prefix: string | undefined;
+}
+
+/** A part of a document that could not be decoded, for example because a newer version wrote it. */
+export interface DocumentFault {
+    /** Kind and name of the resource, such as `routes checkout`. */
+    readonly resource: string;
+    /** What was found, and what was expected. */
+    readonly reason: string;
+    /** What applies instead. */
+    readonly effect: string;
+}
+
 export interface SteeringDocument {
     /** Increases with each change, not necessarily by one. */
     readonly version: number;
     readonly routes: readonly Route[];
+    readonly unreadableRoutes: readonly UnreadableRoute[];
     readonly services: readonly Service[];
     readonly limits: CallerLimits;
+    readonly faults: readonly DocumentFault[];
 }
--- a/packages/core/src/steering/steeringStatus.ts
+++ b/packages/core/src/steering/steeringStatus.ts
@@ -1,5 +1,6 @@
 /** Status that a steering entry reports to operators as JSON on its control address. */
 import type { DataCentreId, InstanceId, RegionId, ServiceId, TargetId } from "../ids.js";
+import type { DocumentFault } from "./steeringDocument.js";
 
 export interface TargetStatus {
     readonly id: TargetId;
@@ -31,6 +32,8 @@
     readonly region: RegionId;
     /** Version of the active configuration; 0 before the first. */
     readonly version: number;
+    /** Parts of the active configuration that the entry can't read. */
+    readonly documentFaults: readonly DocumentFault[];
     /** Store revision up to which the entry is up to date. */
     readonly revision: number;
     /** Whether the entry watches the store directly. */
@@ -46,6 +49,8 @@
 export interface RouteExplanation {
     readonly version: number;
     readonly route: string | undefined;
+    /** Whether the request may belong to a route that the entry can't read. */
+    readonly isUnreadable: boolean;
     readonly prefix: string | undefined;
     readonly isIdempotent: boolean | undefined;
     readonly timeoutMs: number | undefined;
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -101,6 +101,8 @@
         routes: options.classes.map(createRoute),
         services,
         limits: { maxHeaderBytes: 0, maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 },
+        unreadableRoutes: [],
+        faults: [],
     });
     const targets = new Map<string, SharedTarget>();
     const abandonByAttempt = new Map<Attempt<string>, () => void>();
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -105,6 +105,12 @@
     ),
     stateAdopted: defineEvent(723, "stateAdopted", "info", "The store does not answer; newer state was adopted from a peer."),
     peerStateFailed: defineEvent(724, "peerStateFailed", "warn", "A peer's state could not be read."),
+    documentFault: defineEvent(
+        725,
+        "documentFault",
+        "warn",
+        "Part of the configuration in force can't be read; the line gives its effect. A newer version may read it.",
+    ),
     datagramFailed: defineEvent(730, "datagramFailed", "warn", "A datagram to a peer could not be sent."),
     datagramRefused: defineEvent(731, "datagramRefused", "warn", "A datagram that is not a valid mesh message was dropped."),
     settingsTaken: defineEvent(741, "settingsTaken", "info", "Changed settings are in force, except those that need a restart."),
--- a/packages/steer/src/callers/__tests__/callerServer.test.ts
+++ b/packages/steer/src/callers/__tests__/callerServer.test.ts
@@ -1,6 +1,7 @@
 /** Raw HTTP that callers receive for responses and refusals. */
 import { results } from "@pimentospring/core/results/resultCode";
 import { silentLog } from "@pimentospring/runtime/logs/log";
+import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
 import assert from "node:assert/strict";
 import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
@@ -16,6 +17,8 @@
 ): Promise<string> {
     const callers = createCallerServer({
         log: silentLog,
+        timer: createClockTimer(),
+        maxBufferedBytes: 1_000_000,
         onRequest: (_request, responder) => {
             respond(responder);
             return onCallerLeft;
@@ -92,6 +95,8 @@
     let isHandled = false;
     const callers = createCallerServer({
         log: silentLog,
+        timer: createClockTimer(),
+        maxBufferedBytes: 1_000_000,
         onRequest: () => {
             isHandled = true;
             return () => {};
--- /dev/null
+++ b/packages/steer/src/callers/__tests__/requestBodies.test.ts
@@ -0,0 +1,128 @@
+/** Large request bodies: the memory that they hold, refusals before a body is complete, and callers that stop halfway. */
+import { silentLog } from "@pimentospring/runtime/logs/log";
+import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
+import assert from "node:assert/strict";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { afterEach, test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { type CallerRequest, type CallerResponder, type CallerServer, createCallerServer } from "../callerServer.js";
+
+const maxBufferedBytes = 200_000;
+const upload = (bytes: number): string => `POST /a/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bytes}\r\n\r\n`;
+
+interface Accepted {
+    readonly request: CallerRequest;
+    readonly responder: CallerResponder;
+}
+
+interface Caller {
+    readonly socket: Socket;
+    received(): string;
+}
+
+let callerServer: CallerServer;
+let accepted: Accepted[];
+const sockets: Socket[] = [];
+
+async function startServer(): Promise<void> {
+    accepted = [];
+    callerServer = createCallerServer({
+        log: silentLog,
+        timer: createClockTimer(),
+        maxBufferedBytes,
+        onRequest: (request, responder) => {
+            accepted.push({ request, responder });
+            return () => {};
+        },
+    });
+    await new Promise<void>(resolve => callerServer.server.listen(0, "127.0.0.1", resolve));
+}
+
+function call(...parts: readonly (string | Buffer)[]): Caller {
+    const socket = connect((callerServer.server.address() as AddressInfo).port, "127.0.0.1");
+    sockets.push(socket);
+    let received = "";
+    socket.on("data", chunk => {
+        received += chunk.toString("latin1");
+    });
+    socket.on("error", () => {
+        // Seen by the assertions as a missing response.
+    });
+    parts.forEach(part => socket.write(part));
+    return { socket, received: () => received };
+}
+
+async function until(condition: () => boolean): Promise<void> {
+    for (let attempt = 0; attempt < 200 && !condition(); attempt++) {
+        await delay(10);
+    }
+    assert.ok(condition(), condition.toString());
+}
+
+afterEach(() => {
+    sockets.splice(0).forEach(socket => socket.destroy());
+    callerServer.server.closeAllConnections();
+    callerServer.server.close();
+});
+
+test("bodies beyond the memory for all callers are refused with a time to retry, and the others are served", async () => {
+    await startServer();
+    const holders = [call(upload(150_000), Buffer.alloc(90_000)), call(upload(150_000), Buffer.alloc(90_000))];
+    await until(() => callerServer.openRequestCount() === 2);
+    await delay(50);
+    const refused = call(upload(60_000), Buffer.alloc(60_000));
+    await until(() => refused.received().includes("\r\n\r\n"));
+    assert.match(refused.received(), /^HTTP\/1\.1 503 [^]*Retry-After: 0\.500/);
+    assert.equal(accepted.length, 0);
+    const small = call("GET /a/1 HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    await until(() => accepted.length === 1);
+    accepted[0]!.responder.respond({
+        status: 200,
+        statusText: "OK",
+        rawHeaders: ["Content-Length", "2"],
+        body: Buffer.from("ok"),
+    });
+    await until(() => small.received().endsWith("ok"));
+    holders.forEach(({ socket }) => socket.destroy());
+});
+
+test("a caller that stops halfway is never routed, and the memory of its body is free again", async () => {
+    await startServer();
+    for (let round = 0; round < 4; round++) {
+        const half = call(upload(180_000), Buffer.alloc(120_000));
+        await until(() => callerServer.openRequestCount() === 1);
+        await delay(30);
+        half.socket.destroy();
+        await until(() => callerServer.openRequestCount() === 0);
+    }
+    call(upload(180_000), Buffer.alloc(180_000));
+    await until(() => accepted.length === 1);
+    assert.equal(accepted[0]!.request.body.length, 180_000);
+});
+
+test("a refusal reaches a caller that goes on sending its body", async () => {
+    await startServer();
+    callerServer.setLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 3_000 });
+    const caller = call(upload(40_000_000), Buffer.alloc(4_000_000));
+    for (let part = 0; part < 9; part++) {
+        await delay(20);
+        caller.socket.write(Buffer.alloc(4_000_000));
+    }
+    await until(() => caller.received().includes("bodyTooLarge"));
+    assert.match(caller.received(), /^HTTP\/1\.1 413 /);
+});
+
+test("a request counts as open until its response is sent whole, so that a stop waits for it", async () => {
+    await startServer();
+    const caller = call("GET /a/1 HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    caller.socket.pause();
+    await until(() => accepted.length === 1);
+    const body = Buffer.alloc(30_000_000, "x");
+    const rawHeaders = ["Content-Length", String(body.length)];
+    accepted[0]!.responder.respond({ status: 200, statusText: "OK", rawHeaders, body });
+    await delay(100);
+    assert.equal(callerServer.openRequestCount(), 1);
+    caller.socket.resume();
+    await until(() => callerServer.openRequestCount() === 0);
+    await until(() => caller.received().length > body.length);
+});
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -4,11 +4,13 @@
  */
 import { type Result, results } from "@pimentospring/core/results/resultCode";
 import type { CallerLimits } from "@pimentospring/core/steering/steeringDocument";
+import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { endToEndHeaders } from "../targets/hopHeaders.js";
 import { hasDeclaredLength, type TargetResponse } from "../targets/targetResponse.js";
+import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
 
 export interface CallerRequest {
     readonly method: string;
@@ -29,6 +31,9 @@
 
 export interface CallerServerOptions {
     readonly log: Log;
+    readonly timer: Timer;
+    /** Limit on the memory of all request bodies together, in bytes. */
+    readonly maxBufferedBytes: number;
     /**
      * Called with each complete request. The returned function is called if the caller disconnects before the response
      * is sent.
@@ -41,6 +46,8 @@
     setLimits(limits: CallerLimits): void;
     /** Closes the connection after each response from now on. */
     disableKeepAlive(): void;
+    /** Requests whose head was received and whose response is not yet with the operating system. */
+    openRequestCount(): number;
 }
 
 /** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
@@ -48,6 +55,10 @@
 /** Timeout for receiving a complete request, body included. */
 const requestTimeoutMs = 60_000;
 const connectionCheckIntervalMs = 500;
+/** How long the rest of a refused body is read, so that the caller is not reset before it has read the refusal. */
+const lingerMs = 2_000;
+/** Time until a caller may repeat a request for which there was no memory. */
+const noMemoryRetryAfterMs = 500;
 /**
  * Connections stay open this much longer than callers may reuse them, so that none is closed while a request arrives.
  */
@@ -61,25 +72,39 @@
 };
 
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-    const { log, onRequest } = options;
+    const { log, timer, onRequest } = options;
+    const memoryQuota = createMemoryQuota(options.maxBufferedBytes);
+    let openRequests = 0;
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
 
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
+        openRequests++;
+        response.once("close", () => openRequests--);
         const responder = createResponder(response, () => isKeepAliveDisabled);
+        /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
+        const refuseUnread = (result: Result, retryAfterMs?: number): void => {
+            const end = (body: string): void => endAfterRequest(request, response, timer, body);
+            createResponder(response, () => true, end).refuse(result, retryAfterMs);
+        };
         if (headBytes(request) > limits.maxHeaderBytes) {
-            refuseUnread(responder, response, results.headTooLarge);
+            refuseUnread(results.headTooLarge);
             return;
         }
         if (Number(request.headers["content-length"] ?? 0) > limits.maxBodyBytes) {
-            refuseUnread(responder, response, results.bodyTooLarge);
+            refuseUnread(results.bodyTooLarge);
             return;
         }
-        readBody(request, limits.maxBodyBytes, outcome => {
-            if (outcome === "tooLarge") {
-                refuseUnread(responder, response, results.bodyTooLarge);
-                return;
+        const { maxBodyBytes } = limits;
+        readBody({ request, response, maxBodyBytes, memoryQuota }, outcome => {
+            switch (outcome) {
+                case "tooLarge":
+                    refuseUnread(results.bodyTooLarge);
+                    return;
+                case "noMemory":
+                    refuseUnread(results.noMemory, noMemoryRetryAfterMs);
+                    return;
             }
             // Waits for another read of the sockets, so that a caller that disconnected while the event loop was
             // blocked is detected before its request is forwarded.
@@ -123,6 +148,7 @@
         disableKeepAlive: () => {
             isKeepAliveDisabled = true;
         },
+        openRequestCount: () => openRequests,
     };
 }
 
@@ -152,22 +178,62 @@
     return size;
 }
 
-function readBody(request: IncomingMessage, maxBytes: number, done: (outcome: Buffer | "tooLarge") => void): void {
-    const chunks: Buffer[] = [];
+interface BodyReading {
+    readonly request: IncomingMessage;
+    /** The body counts against the quota until this response is closed. */
+    readonly response: ServerResponse;
+    readonly maxBodyBytes: number;
+    readonly memoryQuota: MemoryQuota;
+}
+
+/** Reads the body. `done` is not called if the caller disconnects before its request is complete. */
+function readBody(reading: BodyReading, done: (outcome: Buffer | "tooLarge" | "noMemory") => void): void {
+    const { request, response, maxBodyBytes, memoryQuota } = reading;
+    let chunks: Buffer[] = [];
     let size = 0;
-    request.on("data", (chunk: Buffer) => {
-        size += chunk.length;
-        if (size <= maxBytes) {
-            chunks.push(chunk);
+    const giveUp = (outcome: "tooLarge" | "noMemory"): void => {
+        request.off("data", onData).off("end", onEnd);
+        chunks = [];
+        done(outcome);
+    };
+    const onData = (chunk: Buffer): void => {
+        if (size + chunk.length > maxBodyBytes) {
+            giveUp("tooLarge");
             return;
         }
-        request.removeAllListeners("data").removeAllListeners("end").resume();
-        done("tooLarge");
-    });
-    request.on("end", () => done(Buffer.concat(chunks, size)));
+        if (!memoryQuota.tryTake(chunk.length)) {
+            giveUp("noMemory");
+            return;
+        }
+        size += chunk.length;
+        chunks.push(chunk);
+    };
+    const onEnd = (): void => done(Buffer.concat(chunks, size));
+    request.on("data", onData);
+    request.on("end", onEnd);
     request.on("error", () => {
         // The caller disconnected before the request was complete: nothing was routed and no response is expected.
     });
+    response.once("close", () => memoryQuota.giveBack(size));
+}
+
+/**
+ * Ends a response to a request that is not read whole. The body is sent at once; the rest of the request is read and
+ * dropped before the connection closes, up to a time limit.
+ */
+function endAfterRequest(request: IncomingMessage, response: ServerResponse, timer: Timer, body: string): void {
+    if (request.complete) {
+        response.end(body);
+        return;
+    }
+    const cancel = timer.after(lingerMs, () => response.end());
+    request.once("end", () => {
+        cancel();
+        response.end();
+    });
+    response.once("close", cancel);
+    response.write(body);
+    request.resume();
 }
 
 function toCallerRequest(request: IncomingMessage, body: Buffer): CallerRequest {
@@ -185,15 +251,13 @@
     };
 }
 
-/** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
-function refuseUnread(responder: CallerResponder, response: ServerResponse, result: Result): void {
-    response.shouldKeepAlive = false;
-    responder.refuse(result, undefined);
-}
-
 const isContentLength = (name: string): boolean => name === "content-length";
 
-function createResponder(response: ServerResponse, isKeepAliveDisabled: () => boolean): CallerResponder {
+function createResponder(
+    response: ServerResponse,
+    isKeepAliveDisabled: () => boolean,
+    endRefusal: (body: string) => void = body => response.end(body),
+): CallerResponder {
     const isFinished = (): boolean => response.destroyed || response.writableEnded;
     return {
         respond: targetResponse => {
@@ -232,7 +296,7 @@
                 response.shouldKeepAlive = false;
             }
             response.writeHead(result.status, headers);
-            response.end(body);
+            endRefusal(body);
         },
     };
 }
--- /dev/null
+++ b/packages/steer/src/callers/memoryQuota.ts
@@ -0,0 +1,25 @@
+/** Bounds the memory that callers' request bodies take together, for any number of callers. */
+
+export interface MemoryQuota {
+    /** Takes bytes; false if the quota would be exceeded, and nothing is taken then. */
+    tryTake(bytes: number): boolean;
+    giveBack(bytes: number): void;
+    usedBytes(): number;
+}
+
+export function createMemoryQuota(maxBytes: number): MemoryQuota {
+    let used = 0;
+    return {
+        tryTake: bytes => {
+            if (used + bytes > maxBytes) {
+                return false;
+            }
+            used += bytes;
+            return true;
+        },
+        giveBack: bytes => {
+            used -= bytes;
+        },
+        usedBytes: () => used,
+    };
+}
--- a/packages/steer/src/observe/gauges.ts
+++ b/packages/steer/src/observe/gauges.ts
@@ -4,6 +4,8 @@
 export interface GaugeSources {
     /** Version of the active configuration; 0 before the first. */
     readonly documentVersion: () => number;
+    /** Parts of the active configuration that can't be read. */
+    readonly documentFaults: () => number;
     readonly inFlightRequests: () => number;
     readonly liveEntries: () => number;
     readonly targetConnections: () => number;
@@ -14,6 +16,11 @@
 
 export function registerGauges(metrics: SteerMetrics, sources: GaugeSources): void {
     metrics.registerGauge("pimento_document_version", "Version of the active configuration", sources.documentVersion);
+    metrics.registerGauge(
+        "pimento_document_faults",
+        "Parts of the active configuration that can't be read",
+        sources.documentFaults,
+    );
     metrics.registerGauge("pimento_in_flight", "Requests in progress, without a final response yet", sources.inFlightRequests);
     metrics.registerGauge("pimento_entries_live", "Other entries that are considered live", sources.liveEntries);
     metrics.registerGauge("pimento_target_connections", "Open connections to targets", sources.targetConnections);
--- a/packages/steer/src/observe/statusRoutes.ts
+++ b/packages/steer/src/observe/statusRoutes.ts
@@ -69,6 +69,7 @@
         return {
             version: options.self().version,
             route: route?.name,
+            isUnreadable: options.routes()?.isUnreadable(host, path) ?? false,
             prefix: route?.prefix,
             isIdempotent: route?.isIdempotent,
             timeoutMs: route?.timeoutMs,
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -76,6 +76,8 @@
 const maxResponseBytes = 32 * 1024 * 1024;
 /** Limit on the memory of all responses in progress together. */
 const maxBufferedBytes = 64 * 1024 * 1024;
+/** Limit on the memory of all request bodies together. */
+const maxRequestBytes = 64 * 1024 * 1024;
 const watchPauseMs = 300;
 /** Requests that arrive later than this after the stop request are refused. */
 const acceptGraceMs = 3_000;
@@ -188,7 +190,7 @@
         isAccepting: () => timer.now() < (stopRequestedAt ?? Infinity) + acceptGraceMs,
         stopDeadline: () => stopDeadline,
     });
-    const callerServer = createCallerServer({ log, onRequest: requestHandler.handle });
+    const callerServer = createCallerServer({ log, timer, maxBufferedBytes: maxRequestBytes, onRequest: requestHandler.handle });
     const replica = createStoreReplica({
         store,
         timer,
@@ -243,6 +245,7 @@
             dataCentre: settings.dataCentre,
             region: settings.region,
             version: document?.version ?? 0,
+            documentFaults: document?.faults ?? [],
             revision: replica.revision(),
             isWatching: replica.isWatching(),
             isLeaving: stopRequestedAt !== undefined,
@@ -250,6 +253,7 @@
     });
     registerGauges(metrics, {
         documentVersion: () => document?.version ?? 0,
+        documentFaults: () => document?.faults.length ?? 0,
         inFlightRequests: dispatcher.inFlightCount,
         liveEntries: () => members.liveMembers().length,
         targetConnections: connections.openCount,
@@ -266,8 +270,8 @@
                 callerServer.server.close();
             }
             callerServer.server.closeIdleConnections();
-            if (now >= stopDeadline || (dispatcher.inFlightCount() === 0 && isClosed)) {
-                return dispatcher.inFlightCount();
+            if (now >= stopDeadline || (callerServer.openRequestCount() === 0 && isClosed)) {
+                return callerServer.openRequestCount();
             }
             await new Promise<void>(resolve => timer.after(stopPollIntervalMs, resolve));
         }
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -220,7 +220,7 @@
         const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
         return Number.isNaN(version)
             ? { isValid: false, reason: "no number" }
-            : { isValid: true, value: { version, routes: [], services: [], limits } };
+            : { isValid: true, value: { version, routes: [], unreadableRoutes: [], services: [], limits, faults: [] } };
     },
     decodeTarget: (id, value) =>
         value.length === 0
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -32,6 +32,9 @@
     isEvacuated(dataCentre: DataCentreId): boolean;
 }
 
+/** Faults logged of one document; the rest are counted and shown in the entry's status. */
+const maxLoggedFaults = 20;
+
 export function createStoreProjection(options: StoreProjectionOptions): StoreProjection {
     const { timer, log, decoder, registry, members } = options;
     const evacuatedDataCentres = new Set<DataCentreId>();
@@ -56,7 +59,9 @@
         }
         version = decoded.value.version;
         options.onDocumentAccepted(decoded.value);
-        log.write(logEvents.inForce, { version, revision: item.revision, routes: decoded.value.routes.length });
+        const { routes, faults } = decoded.value;
+        log.write(logEvents.inForce, { version, revision: item.revision, routes: routes.length, faults: faults.length });
+        faults.slice(0, maxLoggedFaults).forEach(fault => log.write(logEvents.documentFault, { version, ...fault }));
     };
     const applyTarget = (id: TargetId, item: StoreItem): void => {
         const decoded = decoder.decodeTarget(id, item.value);
