fix: malformed records, peers' messages and request targets can't stop a process or its heartbeats

It could happen here: - `GET // HTTP/1.1`, or a handler that throws before its first await, ended every program that serves a router without a handler for uncaught exceptions (console, stand-ins), and left the caller without an answer at the daemons. - A member's record whose mesh address has no usable port made each heartbeat round throw before the members behind it were reached: one broken writer, and entries take each other for dead. - A heartbeat with revision Infinity or NaN made its receivers ask for state on every beat; peers' updates were used unchecked.

Requests that are no URL get 400, synchronous throws are turned into rejections, addresses and revisions are checked, and peers' messages are decoded whole or not at all (peerMessages.ts).

--- /dev/null
+++ b/packages/runtime/src/http/__tests__/jsonServer.test.ts
@@ -0,0 +1,39 @@
+/** Requests that are malformed, and handlers that fail, leave the process running. */
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { closeServer, createRouter, listen } from "../jsonServer.js";
+
+function exchange(port: number, bytes: string): Promise<string> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        let received = "";
+        socket.on("data", chunk => {
+            received += chunk.toString("latin1");
+        });
+        socket.once("close", () => resolve(received));
+        socket.write(bytes);
+        setTimeout(() => socket.destroy(), 300);
+    });
+}
+
+test("a request target that is no URL, and a handler that throws, get an error response", async () => {
+    const errors: Error[] = [];
+    const server = createRouter({
+        "GET /fails": () => {
+            throw new Error("handler failed");
+        },
+        "GET /works": (_request, response) => void response.end("fine"),
+    }, error => errors.push(error));
+    const { port } = await listen(server, "127.0.0.1", 0);
+    try {
+        assert.match(await exchange(port, "GET // HTTP/1.1\r\nHost: a\r\n\r\n"), /^HTTP\/1\.1 400 /);
+        assert.match(await exchange(port, "GET http://[ HTTP/1.1\r\nHost: a\r\n\r\n"), /^HTTP\/1\.1 400 /);
+        assert.match(await exchange(port, "GET /fails HTTP/1.1\r\nHost: a\r\n\r\n"), /^HTTP\/1\.1 500 /);
+        assert.equal(errors.length, 1);
+        assert.match(await exchange(port, "GET /works HTTP/1.1\r\nHost: a\r\n\r\n"), /^HTTP\/1\.1 200 [^]*fine/);
+    }
+    finally {
+        await closeServer(server);
+    }
+});
--- a/packages/runtime/src/http/jsonServer.ts
+++ b/packages/runtime/src/http/jsonServer.ts
@@ -21,7 +21,11 @@
 export function createRouter(routes: Routes, onError: (error: Error) => void): Server {
     const prefixes = Object.keys(routes).filter(route => route.endsWith("/"));
     return createServer((request, response) => {
-        const url = new URL(request.url ?? "/", "http://localhost");
+        const url = parseTarget(request.url ?? "/");
+        if (url === undefined) {
+            sendJson(response, 400, { error: "the request target is not a URL" });
+            return;
+        }
         const routeKey = `${request.method} ${url.pathname}`;
         const prefix = prefixes.find(route => routeKey.startsWith(route));
         const handler = routes[routeKey] ?? (prefix === undefined ? undefined : routes[prefix]);
@@ -29,7 +33,7 @@
             sendJson(response, 404, { error: `no ${routeKey} here` });
             return;
         }
-        Promise.resolve(handler(request, response, url)).catch((error: Error) => {
+        handle(handler, request, response, url).catch((error: Error) => {
             onError(error);
             if (!response.headersSent) {
                 sendJson(response, 500, { error: error.message });
@@ -38,6 +42,20 @@
     });
 }
 
+/** Turns an error that a handler throws before its first `await` into a rejection. */
+async function handle(handler: Handler, request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+    await handler(request, response, url);
+}
+
+function parseTarget(target: string): URL | undefined {
+    try {
+        return new URL(target, "http://localhost");
+    }
+    catch {
+        return undefined;
+    }
+}
+
 export function sendJson(response: ServerResponse, status: number, value: unknown): void {
     const body = JSON.stringify(value);
     response.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -90,7 +90,7 @@
 
 function isHeartbeatRow(row: unknown): row is HeartbeatRow {
     return Array.isArray(row) && row.length >= 5 && typeof row[0] === "string" && Number.isInteger(row[1])
-        && typeof row[2] === "number"
+        && Number.isSafeInteger(row[2]) && row[2] >= 0
         && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow);
 }
 
--- /dev/null
+++ b/packages/steer/src/store/__tests__/malformedPeers.test.ts
@@ -0,0 +1,69 @@
+/** What other writers and other versions put into the store or send as a peer: malformed parts change nothing. */
+import { toInstanceId } from "@pimentospring/core/ids";
+import fc from "fast-check";
+import { Packr } from "msgpackr";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decodeHeartbeat } from "../../mesh/heartbeat.js";
+import { decodeStateRequest, decodeStoreUpdate } from "../peerMessages.js";
+import { decodeMember } from "../storeItems.js";
+
+const packr = new Packr({ useRecords: false });
+const member = { callers: "10.0.0.1:80", mesh: "10.0.0.1:81", control: "10.0.0.1:82", dataCentre: "cpt-a", region: "cpt" };
+const decode = (fields: object): boolean => decodeMember(toInstanceId("a"), Buffer.from(JSON.stringify(fields))).isValid;
+
+test("a member's record with an address that can't be used is refused", () => {
+    assert.equal(decode(member), true);
+    for (const field of ["callers", "mesh", "control"]) {
+        for (const address of ["", "junk", "10.0.0.1", "10.0.0.1:", "10.0.0.1:99999", "10.0.0.1:0", ":80", "10.0.0.1:8x"]) {
+            assert.equal(decode({ ...member, [field]: address }), false, `${field} ${address}`);
+        }
+    }
+});
+
+test("a heartbeat whose revision is no whole number is dropped", () => {
+    for (const revision of [Number.NaN, Infinity, -1, 1.5]) {
+        assert.equal(decodeHeartbeat(packr.pack(["a", 0, revision, [], []])), undefined);
+    }
+    assert.notEqual(decodeHeartbeat(packr.pack(["a", 0, 7, [], []])), undefined);
+});
+
+const item = { key: "a", value: Buffer.from("1"), revision: 7 };
+
+test("a peer's update is taken whole or not at all", () => {
+    const state = { kind: "state", isUnsettled: false, revision: 7, items: [item] };
+    const changes = {
+        kind: "changes",
+        isUnsettled: false,
+        revision: 9,
+        events: [{ kind: "written", item }, { kind: "removed", key: "b", revision: 9 }],
+    };
+    assert.deepEqual(decodeStoreUpdate(packr.pack(state)), state);
+    assert.deepEqual(decodeStoreUpdate(packr.pack(changes)), changes);
+    const malformed: readonly object[] = [
+        { ...state, revision: Infinity },
+        { ...state, revision: "9" },
+        { ...state, items: [item, { key: "b" }] },
+        { ...state, items: [{ ...item, value: "text" }] },
+        { ...changes, events: [{ kind: "moved", key: "b", revision: 9 }] },
+        { ...changes, kind: "newer" },
+        { ...state, isUnsettled: undefined },
+    ];
+    malformed.forEach(update => assert.equal(decodeStoreUpdate(packr.pack(update)), undefined, JSON.stringify(update)));
+});
+
+test("no bytes from a peer make decoding throw", () => {
+    fc.assert(fc.property(fc.anything(), fc.uint8Array(), (value, bytes) => {
+        let packed: Buffer;
+        try {
+            packed = packr.pack(value);
+        }
+        catch {
+            packed = Buffer.from(bytes);
+        }
+        for (const message of [packed, packed.subarray(0, packed.length >> 1), Buffer.from(bytes)]) {
+            assert.equal(decodeStateRequest(message), undefined);
+            assert.equal(decodeStoreUpdate(message), undefined);
+        }
+    }));
+});
--- a/packages/steer/src/store/peerSync.ts
+++ b/packages/steer/src/store/peerSync.ts
@@ -3,14 +3,19 @@
  * the settings. The request also introduces this entry to the peer, which then sends it heartbeats although the store
  * does not list it.
  */
-import type { InstanceId } from "@pimentospring/core/ids";
 import type { MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { Timer } from "@pimentospring/core/time/timer";
-import { readBody, type Routes } from "@pimentospring/runtime/http/jsonServer";
+import { readBody, type Routes, sendJson } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import { Packr } from "msgpackr";
 import { request } from "undici";
+import {
+    decodeStateRequest,
+    decodeStoreUpdate,
+    encodeStateRequest,
+    encodeStoreUpdate,
+    type StateRequest,
+} from "./peerMessages.js";
 import { decodeMember, encodeMember } from "./storeItems.js";
 import type { StoreReplica, StoreUpdate } from "./storeReplica.js";
 
@@ -32,14 +37,6 @@
     onPeerRevision(peer: MemberRecord, revision: number): void;
 }
 
-/** Request for a peer's update after a revision. */
-interface StateRequest {
-    readonly id: InstanceId;
-    /** The requester's record, encoded as in the store. */
-    readonly record: Buffer;
-    readonly after: number;
-}
-
 const path = "/state";
 const requestTimeoutMs = 800;
 /** Interval at which it is checked whether to ask a seed. */
@@ -48,8 +45,6 @@
 const seedRequestIntervalMs = 1_000;
 const maxRequestBytes = 4_096;
 
-const packr = new Packr({ useRecords: false });
-
 export function createPeerSync(options: PeerSyncOptions): PeerSync {
     const { log, timer, self, members, replica } = options;
     const createRequest = (): StateRequest => ({ id: self.id, record: encodeMember(self), after: replica.revision() });
@@ -63,12 +58,12 @@
         try {
             const response = await request(`http://${address}${path}`, {
                 method: "POST",
-                body: packr.pack(createRequest()),
+                body: encodeStateRequest(createRequest()),
                 signal: AbortSignal.timeout(requestTimeoutMs),
             });
             const bytes = Buffer.from(await response.body.arrayBuffer());
             if (response.statusCode === 200) {
-                applyUpdate(address, packr.unpack(bytes) as StoreUpdate);
+                receiveUpdate(address, bytes);
             }
         }
         catch (error) {
@@ -78,6 +73,14 @@
             isRequestPending = false;
         }
     };
+    const receiveUpdate = (peer: string, bytes: Buffer): void => {
+        const update = decodeStoreUpdate(bytes);
+        if (update === undefined) {
+            log.write(logEvents.peerStateFailed, { peer, reason: "the update is malformed" });
+            return;
+        }
+        applyUpdate(peer, update);
+    };
     const applyUpdate = (peer: string, update: StoreUpdate): void => {
         if (replica.applyUpdate(update) && (update.kind === "state" || !replica.isConnected())) {
             log.write(logEvents.stateAdopted, { peer, revision: update.revision, kind: update.kind });
@@ -85,7 +88,7 @@
     };
     /** Returns an update for the requester, or `undefined` if it is up to date. */
     const updateFor = (stateRequest: StateRequest): StoreUpdate | undefined => {
-        const record = decodeMember(stateRequest.id, Buffer.from(stateRequest.record));
+        const record = decodeMember(stateRequest.id, stateRequest.record);
         if (record.isValid) {
             members.addAnnounced(record.value);
         }
@@ -103,8 +106,13 @@
     return {
         routes: {
             [`POST ${path}`]: async (incoming, response) => {
-                const update = updateFor(packr.unpack(await readBody(incoming, maxRequestBytes)) as StateRequest);
-                const body = update === undefined ? undefined : packr.pack(update);
+                const stateRequest = decodeStateRequest(await readBody(incoming, maxRequestBytes));
+                if (stateRequest === undefined) {
+                    sendJson(response, 400, { error: "the state request is malformed" });
+                    return;
+                }
+                const update = updateFor(stateRequest);
+                const body = update === undefined ? undefined : encodeStoreUpdate(update);
                 response.writeHead(body === undefined ? 204 : 200, { "content-type": "application/msgpack" });
                 response.end(body);
             },
--- a/packages/steer/src/store/storeItems.ts
+++ b/packages/steer/src/store/storeItems.ts
@@ -10,6 +10,7 @@
 import type { MemberRecord } from "@pimentospring/core/steering/members";
 import type { SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { TargetRecord } from "@pimentospring/core/steering/targetRecord";
+import { splitAddress } from "@pimentospring/runtime/http/jsonServer";
 import * as v from "valibot";
 
 /** Kind of item that a key refers to. */
@@ -36,10 +37,21 @@
 /** Prefix of the keys of members' records. */
 export const memberPrefix = "pimentospring/entries/";
 
+const maxPort = 65_535;
+/** `host:port`. An address that can't be used would make each send to the member fail. */
+const addressSchema = v.pipe(
+    v.string(),
+    v.regex(/^[^:\s]+:\d{1,5}$/),
+    v.check(address => {
+        const { port } = splitAddress(address);
+        return port >= 1 && port <= maxPort;
+    }, "the port is out of range"),
+);
+
 const memberSchema = v.object({
-    callers: v.string(),
-    mesh: v.string(),
-    control: v.string(),
+    callers: addressSchema,
+    mesh: addressSchema,
+    control: addressSchema,
     dataCentre: v.string(),
     region: v.string(),
 });
