fix: beliefs about entries that are never heard from directly, silent watches, and shares rounded to nothing

Three faults of one class: what holds for 8 entries was taken for granted at 195, where heartbeats stay within a data centre.

- Registered entries of other data centres counted as gone 12 s after their registration.
And 3.5 s after it they counted as dead, so that entries other than the relay took every other data centre for one without entries and used its targets past the spillover plan.
Registered entries now share the budget, and entries elsewhere are live while their data centre is heard of through a relay.
- The share of a cold target's rate limit was rounded down for each entry: 0 from 14 entries on.
The remainder goes to the entries of the lowest rank, in an order of their own for each target.

The second watcher of a data centre is a reserve now and asks once a second; the first pauses 0.4 s (0.3 before). An item that can't be applied no longer ends the watch or keeps the items behind it from being applied.

--- /dev/null
+++ b/packages/core/src/steering/__tests__/members.test.ts
@@ -0,0 +1,69 @@
+/** Which entries count as live and which share budgets, where only some of them are heard from directly. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toDataCentreId, toInstanceId, toRegionId } from "../../ids.js";
+import { createVirtualTimer } from "../../time/virtualTimer.js";
+import { createMembers, type MemberRecord } from "../members.js";
+import { createTopology } from "../topology.js";
+
+const record = (id: string, dataCentre: string): MemberRecord => ({
+    id: toInstanceId(id),
+    callers: "",
+    mesh: id,
+    control: "",
+    dataCentre: toDataCentreId(dataCentre),
+    region: toRegionId(dataCentre.slice(0, 3)),
+});
+
+const dataCentres = ["cpt-a", "cpt-b", "jhb-a"];
+const entriesPerDataCentre = 20;
+const self = record("cpt-a-0", "cpt-a");
+const regions = new Map(dataCentres.map(name => [toDataCentreId(name), toRegionId(name.slice(0, 3))]));
+
+/** A member list in which the entries of other data centres are registered and never heard from directly. */
+function createFleet() {
+    const timer = createVirtualTimer();
+    const members = createMembers(timer, self);
+    for (const dataCentre of dataCentres) {
+        for (let index = 0; index < entriesPerDataCentre; index++) {
+            members.addRegistered(record(`${dataCentre}-${index}`, dataCentre));
+        }
+    }
+    /** Seconds in which the own data centre sends heartbeats and its relay passes on the loads of the given others. */
+    const run = (seconds: number, heardDataCentres: readonly string[]): void => {
+        for (let second = 0; second < seconds; second++) {
+            timer.advance(1_000);
+            for (let index = 1; index < entriesPerDataCentre; index++) {
+                members.recordHeartbeat(toInstanceId(`cpt-a-${index}`), false);
+            }
+            heardDataCentres.forEach(name => members.recordDataCentreAlive(toDataCentreId(name)));
+        }
+    };
+    return { members, run, topology: createTopology({ self, regions: () => regions, members }) };
+}
+
+test("registered entries that send no heartbeats here still share the budget", () => {
+    const { members, run } = createFleet();
+    run(30, []);
+    assert.equal(members.budgetSharerCount(), dataCentres.length * entriesPerDataCentre);
+    members.markUnregistered(toInstanceId("jhb-a-3"));
+    assert.equal(members.budgetSharerCount(), dataCentres.length * entriesPerDataCentre - 1);
+});
+
+test("a data centre that only its relay is heard of is not taken for one without entries", () => {
+    const { members, run, topology } = createFleet();
+    run(30, ["cpt-b", "jhb-a"]);
+    assert.equal(topology.coversDataCentre(toDataCentreId("jhb-a")), false);
+    assert.equal(topology.coversDataCentre(toDataCentreId("cpt-b")), false);
+    assert.equal(members.liveCountIn(toDataCentreId("jhb-a")), entriesPerDataCentre);
+    run(6, ["cpt-b"]);
+    assert.equal(topology.coversDataCentre(toDataCentreId("jhb-a")), true);
+    assert.equal(topology.coversDataCentre(toDataCentreId("cpt-b")), false);
+});
+
+test("an entry of another data centre that lost its registration is dead, though its data centre is alive", () => {
+    const { members, run } = createFleet();
+    members.markUnregistered(toInstanceId("jhb-a-3"));
+    run(13, ["cpt-b", "jhb-a"]);
+    assert.equal(members.liveCountIn(toDataCentreId("jhb-a")), entriesPerDataCentre - 1);
+});
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -91,10 +91,13 @@
 
 test("the entries' shares of a cold target's rate limit add up to no more than the limit", () => {
     const bound = { requestsPerSecond: 5.8, overshoot: 1.5, slack: 5 };
-    for (const entryCount of [1, 2, 3, 5]) {
-        assert.ok(entryCount * coldRateLimitPerEntry(bound, entryCount) <= 5.8 * 1.5 + 5);
+    for (const entryCount of [1, 2, 3, 5, 8, 22, 65, 800]) {
+        const ranks = Array.from({ length: entryCount }, (_, rank) => rank);
+        const total = ranks.reduce((sum, rank) => sum + coldRateLimitPerEntry(bound, entryCount, rank), 0);
+        assert.ok(total <= 5.8 * 1.5 + 5);
+        assert.ok(total >= 0.6 * (5.8 * 1.5 + 5), `${entryCount} entries use ${total} together`);
     }
-    assert.equal(coldRateLimitPerEntry(bound, 0), 0);
+    assert.equal(coldRateLimitPerEntry(bound, 0, 0), 0);
 });
 
 test("the fraction of requests leaving a region changes by no more than the limit from window to window", () => {
--- a/packages/core/src/steering/coldTargetLimit.ts
+++ b/packages/core/src/steering/coldTargetLimit.ts
@@ -18,14 +18,16 @@
 }
 
 /**
- * Share of the limit for one of `entryCount` entries. Entries in other data centres get 0 unless the target's data centre
- * has no entry.
+ * Share of the limit for the entry at `rank` (from 0) of `entryCount` entries. Where the limit is no multiple of their
+ * number, those of the lowest ranks get one request more, so that a limit below the number of entries is used too.
  */
-export function coldRateLimitPerEntry(limit: ColdTargetLimit, entryCount: number): number {
+export function coldRateLimitPerEntry(limit: ColdTargetLimit, entryCount: number, rank: number): number {
     if (limit.requestsPerSecond === undefined) {
         return Infinity;
     }
-    return entryCount === 0
-        ? 0
-        : Math.floor((usedLimitFraction * (limit.requestsPerSecond * limit.overshoot + limit.slack)) / entryCount);
+    if (entryCount === 0) {
+        return 0;
+    }
+    const usable = Math.floor(usedLimitFraction * (limit.requestsPerSecond * limit.overshoot + limit.slack));
+    return Math.floor(usable / entryCount) + (rank < usable % entryCount ? 1 : 0);
 }
--- a/packages/core/src/steering/members.ts
+++ b/packages/core/src/steering/members.ts
@@ -39,13 +39,15 @@
     replaceAll(records: readonly MemberRecord[]): void;
     /** Records a heartbeat. Returns the member, if it is known. */
     recordHeartbeat(id: InstanceId, isLeaving: boolean): Member | undefined;
+    /** Records that some entry of the data centre was heard from, directly or through a relay. */
+    recordDataCentreAlive(dataCentre: DataCentreId): void;
     liveMembers(): Member[];
-    /**
-     * Entries that may still share budgets: heard from within the retention time for budget sharers, this one included.
-     */
+    /** Entries that may share budgets, this one included: those registered, and those heard from within the retention time. */
     budgetSharerCount(): number;
     /** Live entries in a data centre, including this one if it is there. */
     liveCountIn(dataCentre: DataCentreId): number;
+    /** Whether the data centre has a live entry other than this one. */
+    isDataCentreLive(dataCentre: DataCentreId): boolean;
     all(): Iterable<Member>;
 }
 
@@ -53,15 +55,23 @@
 const heartbeatTimeoutMs = 2_600;
 /** Time for which a registration alone counts as evidence that an entry is alive. */
 const registrationGraceMs = 3_500;
+/**
+ * Entries send heartbeats only within their data centre, so that those elsewhere are judged together: registered ones
+ * count as live for this long after any entry of their data centre was heard from.
+ */
+const dataCentreTimeoutMs = 5_000;
 /** Time for which a silent entry still counts among the entries that share a budget. */
 const budgetSharerRetentionMs = 12_000;
 
 export function createMembers(timer: Timer, self: MemberRecord): Members {
     const members = new Map<InstanceId, Member>();
-    const isLive = (member: Member): boolean => {
-        const silentMs = timer.now() - member.lastHeardAt;
-        return !member.isLeaving && silentMs < (member.hasSentHeartbeat ? heartbeatTimeoutMs : registrationGraceMs);
-    };
+    const dataCentreHeardAt = new Map<DataCentreId, number>();
+    const isHeard = (member: Member): boolean =>
+        timer.now() - member.lastHeardAt < (member.hasSentHeartbeat ? heartbeatTimeoutMs : registrationGraceMs);
+    const isVouchedFor = ({ record, isRegistered }: Member): boolean =>
+        isRegistered && record.dataCentre !== self.dataCentre
+        && timer.now() - (dataCentreHeardAt.get(record.dataCentre) ?? -Infinity) < dataCentreTimeoutMs;
+    const isLive = (member: Member): boolean => !member.isLeaving && (isHeard(member) || isVouchedFor(member));
     const add = (record: MemberRecord, isRegistered: boolean): void => {
         if (record.id === self.id) {
             return;
@@ -110,18 +120,27 @@
             }
             return member;
         },
+        recordDataCentreAlive: dataCentre => void dataCentreHeardAt.set(dataCentre, timer.now()),
         liveMembers: live,
         budgetSharerCount: () => {
             removeExpired();
             let count = 1;
             for (const member of members.values()) {
-                count += timer.now() - member.lastHeardAt < budgetSharerRetentionMs ? 1 : 0;
+                count += member.isRegistered || timer.now() - member.lastHeardAt < budgetSharerRetentionMs ? 1 : 0;
             }
             return count;
         },
         liveCountIn: dataCentre =>
             live().filter(member => member.record.dataCentre === dataCentre).length
             + (self.dataCentre === dataCentre ? 1 : 0),
+        isDataCentreLive: dataCentre => {
+            for (const member of members.values()) {
+                if (member.record.dataCentre === dataCentre && isLive(member)) {
+                    return true;
+                }
+            }
+            return false;
+        },
         all: () => members.values(),
     };
 }
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -106,12 +106,12 @@
         const { dataCentre, service } = target.record;
         const limit = { requestsPerSecond: options.findService(service)?.maxColdRequestsPerSecond, ...bounds().cold };
         if (dataCentre === self.dataCentre) {
-            return coldRateLimitPerEntry(limit, members.liveCountIn(dataCentre));
+            return coldRateLimitPerEntry(limit, members.liveCountIn(dataCentre), topology.rankInDataCentre(target.hashSeed));
         }
         return limit.requestsPerSecond === undefined
             ? Infinity
             : coversDataCentre(dataCentre) && topology.hasLowestIdInRegion()
-            ? coldRateLimitPerEntry(limit, 2)
+            ? coldRateLimitPerEntry(limit, 2, 0)
             : 0;
     };
     const targetHealth = createTargetHealth({
--- a/packages/core/src/steering/topology.ts
+++ b/packages/core/src/steering/topology.ts
@@ -1,7 +1,8 @@
 /** Distances between data centres and this entry, and which data centres it serves besides its own. */
+import { hashText } from "../hash/hash.js";
 import type { DataCentreId, InstanceId, RegionId } from "../ids.js";
 import type { Locality } from "./locality.js";
-import type { Members } from "./members.js";
+import type { Member, Members } from "./members.js";
 
 export interface Topology {
     /** Region of a data centre, if it is known. */
@@ -14,6 +15,11 @@
      * all entries when the region has none.
      */
     coversDataCentre(dataCentre: DataCentreId): boolean;
+    /**
+     * Rank of this entry among the live entries of its data centre, from 0, in an order that depends on the seed. Entries
+     * that see the same members get different ranks.
+     */
+    rankInDataCentre(seed: number): number;
     /** Whether this entry has the lowest id of the live entries in its region. */
     hasLowestIdInRegion(): boolean;
 }
@@ -41,12 +47,17 @@
             return isOwnRegion(dataCentre) ? roundTripsMs.region : roundTripsMs.remote;
         },
         coversDataCentre: dataCentre => {
-            const live = members.liveMembers();
-            if (dataCentre === self.dataCentre || live.some(member => member.record.dataCentre === dataCentre)) {
+            if (dataCentre === self.dataCentre || members.isDataCentreLive(dataCentre)) {
                 return false;
             }
             const region = regionOf(dataCentre);
-            return region === self.region || !live.some(member => member.record.region === region);
+            return region === self.region || !members.liveMembers().some(member => member.record.region === region);
+        },
+        rankInDataCentre: seed => {
+            const ownScore = hashText(self.id, seed);
+            const isBefore = ({ record }: Member): boolean =>
+                record.dataCentre === self.dataCentre && hashText(record.id, seed) < ownScore;
+            return members.liveMembers().filter(isBefore).length;
         },
         hasLowestIdInRegion: () =>
             !members.liveMembers().some(member => member.record.region === self.region && member.record.id < self.id),
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -78,7 +78,8 @@
 const maxBufferedBytes = 64 * 1024 * 1024;
 /** Limit on the memory of all request bodies together. */
 const maxRequestBytes = 64 * 1024 * 1024;
-const watchPauseMs = 300;
+/** Pause between two watch calls of a data centre's first watcher, and of its reserve. */
+const watchPausesMs = { first: 400, reserve: 1_000 } as const;
 /** Requests that arrive later than this after the stop request are refused. */
 const acceptGraceMs = 3_000;
 const listenerCloseDelayMs = 4_500;
@@ -197,12 +198,12 @@
         random,
         log,
         prefix: "",
-        watchPauseMs,
+        watchPauseMs: () => watcherElection.isFirstWatcher() ? watchPausesMs.first : watchPausesMs.reserve,
         isWatchNeeded: () => watcherElection.isWatcher(),
         onEvent: projection.apply,
         onBatchApplied: () => {
             dispatcher.dispatchQueued();
-            if (replica.isWatching()) {
+            if (watcherElection.isElected() || replica.isWatching()) {
                 mesh.announceRevision();
             }
         },
@@ -211,10 +212,15 @@
     const watcherElection = createWatcherElection({ timer, self, members });
     const peerSync = createPeerSync({ log, timer, self, members, replica, seeds: () => settings.seeds });
     const onHeartbeat = (heartbeat: Heartbeat, sender: { readonly record: MemberRecord; }): void => {
-        heartbeat.loads.forEach(({ dataCentre, entry, loads }) => spillover.recordPeerLoads(dataCentre, entry, loads));
+        members.recordDataCentreAlive(sender.record.dataCentre);
+        heartbeat.loads.forEach(({ dataCentre, entry, loads }) => {
+            members.recordDataCentreAlive(dataCentre);
+            spillover.recordPeerLoads(dataCentre, entry, loads);
+        });
         heartbeat.poison.forEach(report =>
             poisonList.recordReportedDeaths(report.fingerprint, report.deaths, report.targetIncarnation)
         );
+        replica.recordPeerRevision(heartbeat.revision);
         if (heartbeat.isWatching && !heartbeat.isLeaving) {
             watcherElection.recordWatcherHeartbeat(sender.record);
         }
--- a/packages/steer/src/store/__tests__/fakeStore.ts
+++ b/packages/steer/src/store/__tests__/fakeStore.ts
@@ -9,6 +9,10 @@
     failure: StoreFailure | undefined;
     /** Revision before which the history is compacted. */
     compactedBefore: number;
+    /** Leaves watch calls without a response from now on. */
+    silence(): void;
+    /** Responds to the watch calls left without a response. */
+    speak(): void;
     put(key: string, value: string): void;
     remove(key: string): void;
     /** Expires all leases. */
@@ -30,6 +34,9 @@
         calls.push(name);
         return Promise.resolve(store.failure === undefined ? ok(value()) : err(store.failure));
     };
+    let silentCalls: (() => void)[] | undefined;
+    const whenSpeaking = (): Promise<void> =>
+        silentCalls === undefined ? Promise.resolve() : new Promise(resolve => silentCalls!.push(resolve));
     const store: FakeStore = {
         calls,
         writes,
@@ -44,6 +51,13 @@
             items.delete(key);
             history.push({ kind: "removed", key, revision: ++revision });
         },
+        silence: () => {
+            silentCalls = [];
+        },
+        speak: () => {
+            silentCalls?.forEach(resume => resume());
+            silentCalls = undefined;
+        },
         expireLeases: () => liveLeases.clear(),
         range: (prefix, after) =>
             respond("range", () => {
@@ -56,7 +70,9 @@
                 calls.push("watch");
                 return Promise.resolve(err<StoreChanges, StoreFailure>({ kind: "compacted", reason: "status 410" }));
             }
-            return respond("watch", () => ({ events: history.filter(event => revisionOf(event) > after), revision }));
+            return whenSpeaking().then(() =>
+                respond("watch", () => ({ events: history.filter(event => revisionOf(event) > after), revision }))
+            );
         },
         write: write => {
             const lease = write.puts[0]?.lease ?? 0;
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -41,7 +41,7 @@
         random: createRandom(1),
         log: silentLog,
         prefix: "",
-        watchPauseMs: 100,
+        watchPauseMs: () => 100,
         isWatchNeeded: () => watchNeed.isNeeded,
         onEvent: event => events.push(event),
         onBatchApplied: () => {},
@@ -153,11 +153,57 @@
     assert.deepEqual(watchers(), [0, 1, 2, 3]);
     elections.forEach(({ election }) => election.recordWatcherHeartbeat(record("a")));
     assert.deepEqual(watchers(), [0, 1]);
+    assert.deepEqual(elections.map(({ election }) => election.isFirstWatcher()), [true, false, false, false]);
     elections.forEach(({ members }) => ["c", "d"].forEach(id => members.recordHeartbeat(toInstanceId(id), false)));
     timer.advance(1_900);
     assert.deepEqual(watchers(), [0, 1, 2, 3]);
 });
 
+test("a watch that stays silent while peers have newer revisions does not count as watching, until the store responds", async () => {
+    const store = createFakeStore();
+    store.put("a", "1");
+    const { timer, replica } = startReplica(store);
+    await advance(timer, 400);
+    store.silence();
+    await advance(timer, 2_000);
+    assert.equal(replica.isWatching(), true);
+    replica.recordPeerRevision(replica.revision() + 1);
+    await advance(timer, 500);
+    assert.equal(replica.isWatching(), true);
+    await advance(timer, 300);
+    assert.equal(replica.isWatching(), false);
+    store.speak();
+    await advance(timer, 300);
+    assert.equal(replica.isWatching(), true);
+});
+
+test("an item that can't be applied keeps neither the others nor the watch from going on", async () => {
+    const store = createFakeStore();
+    ["a", "b", "c"].forEach(key => store.put(key, "1"));
+    const timer = createVirtualTimer();
+    const applied: string[] = [];
+    const replica = createStoreReplica({
+        store,
+        timer,
+        random: createRandom(1),
+        log: silentLog,
+        prefix: "",
+        watchPauseMs: () => 100,
+        isWatchNeeded: () => true,
+        onEvent: event => {
+            assert.ok(event.kind === "written" && event.item.key !== "b");
+            applied.push(event.item.key);
+        },
+        onBatchApplied: () => {},
+    });
+    replica.start();
+    await advance(timer, 500);
+    assert.deepEqual(applied, ["a", "c"]);
+    store.put("d", "1");
+    await advance(timer, 500);
+    assert.deepEqual(applied, ["a", "c", "d"]);
+});
+
 test("an entry's record is written again after its lease expires or its key is removed", async () => {
     const store = createFakeStore();
     const timer = createVirtualTimer();
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -17,7 +17,7 @@
     /** Prefix of the replicated keys. */
     readonly prefix: string;
     /** Pause between two watch calls, so that changes close together arrive in one batch. */
-    readonly watchPauseMs: number;
+    readonly watchPauseMs: () => number;
     /** Whether this entry has to watch the store itself; otherwise it receives changes from peers. */
     readonly isWatchNeeded: () => boolean;
     readonly onEvent: (event: StoreEvent) => void;
@@ -35,6 +35,8 @@
     /** Applies a peer's update if it is newer than this replica. Returns whether it was applied. */
     applyUpdate(update: StoreUpdate): boolean;
     revision(): number;
+    /** Records that a peer has reached a revision. A watch that stays without a response to it is silent. */
+    recordPeerRevision(peerRevision: number): void;
     isConnected(): boolean;
     /** Whether this entry watches the store itself and the store responds. */
     isWatching(): boolean;
@@ -59,6 +61,8 @@
 
 /** Longest time that a watch call waits for changes. */
 const watchTimeoutMs = 8_000;
+/** A watch for changes that peers know of is silent if it has no response after this time. */
+const silentWatchMs = 700;
 const minRetryDelayMs = 80;
 const maxRetryDelayMs = 1_000;
 /** Interval at which an entry that need not watch checks whether that has changed. */
@@ -70,8 +74,11 @@
 
 const revisionOf = (event: StoreEvent): number => (event.kind === "written" ? event.item.revision : event.revision);
 
+/** An error while changes are applied must not end the watch. */
+const toUnexpectedFailure = (error: Error): StoreFailure => ({ kind: "unknown", reason: error.stack ?? error.message });
+
 export function createStoreReplica(options: StoreReplicaOptions): StoreReplica {
-    const { store, timer, random, log, prefix, watchPauseMs } = options;
+    const { store, timer, random, log, prefix } = options;
     const items = new Map<string, StoreItem>();
     /** Most recent events, complete after revision `historyStart`. */
     let history: StoreEvent[] = [];
@@ -84,20 +91,33 @@
     let isWatchRequired = false;
     let failureAt = -Infinity;
     let failures = 0;
+    let isCallPending = false;
+    /** Time at which a peer first had a newer revision during the pending call. */
+    let newerRevisionAt: number | undefined;
 
+    const isSilent = (): boolean => newerRevisionAt !== undefined && timer.now() - newerRevisionAt > silentWatchMs;
+    /** An item that can't be applied must not keep those behind it from being applied. */
+    const notify = (event: StoreEvent): void => {
+        try {
+            options.onEvent(event);
+        }
+        catch (error) {
+            log.write(logEvents.fault, { reason: (error as Error).stack, revision: revisionOf(event) });
+        }
+    };
     const applyEvent = (event: StoreEvent): void => {
         if (event.kind === "written") {
             const { item } = event;
             if (item.revision > Math.max(items.get(item.key)?.revision ?? 0, removalRevisions.get(item.key) ?? 0)) {
                 items.set(item.key, item);
                 removalRevisions.delete(item.key);
-                options.onEvent(event);
+                notify(event);
             }
         }
         else if (event.revision > (items.get(event.key)?.revision ?? 0)) {
             removalRevisions.set(event.key, event.revision);
             if (items.delete(event.key)) {
-                options.onEvent(event);
+                notify(event);
             }
         }
     };
@@ -179,13 +199,16 @@
             timer.after(watchNeedCheckIntervalMs, () => void watchLoop());
             return;
         }
-        const outcome = await synchronise();
+        isCallPending = true;
+        const outcome = await synchronise().catch((error: Error) => err<void, StoreFailure>(toUnexpectedFailure(error)));
+        isCallPending = false;
+        newerRevisionAt = undefined;
         if (isStopped) {
             return;
         }
         outcome.match({ Ok: recordSuccess, Err: recordFailure });
         const retryDelayMs = Math.min(maxRetryDelayMs, minRetryDelayMs * 2 ** Math.min(failures, 6)) * (0.5 + random.next());
-        timer.after(outcome.isOk ? watchPauseMs : retryDelayMs, () => void watchLoop());
+        timer.after(outcome.isOk ? options.watchPauseMs() : retryDelayMs, () => void watchLoop());
     };
     return {
         start: () => void watchLoop(),
@@ -215,8 +238,13 @@
             return true;
         },
         revision: () => revision,
+        recordPeerRevision: peerRevision => {
+            if (isCallPending && peerRevision > revision) {
+                newerRevisionAt ??= timer.now();
+            }
+        },
         isConnected: () => isConnected,
-        isWatching: () => isWatchRequired && isConnected,
+        isWatching: () => isWatchRequired && isConnected && !isSilent(),
         lastFailureAt: () => failureAt,
     };
 }
