feat: entries of a data centre tell each other of their attempts; a region's data centres share an object's first copy

Cause: each of 195 entries learns alone from 6 requests a second. It can't know that an object is cached because another entry sent it there, counts 36 of 365 objects in use, takes targets for able to keep 48 objects that keep 8 or 20, and each data centre makes its own copy of every object.

- Each entry tells the entries of its data centre four times a second how many attempts it has at each target and which objects they started on (attemptDigest.ts, peerAttempts.ts, digestCodec.ts): slots that others hold, objects that targets have cached, objects in use.
Bytes stay within the data centre.
- What targets keep is estimated for all of a service's targets together, from the fraction of quick runs by reuse distance (cacheCapacity.ts), no longer for each target from the few runs of one entry.
- An object's first target is the same for all data centres of a region, so that it is warm for all of them after one slow run.
A data centre makes a copy of its own when what it has paid for transfers comes near the cost of that run.

--- a/packages/core/src/hash/hash.ts
+++ b/packages/core/src/hash/hash.ts
@@ -12,3 +12,11 @@
 export function hashBytes(bytes: Uint8Array): string {
     return hasher.h64Raw(bytes).toString(16).padStart(16, "0");
 }
+
+/** Mixes two 32-bit hashes into a third (the finalizer of MurmurHash3). */
+export function mixHashes(first: number, second: number): number {
+    let mixed = (first ^ Math.imul(second, 0x9e3779b1)) >>> 0;
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -3,6 +3,7 @@
 import { createPoisonList } from "../../poison/poisonList.js";
 import { createRandom } from "../../random/random.js";
 import { createVirtualTimer, type VirtualTimer } from "../../time/virtualTimer.js";
+import { createOwnAttempts } from "../attemptDigest.js";
 import type { Attempt, FinalResponse, ResponseHead, SteeringRequest } from "../job.js";
 import { createMembers } from "../members.js";
 import { createObjectAffinity } from "../objectAffinity.js";
@@ -184,6 +185,7 @@
         regionShift,
         workTimes,
         objectAffinity,
+        ownAttempts: createOwnAttempts(),
         offeredLoad,
         pressure,
         retryBudget: createRetryBudget({
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { hashText } from "../../hash/hash.js";
 import {
     type DataCentreId,
     type Fingerprint,
@@ -183,9 +184,9 @@
     const memory = createTargetCacheModel();
     const real = 20;
     const random = createRandom(3);
-    const recent: string[] = [];
+    const recent: number[] = [];
     for (let step = 0; step < 3_000; step++) {
-        const key = `o${random.below(40)}`;
+        const key = random.below(40);
         const isKnown = recent.slice(-real).includes(key);
         const others = memory.recordAccess(key);
         if (others !== undefined) {
@@ -196,19 +197,21 @@
     assert.ok(memory.capacity() <= real + 3, `learned ${memory.capacity()}`);
 });
 
-test("an object has one local target and one in the region, or a single target if the local ones can't cache all objects", () => {
+test("an object has one first target that all data centres of the region agree on, and a local one if they can cache all", () => {
     const timer = createVirtualTimer();
     const homes = createObjectAffinity(timer);
     const own = [createTarget(record("one"), timer), createTarget(record("three"), timer)];
     const others = [createTarget(record("fives"), timer), createTarget(record("sevens1"), timer)];
-    for (const key of ["a", "b", "c", "d"]) {
-        const near = homes.homesInRegion(key, own, others, 40);
-        assert.deepEqual(near.map(target => own.includes(target)), [true, false]);
-        assert.deepEqual(homes.homesInRegion(key, [...own].reverse(), others, 40), near);
+    for (const key of ["a", "b", "c", "d"].map(name => hashText(name))) {
+        const { first, local, near } = homes.homesInRegion(key, own, others, 40);
+        assert.deepEqual([own.includes(local!), others.includes(near!)], [true, true]);
+        assert.ok(first === local || first === near);
+        assert.deepEqual(homes.homesInRegion(key, [...own].reverse(), others, 40), { first, local, near });
+        assert.equal(homes.homesInRegion(key, others, own, 40).first, first);
     }
-    assert.equal(homes.homesInRegion("a", own, others, 150).length, 1);
+    assert.equal(homes.homesInRegion(1, own, others, 150).local, undefined);
     const spread = new Set(
-        Array.from({ length: 200 }, (_, index) => homes.homesInRegion(`o${index}`, own, others, 180)[0]!.record.id),
+        Array.from({ length: 200 }, (_, index) => homes.homesInRegion(hashText(`o${index}`), own, others, 180).first!.record.id),
     );
     assert.equal(spread.size, 4);
 });
@@ -254,8 +257,8 @@
     const timer = createVirtualTimer();
     let planned = 0.5;
     const remoteObjects = createRemoteObjects({ timer, plannedFraction: () => planned, maxFractionChange: () => 0.15 });
-    const keys = Array.from({ length: 1_000 }, (_, index) => `o${index}`);
-    const remoteKeys = (): string[] => keys.filter(key => remoteObjects.isRemote(service, key));
+    const keys = Array.from({ length: 1_000 }, (_, index) => hashText(`o${index}`));
+    const remoteKeys = (): number[] => keys.filter(key => remoteObjects.isRemote(service, key));
     const share = (): number => remoteKeys().length / keys.length;
     assert.ok(share() <= 0.33);
     let before = share();
--- a/packages/core/src/steering/objectAffinity.ts
+++ b/packages/core/src/steering/objectAffinity.ts
@@ -3,49 +3,63 @@
  * handles few objects and keeps them cached. Without it, load balancing spreads each object over all targets, all
  * requests miss the cache and are slow, and the load stays high.
  */
-import { hashText } from "../hash/hash.js";
+import { mixHashes } from "../hash/hash.js";
 import type { ServiceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 import type { Target } from "./target.js";
 
+/** Targets of a region that may cache an object. */
+export interface RegionHomes {
+    /** The first to cache it, the same for all data centres of the region: the sooner it is warm for all of them. */
+    readonly first: Target | undefined;
+    /** The local one, if the local targets can cache all objects in use. */
+    readonly local: Target | undefined;
+    /** The one in the region's other data centres, if there is a local one. */
+    readonly near: Target | undefined;
+}
+
 export interface ObjectAffinity {
-    /** Records that a request uses an object of the service. */
-    recordUse(service: ServiceId, key: string): void;
+    /** Records that a request of this entry or of a peer uses an object of the service. */
+    recordUse(service: ServiceId, key: number): void;
+    /** Number of recent requests for the object. */
+    recentUses(service: ServiceId, key: number): number;
     /** Number of the service's objects that were used recently. */
     activeObjectCount(service: ServiceId): number;
-    /**
-     * Targets of the region that may cache an object, best first. Targets of the local data centre come first if they
-     * can cache all objects in use.
-     */
-    homesInRegion(key: string, local: readonly Target[], sameRegion: readonly Target[], objectCount: number): readonly Target[];
+    /** Targets of the region that may cache an object. */
+    homesInRegion(key: number, local: readonly Target[], sameRegion: readonly Target[], objectCount: number): RegionHomes;
     /** The only target in other regions that may cache the object. */
-    homeInOtherRegion(key: string, targets: readonly Target[]): Target | undefined;
+    homeInOtherRegion(key: number, targets: readonly Target[]): Target | undefined;
 }
 
-/** Maximum number of targets in a group that cache the same object. */
-const maxCopies = 1;
 /** Fraction of the estimated cache capacity that is relied on. */
 const usableCacheFraction = 0.95;
 const usagePeriodMs = 10_000;
 
 interface Usage {
-    current: Set<string>;
-    previous: Set<string>;
+    current: Map<number, number>;
+    previous: Map<number, number>;
     startedAt: number;
 }
 
-const scoreOf = (key: string, target: Target): number => hashText(key, target.hashSeed);
+const scoreOf = (key: number, target: Target): number => mixHashes(key, target.hashSeed);
 
-const byScore = (key: string, targets: readonly Target[]): Target[] =>
-    targets
-        .map(target => ({ target, score: scoreOf(key, target) }))
-        .sort((a, b) => b.score - a.score)
-        .map(entry => entry.target);
+function best(key: number, targets: readonly Target[]): Target | undefined {
+    let bestTarget: Target | undefined;
+    let bestScore = -1;
+    for (const target of targets) {
+        const score = scoreOf(key, target);
+        if (score > bestScore) {
+            bestTarget = target;
+            bestScore = score;
+        }
+    }
+    return bestTarget;
+}
 
-/** Number of times that the targets together can cache all objects in use. */
-function copyCount(targets: readonly Target[], objectCount: number): number {
+/** Whether the targets together can cache all objects in use. */
+function canCacheAll(targets: readonly Target[], objectCount: number): boolean {
     const cacheCapacity = targets.reduce((sum, target) => sum + target.cache.capacity(), 0);
-    return Math.min(maxCopies, Math.floor((usableCacheFraction * cacheCapacity) / Math.max(1, objectCount)));
+    return usableCacheFraction * cacheCapacity >= Math.max(1, objectCount);
 }
 
 export function createObjectAffinity(timer: Timer): ObjectAffinity {
@@ -53,30 +67,41 @@
     const usageOf = (service: ServiceId): Usage => {
         let usage = usageByService.get(service);
         if (usage === undefined) {
-            usage = { current: new Set(), previous: new Set(), startedAt: timer.now() };
+            usage = { current: new Map(), previous: new Map(), startedAt: timer.now() };
             usageByService.set(service, usage);
         }
         if (timer.now() - usage.startedAt > usagePeriodMs) {
             usage.previous = usage.current;
-            usage.current = new Set();
+            usage.current = new Map();
             usage.startedAt = timer.now();
         }
         return usage;
     };
     return {
-        recordUse: (service, key) => usageOf(service).current.add(key),
+        recordUse: (service, key) => {
+            const { current } = usageOf(service);
+            current.set(key, (current.get(key) ?? 0) + 1);
+        },
+        recentUses: (service, key) => {
+            const { current, previous } = usageOf(service);
+            return (current.get(key) ?? 0) + (previous.get(key) ?? 0);
+        },
         activeObjectCount: service => {
             const usage = usageOf(service);
             return Math.max(usage.current.size, usage.previous.size);
         },
         homesInRegion: (key, local, sameRegion, objectCount) => {
-            const localCopies = copyCount(local, objectCount);
-            if (localCopies >= 1) {
-                return [...byScore(key, local).slice(0, localCopies), ...byScore(key, sameRegion).slice(0, 1)];
-            }
-            const all = [...local, ...sameRegion];
-            return byScore(key, all).slice(0, Math.max(1, copyCount(all, objectCount)));
+            const bestLocal = best(key, local);
+            const bestNear = best(key, sameRegion);
+            const first = bestLocal === undefined || bestNear === undefined
+                ? bestLocal ?? bestNear
+                : scoreOf(key, bestLocal) >= scoreOf(key, bestNear)
+                ? bestLocal
+                : bestNear;
+            return canCacheAll(local, objectCount)
+                ? { first, local: bestLocal, near: bestNear }
+                : { first, local: undefined, near: undefined };
         },
-        homeInOtherRegion: (key, targets) => byScore(key, targets)[0],
+        homeInOtherRegion: (key, targets) => best(key, targets),
     };
 }
--- a/packages/core/src/steering/remoteObjects.ts
+++ b/packages/core/src/steering/remoteObjects.ts
@@ -4,13 +4,13 @@
  * keep it cached, and the fraction of load that leaves the region changes no faster than the limit on region shifts
  * allows.
  */
-import { hashText } from "../hash/hash.js";
+import { mixHashes } from "../hash/hash.js";
 import type { ServiceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 
 export interface RemoteObjects {
     /** Whether the object is currently served in another region. */
-    isRemote(service: ServiceId, key: string): boolean;
+    isRemote(service: ServiceId, key: number): boolean;
     /** Fraction of the objects that are served in other regions, from 0 to 1. */
     remoteFraction(service: ServiceId): number;
 }
@@ -56,6 +56,6 @@
     };
     return {
         remoteFraction: currentFraction,
-        isRemote: (service, key) => hashText(key, hashSeed) / hashRange < currentFraction(service),
+        isRemote: (service, key) => mixHashes(key, hashSeed) / hashRange < currentFraction(service),
     };
 }
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -8,6 +8,7 @@
 import { type Result, results } from "../results/resultCode.js";
 import type { Timer } from "../time/timer.js";
 import { isDeferredAsLate, isLikelyServedInTime, isWorthSendingNow, lateWaitDeadline } from "./admission.js";
+import type { OwnAttempts } from "./attemptDigest.js";
 import { createCallerRetryTracker, retryAfterMs } from "./callerRetries.js";
 import { type Attempt, createJob, type FinalResponse, type Job, type ResponseHead, type SteeringRequest } from "./job.js";
 import type { ObjectAffinity } from "./objectAffinity.js";
@@ -66,6 +67,7 @@
     readonly regionShift: RegionShiftLimiter;
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
+    readonly ownAttempts: OwnAttempts;
     readonly offeredLoad: OfferedLoad;
     readonly pressure: SlotPressure;
     readonly retryBudget: RetryBudget;
@@ -99,6 +101,7 @@
         const key = inFlightKey(target.record.service, target.record.dataCentre);
         inFlight.set(key, (inFlight.get(key) ?? 0) + change);
         target.inFlight += change;
+        options.ownAttempts.recordInFlight(target);
         rates.adjustInFlight(target.record.service, change);
     };
 
@@ -154,12 +157,16 @@
         dispatchService(job.service);
     };
 
+    const recordObjectStart = (target: Target, object: number): number | undefined => {
+        options.ownAttempts.recordStarted(target, object);
+        return target.cache.recordAccess(object);
+    };
     const send = (job: Job<Answer>, selected: ScoredTarget): void => {
         const { target } = selected;
         queue.remove(job);
         const id: AttemptId = toAttemptId(++attempts);
         const { objectId } = job.request;
-        const reuseDistance = objectId === undefined ? undefined : target.cache.recordAccess(objectKey(job.route, objectId));
+        const reuseDistance = objectId === undefined ? undefined : recordObjectStart(target, objectKey(job.route, objectId));
         const attempt: Attempt<Answer> = {
             id,
             job,
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -6,11 +6,13 @@
 import type { PoisonList } from "../poison/poisonList.js";
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
+import { createOwnAttempts, type OwnAttempts } from "./attemptDigest.js";
 import { coldRateLimitPerEntry } from "./coldTargetLimit.js";
 import type { Attempt } from "./job.js";
 import type { MemberRecord, Members } from "./members.js";
 import { createObjectAffinity, type ObjectAffinity } from "./objectAffinity.js";
 import { createOfferedLoad, type OfferedLoad } from "./offeredLoad.js";
+import { createPeerAttempts, type PeerAttempts } from "./peerAttempts.js";
 import { createRegionShiftLimiter } from "./regionShiftLimiter.js";
 import { createRemoteObjects, type RemoteObjects } from "./remoteObjects.js";
 import { createRequestDispatcher, type RequestDispatcher, type SteeringEvents } from "./requestDispatcher.js";
@@ -72,6 +74,8 @@
     readonly spillover: Spillover;
     readonly offeredLoad: OfferedLoad;
     readonly pressure: SlotPressure;
+    readonly ownAttempts: OwnAttempts;
+    readonly peerAttempts: PeerAttempts;
 }
 
 export function createSteering<Answer>(options: SteeringOptions<Answer>): Steering<Answer> {
@@ -79,11 +83,13 @@
     const roundRobin = createWeightedRoundRobin();
     const workTimes = createWorkTimes();
     const objectAffinity = createObjectAffinity(timer);
+    const ownAttempts = createOwnAttempts();
     const pressure = createSlotPressure(timer);
     const offeredLoad = createOfferedLoad(timer);
     const maxRegionShift = (): number => bounds().regionShift;
     const regionShift = createRegionShiftLimiter({ timer, maxFractionChange: maxRegionShift });
     const registry = createTargetRegistry({ timer, onChanged: options.onTargetChanged });
+    const peerAttempts = createPeerAttempts({ timer, registry, objectAffinity });
     const topology = createTopology({ self, regions: () => bounds().regions, members });
     const { roundTripMs, coversDataCentre } = topology;
     const spillover = createSpillover({
@@ -152,6 +158,7 @@
         regionShift,
         workTimes,
         objectAffinity,
+        ownAttempts,
         offeredLoad,
         pressure,
         retryBudget: createRetryBudget({
@@ -180,6 +187,8 @@
         spillover,
         offeredLoad,
         pressure,
+        ownAttempts,
+        peerAttempts,
     };
 }
 
--- a/packages/core/src/steering/target.ts
+++ b/packages/core/src/steering/target.ts
@@ -1,6 +1,7 @@
 /** This entry's view of one target: its registration, its last load report, and this entry's requests there. */
 import { hashText } from "../hash/hash.js";
 import type { Timer } from "../time/timer.js";
+import type { CacheCapacity } from "./cacheCapacity.js";
 import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter.js";
 import type { Route } from "./steeringDocument.js";
 import { createTargetCacheModel, type TargetCacheModel } from "./targetCacheModel.js";
@@ -25,6 +26,8 @@
     coldUntil: number;
     /** Requests of this entry in flight at the target. */
     inFlight: number;
+    /** Requests that other entries of the data centre have told of. */
+    peersInFlight: number;
     /** Whether it may be dead: nothing is sent to it until a health check succeeds. */
     isSuspect: boolean;
     /** End of its ejection for too many failed requests, on the entry's clock. */
@@ -39,7 +42,8 @@
     /** Requests sent to it in the last second, for the rate limit on cold targets. */
     readonly recentArrivals: SlidingWindowCounter;
     isRemoved: boolean;
-    report: { readonly load: LoadReport; readonly receivedAt: number; readonly ownInFlight: number; } | undefined;
+    /** The latest load report, and the requests in it that neither this entry nor its peers had told of. */
+    report: { readonly load: LoadReport; readonly receivedAt: number; readonly othersInFlight: number; } | undefined;
     meanOthersInFlight: number;
     /** Estimate of the objects that it has cached. */
     readonly cache: TargetCacheModel;
@@ -47,12 +51,13 @@
     isUntried: boolean;
 }
 
-export function createTarget(record: TargetRecord, timer: Timer, isUntried = false): Target {
+export function createTarget(record: TargetRecord, timer: Timer, isUntried = false, capacity?: CacheCapacity): Target {
     return {
         record,
         hashSeed: hashText(record.id),
         coldUntil: timer.now() + record.coldMs,
         inFlight: 0,
+        peersInFlight: 0,
         isSuspect: false,
         ejectedUntil: -Infinity,
         failureRate: 0,
@@ -61,16 +66,16 @@
         isRemoved: false,
         report: undefined,
         meanOthersInFlight: 0,
-        cache: createTargetCacheModel(),
+        cache: createTargetCacheModel(capacity),
         isUntried,
     };
 }
 
 /** Records a load report that came with a response; the request of that response still counts as in flight. */
 export function recordLoadReport(target: Target, load: LoadReport, now: number): void {
-    const others = Math.max(0, load.running + load.waiting - target.inFlight);
-    target.meanOthersInFlight += reportSmoothingFactor * (others - target.meanOthersInFlight);
-    target.report = { load, receivedAt: now, ownInFlight: target.inFlight };
+    const othersInFlight = Math.max(0, load.running + load.waiting - target.inFlight - target.peersInFlight);
+    target.meanOthersInFlight += reportSmoothingFactor * (othersInFlight - target.meanOthersInFlight);
+    target.report = { load, receivedAt: now, othersInFlight };
 }
 
 /** Records whether a request failed. */
@@ -78,8 +83,8 @@
     target.failureRate += failureSmoothingFactor * ((isFailure ? 1 : 0) - target.failureRate);
 }
 
-/** Object ids are unique only within a route's prefix. */
-export const objectKey = (route: Route, object: string): string => `${route.prefix}${object}`;
+/** Hash that identifies an object; object ids are unique only within a route's prefix. */
+export const objectKey = (route: Route, object: string): number => hashText(`${route.prefix}${object}`);
 
 /**
  * Estimated number of free slots; may be a fraction, or negative when other entries fill the queue. `meanWorkMs` is the
@@ -87,11 +92,11 @@
  */
 export function freeSlots(target: Target, now: number, meanWorkMs: number): number {
     const slots = target.report?.load.slots ?? target.record.slots;
-    return slots - target.inFlight - othersInFlight(target, now, meanWorkMs);
+    return slots - target.inFlight - target.peersInFlight - othersInFlight(target, now, meanWorkMs);
 }
 
 /**
- * Estimated requests of other entries: those of the last report complete over time, and the average number takes their
+ * Estimated requests of entries that tell nothing of them: those of the last report complete over time, and the average number takes their
  * place.
  */
 function othersInFlight(target: Target, now: number, meanWorkMs: number): number {
@@ -100,9 +105,8 @@
         return 0;
     }
     const elapsedWorkTimes = (now - report.receivedAt) / meanWorkMs;
-    const reported = Math.max(0, report.load.running + report.load.waiting - report.ownInFlight);
     const remainingFraction = Math.exp(-elapsedWorkTimes);
-    const expected = remainingFraction * reported + (1 - remainingFraction) * target.meanOthersInFlight;
+    const expected = remainingFraction * report.othersInFlight + (1 - remainingFraction) * target.meanOthersInFlight;
     // Without new reports the estimate decays to zero; otherwise an entry that others crowded out once would never try
     // the target again.
     return expected * Math.exp(-elapsedWorkTimes / othersDecayWorkTimes);
--- a/packages/core/src/steering/targetCacheModel.ts
+++ b/packages/core/src/steering/targetCacheModel.ts
@@ -1,11 +1,9 @@
-/**
- * Estimates which objects a target has cached. The target keeps the objects used last; its capacity, less what other
- * entries make it cache instead, is learned from whether its responses were fast.
- */
+/** Estimates which objects a target has cached: it keeps those used last, as many as the service's targets can keep. */
+import { type CacheCapacity, createCacheCapacity, maxCapacity } from "./cacheCapacity.js";
 
 export interface TargetCacheModel {
     /** Whether the target is likely to have the object cached. */
-    isCached(key: string): boolean;
+    isCached(key: number): boolean;
     /** Estimated number of objects that the target keeps. */
     capacity(): number;
     /** Whether caching one more object would evict another. */
@@ -14,28 +12,16 @@
      * Records that the target starts work on the object, which caches it. Returns the reuse distance: the number of
      * other objects since its last use.
      */
-    recordAccess(key: string): number | undefined;
+    recordAccess(key: number): number | undefined;
     /** Adjusts the capacity to whether a request for an object with that reuse distance was fast. */
     adjustCapacity(reuseDistance: number, wasQuick: boolean): void;
 }
 
-const initialCapacity = 48;
-const minCapacity = 6;
-/** Maximum number of objects tracked for a target. */
-const maxTrackedObjects = 160;
-/**
- * A wrong prediction changes the capacity by more than a right one, since a slow run costs more than a missed cache
- * hit.
- */
-const shrinkStep = 2;
-const growStep = 1;
-
-export function createTargetCacheModel(): TargetCacheModel {
+export function createTargetCacheModel(capacity: CacheCapacity = createCacheCapacity()): TargetCacheModel {
     /** In order of use, least recently used first. */
-    const objects = new Map<string, true>();
-    let capacity = initialCapacity;
+    const objects = new Map<number, true>();
     /** Number of objects used since this one, or `undefined` if it was never seen. */
-    const reuseDistanceOf = (key: string): number | undefined => {
+    const reuseDistanceOf = (key: number): number | undefined => {
         if (!objects.has(key)) {
             return undefined;
         }
@@ -51,26 +37,19 @@
     return {
         isCached: key => {
             const distance = reuseDistanceOf(key);
-            return distance !== undefined && distance < capacity;
+            return distance !== undefined && distance < capacity.current();
         },
-        capacity: () => capacity,
-        isFull: () => objects.size >= capacity,
+        capacity: capacity.current,
+        isFull: () => objects.size >= capacity.current(),
         recordAccess: key => {
             const distance = reuseDistanceOf(key);
             objects.delete(key);
             objects.set(key, true);
-            if (objects.size > maxTrackedObjects) {
+            if (objects.size > maxCapacity) {
                 objects.delete(objects.keys().next().value!);
             }
             return distance;
         },
-        adjustCapacity: (reuseDistance, wasQuick) => {
-            if (!wasQuick && reuseDistance < capacity) {
-                capacity = Math.max(minCapacity, capacity - shrinkStep);
-            }
-            else if (wasQuick && reuseDistance >= capacity - 1) {
-                capacity = Math.min(maxTrackedObjects, capacity + growStep);
-            }
-        },
+        adjustCapacity: capacity.record,
     };
 }
--- a/packages/core/src/steering/targetRegistry.ts
+++ b/packages/core/src/steering/targetRegistry.ts
@@ -1,6 +1,7 @@
 /** The known targets, from discovery or from the document. A restarted target counts as a new target. */
 import type { DataCentreId, ServiceId, TargetId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
+import { type CacheCapacity, createCacheCapacity } from "./cacheCapacity.js";
 import { createTarget, type Target } from "./target.js";
 import type { TargetRecord } from "./targetRecord.js";
 
@@ -13,6 +14,8 @@
     /** Takes a target out of use until its record changes, because it no longer has its address. */
     retire(target: Target): void;
     find(id: TargetId): Target | undefined;
+    /** Finds a target by the hash of its id. */
+    findByHash(hashSeed: number): Target | undefined;
     /** Targets of a service in a data centre that are not draining. */
     targetsIn(service: ServiceId, dataCentre: DataCentreId): readonly Target[];
     dataCentresOf(service: ServiceId): Iterable<DataCentreId>;
@@ -31,10 +34,17 @@
 export function createTargetRegistry(options: TargetRegistryOptions): TargetRegistry {
     const { timer, onChanged } = options;
     const targets = new Map<TargetId, Target>();
+    const targetsByHash = new Map<number, Target>();
+    const capacities = new Map<ServiceId, CacheCapacity>();
     /** End of the startup window: targets that appear later have newly joined. */
     let settledAt: number | undefined;
     const services = new Map<ServiceId, Map<DataCentreId, Target[]>>();
 
+    const capacityOf = (service: ServiceId): CacheCapacity => {
+        const known = capacities.get(service) ?? createCacheCapacity();
+        capacities.set(service, known);
+        return known;
+    };
     const rebuildIndex = (): void => {
         services.clear();
         for (const target of targets.values()) {
@@ -60,6 +70,7 @@
         if (target !== undefined) {
             target.isRemoved = true;
             targets.delete(id);
+            targetsByHash.delete(target.hashSeed);
             onChanged(target, "removed");
         }
     };
@@ -70,8 +81,14 @@
         }
         if (known === undefined || known.record.startedAt !== record.startedAt || known.record.address !== record.address) {
             removeTarget(record.id);
-            const target = createTarget(record, timer, settledAt !== undefined && timer.now() > settledAt);
+            const target = createTarget(
+                record,
+                timer,
+                settledAt !== undefined && timer.now() > settledAt,
+                capacityOf(record.service),
+            );
             targets.set(record.id, target);
+            targetsByHash.set(target.hashSeed, target);
             settledAt ??= timer.now() + startupWindowMs;
             onChanged(target, "added");
             return;
@@ -101,6 +118,7 @@
             rebuildIndex();
         },
         find: id => targets.get(id),
+        findByHash: hashSeed => targetsByHash.get(hashSeed),
         targetsIn: (service, dataCentre) => services.get(service)?.get(dataCentre) ?? [],
         dataCentresOf: service => services.get(service)?.keys() ?? [],
         all: () => targets.values(),
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -98,6 +98,12 @@
 const evictionPrice = 0.25;
 /** Makes entries try a new target soon; otherwise nothing would ever be learned about it. */
 const untriedBonus = 1;
+/** Transfer price that requests for an object have to add up to before another copy of it is made. */
+const copyPrice = 0.3;
+/** Outweighs a target elsewhere that has the object cached. */
+const dueCopyBonus = 1;
+/** By how much a shared copy is preferred to a local one that is not due. */
+const sharedCopyMargin = 0.1;
 /** Weight of the rendezvous order of targets, on which all entries agree. */
 const rendezvousWeight = 0.06;
 const hashRange = 2 ** 32;
@@ -122,6 +128,12 @@
     readonly remote: Target[];
 }
 
+interface Candidates {
+    readonly targets: readonly Target[];
+    /** The one that would hold a further copy of the object in the region. */
+    readonly copy: Target | undefined;
+}
+
 export function createTargetSelector<Answer>(options: TargetSelectorOptions): TargetSelector<Answer> {
     const { timer, random, self, registry, spillover, regionShift, workTimes, objectAffinity, remoteObjects } = options;
 
@@ -173,7 +185,7 @@
     const isWarmAt = (job: Job<Answer>, target: Target): boolean =>
         job.route.isSticky && job.request.objectId !== undefined &&
         target.cache.isCached(objectKey(job.route, job.request.objectId));
-    const scoreTarget = (job: Job<Answer>, target: Target, now: number): ScoredTarget => {
+    const scoreTarget = (job: Job<Answer>, target: Target, isCopy: boolean, now: number): ScoredTarget => {
         const { route } = job;
         const isWarm = isWarmAt(job, target);
         const coldMs = workTimes.coldObjectMs(route);
@@ -184,6 +196,7 @@
         const margin = (job.objectiveAt - expectedAt) / (workSpreadRatio * workMs + 1);
         const value = lateResponseValue + (1 - lateResponseValue) / (1 + Math.exp(-logisticSlope * margin));
         const score = value - transferPrice(job, target) - slotTimePrice * (workMs / coldMs) + rendezvousPreference(job, target)
+            + (isFirstRun && isCopy ? copyPreference(job) : 0)
             + (needsFirstRequest(target) ? untriedBonus : 0) - (isFirstRun && target.cache.isFull() ? evictionPrice : 0);
         return { target, expectedAt, value, score, isWarm, isFirstRun };
     };
@@ -192,6 +205,19 @@
         const cachedFraction = route.isSticky ? workTimes.alreadyCachedFraction(route) : 0;
         return cachedFraction * workTimes.warmMs(route) + (1 - cachedFraction) * workTimes.coldObjectMs(route);
     };
+    /**
+     * Preference for caching an object at a local target. It is negative, so that the data centres of a region share one
+     * copy, until the requests that went elsewhere for it have cost about as much as the slow run of another copy.
+     */
+    const copyPreference = (job: Job<Answer>): number => {
+        const { objectId } = job.request;
+        if (objectId === undefined) {
+            return 0;
+        }
+        const earlierUses = objectAffinity.recentUses(job.service, objectKey(job.route, objectId)) - 1;
+        const price = transferPriceOf(job, options.prices.dataCentre);
+        return earlierUses * price >= copyPrice ? dueCopyBonus : -price - sharedCopyMargin;
+    };
     /** Makes entries without better information agree on a target for each object. */
     const rendezvousPreference = (job: Job<Answer>, target: Target): number => {
         const { objectId } = job.request;
@@ -200,11 +226,16 @@
             : rendezvousWeight * (hashText(objectId, target.hashSeed) / hashRange);
     };
     const transferPrice = (job: Job<Answer>, target: Target): number => {
-        const kilobytes = workTimes.transferBytes(job.route) / 1_000;
         if (target.record.dataCentre === self.dataCentre) {
             return 0;
         }
-        const perKilobyte = options.prices.dataCentre + (target.record.region === self.region ? 0 : options.prices.region);
+        return transferPriceOf(
+            job,
+            options.prices.dataCentre + (target.record.region === self.region ? 0 : options.prices.region),
+        );
+    };
+    const transferPriceOf = (job: Job<Answer>, perKilobyte: number): number => {
+        const kilobytes = workTimes.transferBytes(job.route) / 1_000;
         return (kilobytes * perKilobyte) / (job.route.priority <= urgentPriority ? urgentWeight : 1);
     };
     const usableTargets = (job: Job<Answer>, now: number): UsableTargets => {
@@ -220,24 +251,29 @@
         return found;
     };
     /** All usable targets; for an object, those that have it cached and those that may cache it. */
-    const candidateTargets = (job: Job<Answer>, now: number): readonly Target[] => {
+    const candidateTargets = (job: Job<Answer>, now: number): Candidates => {
         const { local, sameRegion, remote } = usableTargets(job, now);
         const { objectId } = job.request;
         if (!job.route.isSticky || objectId === undefined) {
-            return [...local, ...sameRegion, ...remote];
+            return { targets: [...local, ...sameRegion, ...remote], copy: undefined };
         }
         const key = objectKey(job.route, objectId);
         const homes = objectAffinity.homesInRegion(key, local, sameRegion, objectAffinity.activeObjectCount(job.service));
+        const { first, near } = homes;
         const remoteHome = objectAffinity.homeInOtherRegion(key, remote);
         if (
             remoteHome !== undefined && isRemoteObject(job) &&
             now < job.request.arrivedAt + remoteHoldRatio * job.route.objectiveMs
         ) {
-            return [remoteHome];
+            return { targets: [remoteHome], copy: undefined };
         }
         const isCandidate = (target: Target): boolean =>
-            target.cache.isCached(key) || needsFirstRequest(target) || homes.includes(target) || target === remoteHome;
-        return [...local, ...sameRegion, ...remote].filter(isCandidate);
+            target.cache.isCached(key) || needsFirstRequest(target) || target === first || target === near
+            || target === homes.local || target === remoteHome;
+        return {
+            targets: [...local, ...sameRegion, ...remote].filter(isCandidate),
+            copy: homes.local === first ? undefined : homes.local,
+        };
     };
     return {
         select: job => {
@@ -245,8 +281,9 @@
             let bestFree: ScoredTarget | undefined;
             let bestFullScore = -Infinity;
             let bestRemote: ScoredTarget | undefined;
-            for (const target of candidateTargets(job, now)) {
-                const scored = scoreTarget(job, target, now);
+            const { targets, copy } = candidateTargets(job, now);
+            for (const target of targets) {
+                const scored = scoreTarget(job, target, target === copy, now);
                 if (!isFreeNow(target, now)) {
                     bestFullScore = Math.max(bestFullScore, scored.score);
                 }
--- a/packages/harness/src/steering/loadPatterns.ts
+++ b/packages/harness/src/steering/loadPatterns.ts
@@ -92,6 +92,63 @@
     };
 }
 
+const fleetRegions = ["cpt", "jhb", "dbn"];
+const fleetDataCentreLetters = ["a", "b", "c"];
+const fleetEntriesPerDataCentre = 21;
+
+/** The same number in each data centre of a region. */
+const countsByRegion = (regions: readonly string[], countOf: (region: string) => number): Readonly<Record<string, number>> =>
+    Object.fromEntries(
+        regions.flatMap(region => fleetDataCentreLetters.map(letter => [`${region}-${letter}`, countOf(region)])),
+    );
+
+/** Targets of a service in each data centre of a region. */
+const fleetTokensTargets: Readonly<Record<string, number>> = { cpt: 11, jhb: 47, dbn: 56 };
+const fleetTrailsTargets: Readonly<Record<string, number>> = { cpt: 16, jhb: 64, dbn: 77 };
+/** Times of the small deployment's classes, as a multiple. */
+const fleetWorkFactor = 2.75;
+const fleetObjectCounts: Readonly<Record<string, number>> = {
+    "token-check": 258,
+    "token-redeem": 107,
+    "trail-status": 125,
+    "trail-report": 58,
+};
+
+/**
+ * Karoo with hundreds of entries and targets: each entry sees a small part of the requests for each object and target, and
+ * each target caches few objects. `perSecond` is the number of requests per second in each data centre; `regions` are
+ * some of Karoo's.
+ */
+export function fleetSimulation(seed: number, perSecond: number, regions = fleetRegions): SteeringSimulationOptions {
+    const factor = perSecond / classesPerSecond;
+    const model: TargetModel = { ...defaultTargetModel, slots: 5, maxQueued: 15, cachedWorkRatio: 0.25 };
+    return {
+        seed,
+        entryCounts: countsByRegion(regions, () => fleetEntriesPerDataCentre),
+        services: [
+            {
+                name: "tokens",
+                targetCounts: countsByRegion(regions, region => fleetTokensTargets[region]!),
+                targetModel: { ...model, maxCachedObjects: 20 },
+            },
+            {
+                name: "trails",
+                targetCounts: countsByRegion(regions, region => fleetTrailsTargets[region]!),
+                targetModel: { ...model, maxCachedObjects: 8 },
+            },
+        ],
+        classes: classes.map(trafficClass => ({
+            ...trafficClass,
+            arrivalsPerSecond: factor * trafficClass.arrivalsPerSecond,
+            workMs: fleetWorkFactor * trafficClass.workMs,
+            objectiveMs: 2 * trafficClass.objectiveMs,
+            timeoutMs: 2 * trafficClass.timeoutMs,
+            deadlineMs: 2 * trafficClass.deadlineMs,
+            objectCount: fleetObjectCounts[trafficClass.name]!,
+        })),
+    };
+}
+
 /** Multiplies all service times, objectives, timeouts, deadlines and gaps between arrivals by `factor`. */
 export function scaleDurations(simulation: SteeringSimulationOptions, factor: number): SteeringSimulationOptions {
     const scaleInterference = (service: SimulatedService): TargetModel => ({
--- a/packages/harness/src/steering/simulationOptions.ts
+++ b/packages/harness/src/steering/simulationOptions.ts
@@ -31,6 +31,8 @@
     readonly entryCounts: Readonly<Record<string, number>>;
     readonly services: readonly SimulatedService[];
     readonly classes: readonly TrafficClass[];
+    /** Outcomes are counted for requests sent from this time on; by default for all. */
+    readonly countedFromMs?: number;
 }
 
 /** Results of one traffic class as seen by callers. */
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -6,6 +6,7 @@
 import {
     type DataCentreId,
     type Fingerprint,
+    type InstanceId,
     toDataCentreId,
     toInstanceId,
     toRegionId,
@@ -44,6 +45,7 @@
 }
 
 interface Entry {
+    readonly id: InstanceId;
     readonly dataCentre: DataCentreId;
     readonly steering: Steering<string>;
 }
@@ -65,6 +67,7 @@
 /** A caller waits for the advised retry delay, but at most for this fraction of the remaining time. */
 const maxRetryDelayFraction = 1 / 3;
 const peerUpdateIntervalMs = 1_000;
+const digestIntervalMs = 250;
 const sampleIntervalMs = 20;
 /** One-way network delays. */
 const oneWayDelaysMs = { sameDataCentre: 0.2, sameRegion: 0.9, remote: 35 };
@@ -107,9 +110,10 @@
     const targets = new Map<string, SharedTarget>();
     const abandonByAttempt = new Map<Attempt<string>, () => void>();
     const workMsByRequest = new Map<string, number>();
-    const outcomes = new Map(
-        options.classes.map(({ name }) => [name, { requests: 0, inTime: 0, late: 0, refused: 0, failed: 0 }]),
-    );
+    const noOutcome = (): ClassOutcome => ({ requests: 0, inTime: 0, late: 0, refused: 0, failed: 0 });
+    const outcomes = new Map(options.classes.map(({ name }) => [name, noOutcome()]));
+    /** Of requests sent before outcomes are counted. */
+    const uncounted = noOutcome();
     const counts = new Map(options.services.map(({ name }) => [name, { sent: 0, sentToFull: 0, waiting: 0, running: 0 }]));
     let sampleCount = 0;
     let requestCount = 0;
@@ -163,8 +167,14 @@
         const members = createMembers(timer, self);
         const others = records.filter(record => record !== self);
         members.replaceAll(others);
-        timer.subscribe(peerUpdateIntervalMs, () => others.forEach(other => members.recordHeartbeat(other.id, false)));
+        // Heartbeats stay within a data centre; relays tell that the others are alive.
+        const local = others.filter(other => other.dataCentre === self.dataCentre);
+        timer.subscribe(peerUpdateIntervalMs, () => {
+            local.forEach(other => members.recordHeartbeat(other.id, false));
+            dataCentres.forEach(name => members.recordDataCentreAlive(toDataCentreId(name)));
+        });
         const entry: Entry = {
+            id: self.id,
             dataCentre: self.dataCentre,
             steering: createSteering<string>({
                 timer,
@@ -224,6 +234,18 @@
             }
         }
     };
+    const shareDigests = (): void => {
+        for (const entry of entries) {
+            const digest = entry.steering.ownAttempts.takeDigest();
+            const peers = entries.filter(peer => peer !== entry && peer.dataCentre === entry.dataCentre);
+            if (digest !== undefined) {
+                timer.after(
+                    oneWayDelaysMs.sameDataCentre,
+                    () => peers.forEach(peer => peer.steering.peerAttempts.apply(entry.id, digest)),
+                );
+            }
+        }
+    };
     const sample = (): void => {
         sampleCount++;
         for (const target of targets.values()) {
@@ -233,8 +255,10 @@
         }
     };
 
+    const outcomeOf = (trafficClass: TrafficClass, sentAt: number): ClassOutcome =>
+        sentAt < (options.countedFromMs ?? 0) ? uncounted : outcomes.get(trafficClass.name)!;
     const sendRequest = (caller: Caller, isRetry: boolean): void => {
-        const outcome = outcomes.get(caller.trafficClass.name)!;
+        const outcome = outcomeOf(caller.trafficClass, caller.firstSentAt);
         const deadlineAt = caller.firstSentAt + caller.trafficClass.deadlineMs;
         const id = toRequestId(`r${++requestCount}`);
         workMsByRequest.set(id, caller.workMs);
@@ -269,7 +293,7 @@
     };
     const startCaller = (trafficClass: TrafficClass, dataCentre: string): void => {
         const own = entries.filter(entry => entry.dataCentre === dataCentre);
-        outcomes.get(trafficClass.name)!.requests++;
+        outcomeOf(trafficClass, timer.now()).requests++;
         const caller: Caller = {
             trafficClass,
             object: `${regionOf(dataCentre)}${random.below(trafficClass.objectCount)}`,
@@ -297,6 +321,7 @@
         }
     }
     timer.subscribe(peerUpdateIntervalMs, broadcastLoads);
+    timer.subscribe(digestIntervalMs, shareDigests);
     timer.subscribe(sampleIntervalMs, sample);
     dataCentres.forEach(dataCentre => options.classes.forEach(trafficClass => scheduleArrivals(trafficClass, dataCentre)));
     const maxDeadlineMs = Math.max(...options.classes.map(trafficClass => trafficClass.deadlineMs));
--- a/packages/steer/src/mesh/__tests__/mesh.test.ts
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -50,6 +50,8 @@
             ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [{ service, slots: slots.get(self.id)! }] }),
             revision: () => 1,
             isWatching: () => true,
+            takeDigest: () => undefined,
+            onDigest: () => {},
             onHeartbeat: heartbeat => {
                 const cptLoads = heartbeat.loads.filter(({ dataCentre }) => dataCentre === "cpt-a");
                 if (self.id === "b1") {
--- /dev/null
+++ b/packages/steer/src/mesh/digestCodec.ts
@@ -0,0 +1,74 @@
+/**
+ * Datagrams that tell the other entries of the data centre about attempts: one compact `msgpackr` array each, the sender
+ * and two byte strings of fixed-size rows.
+ */
+import { type InstanceId, toInstanceId } from "@pimentospring/core/ids";
+import type { AttemptDigest, StartedObject, TargetCount } from "@pimentospring/core/steering/attemptDigest";
+import { Packr } from "msgpackr";
+
+export interface PeerDigest {
+    readonly sender: InstanceId;
+    readonly digest: AttemptDigest;
+}
+
+/** A 32-bit hash and a count. */
+const countRowBytes = 5;
+const maxCount = 255;
+/** Two 32-bit hashes. */
+const startedRowBytes = 8;
+/** Rows of each kind in one datagram; a datagram stays below the common MTU. */
+const maxRows = 120;
+
+const packr = new Packr({ useRecords: false });
+
+export function encodeDigest({ sender, digest }: PeerDigest): Buffer {
+    return packr.pack([sender, encodeCounts(digest.inFlight.slice(0, maxRows)), encodeStarted(digest.started.slice(0, maxRows))]);
+}
+
+/** Decodes a datagram. Returns `undefined` if it is not a digest. */
+export function decodeDigest(bytes: Buffer): PeerDigest | undefined {
+    let row: unknown;
+    try {
+        row = packr.unpack(bytes);
+    }
+    catch {
+        return undefined;
+    }
+    if (!Array.isArray(row) || row.length !== 3) {
+        return undefined;
+    }
+    const [sender, counts, started] = row as [unknown, unknown, unknown];
+    return typeof sender === "string" && isRows(counts, countRowBytes) && isRows(started, startedRowBytes)
+        ? { sender: toInstanceId(sender), digest: { inFlight: decodeCounts(counts), started: decodeStarted(started) } }
+        : undefined;
+}
+
+const isRows = (value: unknown, rowBytes: number): value is Buffer =>
+    Buffer.isBuffer(value) && value.length % rowBytes === 0 && value.length <= maxRows * rowBytes;
+
+function encodeCounts(counts: readonly TargetCount[]): Buffer {
+    const bytes = Buffer.alloc(counts.length * countRowBytes);
+    counts.forEach(({ target, count }, index) => {
+        const at = bytes.writeUInt32BE(target, index * countRowBytes);
+        bytes.writeUInt8(Math.min(maxCount, count), at);
+    });
+    return bytes;
+}
+
+function encodeStarted(started: readonly StartedObject[]): Buffer {
+    const bytes = Buffer.alloc(started.length * startedRowBytes);
+    started.forEach(({ target, object }, index) => {
+        const at = bytes.writeUInt32BE(target, index * startedRowBytes);
+        bytes.writeUInt32BE(object, at);
+    });
+    return bytes;
+}
+
+const rowStarts = (bytes: Buffer, rowBytes: number): number[] =>
+    Array.from({ length: bytes.length / rowBytes }, (_, index) => index * rowBytes);
+
+const decodeCounts = (bytes: Buffer): TargetCount[] =>
+    rowStarts(bytes, countRowBytes).map(at => ({ target: bytes.readUInt32BE(at), count: bytes.readUInt8(at + 4) }));
+
+const decodeStarted = (bytes: Buffer): StartedObject[] =>
+    rowStarts(bytes, startedRowBytes).map(at => ({ target: bytes.readUInt32BE(at), object: bytes.readUInt32BE(at + 4) }));
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -1,14 +1,16 @@
 /**
  * UDP heartbeats between entries. Once a second each entry sends its callers' offered load to every entry of its data
  * centre. One entry per data centre, the relay, also sends the data centre's total load to the relays of the other data
- * centres. Poison reports, store revisions and shutdown are announced without waiting for the next heartbeat.
+ * centres. Several times a second each entry tells those of its data centre of its attempts at targets. Poison reports, store revisions and shutdown are announced without waiting for the next heartbeat.
  */
-import type { DataCentreId, ServiceId } from "@pimentospring/core/ids";
+import type { DataCentreId, InstanceId, ServiceId } from "@pimentospring/core/ids";
+import type { AttemptDigest } from "@pimentospring/core/steering/attemptDigest";
 import type { Member, MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createSocket, type Socket } from "node:dgram";
+import { decodeDigest, encodeDigest } from "./digestCodec.js";
 import { decodeHeartbeat, encodeHeartbeat, type EntryLoads, type Heartbeat, type PoisonReport } from "./heartbeat.js";
 
 export interface MeshOptions {
@@ -21,6 +23,9 @@
     readonly revision: () => number;
     readonly isWatching: () => boolean;
     readonly onHeartbeat: (heartbeat: Heartbeat, member: Member) => void;
+    /** Takes what this entry has to tell about its attempts; `undefined` if nothing. */
+    readonly takeDigest: () => AttemptDigest | undefined;
+    readonly onDigest: (entry: InstanceId, digest: AttemptDigest) => void;
 }
 
 export interface Mesh {
@@ -36,6 +41,8 @@
 }
 
 const heartbeatIntervalMs = 1_000;
+/** Shorter than most work takes, so that peers know of most attempts while they run. */
+const digestIntervalMs = 250;
 /** Store revisions that follow each other within this time share one announcement. */
 const revisionDebounceMs = 60;
 /** Received loads are passed on for this long. */
@@ -129,7 +136,19 @@
             });
         }
     };
+    const sendDigest = (): void => {
+        const digest = options.takeDigest();
+        if (digest !== undefined) {
+            const bytes = encodeDigest({ sender: self.id, digest });
+            members.liveMembers().filter(isLocal).forEach(member => sendTo(member, bytes));
+        }
+    };
     const receiveDatagram = (bytes: Buffer): void => {
+        const peerDigest = decodeDigest(bytes);
+        if (peerDigest !== undefined) {
+            options.onDigest(peerDigest.sender, peerDigest.digest);
+            return;
+        }
         const heartbeat = decodeHeartbeat(bytes);
         if (heartbeat === undefined) {
             log.write(logEvents.datagramRefused, { bytes: bytes.length });
@@ -161,6 +180,7 @@
                 });
                 socket.on("message", receiveDatagram);
                 timer.subscribe(heartbeatIntervalMs, sendHeartbeats);
+                timer.subscribe(digestIntervalMs, sendDigest);
             }),
         broadcastPoison: poison => {
             const bytes = encodeHeartbeat(createHeartbeat([], [poison]));
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -239,6 +239,8 @@
         revision: replica.revision,
         isWatching: replica.isWatching,
         onHeartbeat,
+        takeDigest: steering.ownAttempts.takeDigest,
+        onDigest: steering.peerAttempts.apply,
     });
     const statusRoutes = createStatusRoutes({
         timer,
--- a/packages/steer/src/store/__tests__/malformedPeers.test.ts
+++ b/packages/steer/src/store/__tests__/malformedPeers.test.ts
@@ -4,6 +4,7 @@
 import { Packr } from "msgpackr";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { decodeDigest, encodeDigest } from "../../mesh/digestCodec.js";
 import { decodeHeartbeat } from "../../mesh/heartbeat.js";
 import { decodeStateRequest, decodeStoreUpdate } from "../peerMessages.js";
 import { decodeMember } from "../storeItems.js";
@@ -64,6 +65,19 @@
         for (const message of [packed, packed.subarray(0, packed.length >> 1), Buffer.from(bytes)]) {
             assert.equal(decodeStateRequest(message), undefined);
             assert.equal(decodeStoreUpdate(message), undefined);
+            assert.equal(decodeDigest(message), undefined);
         }
     }));
 });
+
+test("a digest of attempts round-trips and is not taken for a heartbeat, nor a heartbeat for a digest", () => {
+    const peerDigest = {
+        sender: toInstanceId("a"),
+        digest: { inFlight: [{ target: 4_294_967_295, count: 3 }], started: [{ target: 1, object: 2_147_483_648 }] },
+    };
+    const bytes = encodeDigest(peerDigest);
+    assert.deepEqual(decodeDigest(bytes), peerDigest);
+    assert.equal(decodeHeartbeat(bytes), undefined);
+    assert.equal(decodeDigest(packr.pack(["a", 0, 7, [], []])), undefined);
+    assert.ok(bytes.length < 30);
+});
