fix(steer): a response that names no request is not passed on to the caller that waits on its connection

Callers could get an answer that was not their own: a target that sends a second copy of a response when its connection is in use again, without the request's id in it, had that copy passed on to the next request. Cause: a response without the id counted as the awaited one. The platform's targets always echo the id, so a response without it now fails the attempt and closes the connection.

foreignResponses.test: 1 of 3 failed on the old code (the copy without an id), 3 pass; npm test exits 0 (arm64).

--- /dev/null
+++ b/packages/steer/src/targets/__tests__/foreignResponses.test.ts
@@ -0,0 +1,108 @@
+/** A response that belongs to another request never reaches this one's caller, and a request never runs twice because of it. */
+import { type AttemptId, toAttemptId, toDataCentreId, toRequestId, toTargetId } from "@pimentospring/core/ids";
+import type { Attempt } from "@pimentospring/core/steering/job";
+import type { RequestDispatcher } from "@pimentospring/core/steering/requestDispatcher";
+import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import type { CallerRequest } from "../../callers/callerServer.js";
+import type { HeaderCodec } from "../../wire/headerCodec.js";
+import { createTargetConnections } from "../targetConnections.js";
+import type { TargetResponse } from "../targetResponse.js";
+import { createTargetSender } from "../targetSender.js";
+
+const headerCodec = {
+    isReservedHeader: () => false,
+    encodeTargetHeaders: () => [],
+    decodeResponse: (status: number, header: (name: string) => string | undefined) => ({
+        status,
+        echoedRequestId: header("x-request-id"),
+    }),
+} as unknown as HeaderCodec;
+
+interface Answers {
+    /** Sends one request over the connections and resolves to what its caller would get. */
+    readonly ask: (id: string) => Promise<string>;
+}
+
+async function startTarget(context: TestContext, script: (socket: Socket, turn: number) => void): Promise<Answers> {
+    const timer = createClockTimer();
+    let turn = 0;
+    const server = createServer(socket => {
+        socket.on("data", () => script(socket, turn++));
+        socket.on("error", () => {
+            // The sender closes connections after invalid responses.
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const connections = createTargetConnections({ timer, maxResponseBytes: 10_000, maxBufferedBytes: 30_000 });
+    const waiting = new Map<AttemptId, (outcome: string) => void>();
+    const dispatcher = {
+        recordWritten: () => {},
+        handleResponse: (attempt: Attempt<TargetResponse>, _head: unknown, response: TargetResponse) =>
+            waiting.get(attempt.id)!(response.body.toString()),
+        handleConnectionFailure: (attempt: Attempt<TargetResponse>, reason: string) =>
+            waiting.get(attempt.id)!(`failed: ${reason}`),
+    } as unknown as RequestDispatcher<TargetResponse>;
+    const sender = createTargetSender({ timer, headerCodec, connections, roundTripMs: () => 100, dispatcher: () => dispatcher });
+    let attempts = 0;
+    const ask = (id: string): Promise<string> => {
+        const request = { id: toRequestId(id) };
+        const rawHeaders = ["Host", "a", "X-Request-Id", id];
+        const caller = { method: "GET", path: "/", rawHeaders, header: () => undefined, body: Buffer.alloc(0) };
+        sender.register(request, caller as unknown as CallerRequest);
+        const attempt = {
+            id: toAttemptId(++attempts),
+            job: { request, route: { isIdempotent: false }, responseDueAt: timer.now() + 2_000 },
+            target: {
+                record: { address, id: toTargetId("t"), dataCentre: toDataCentreId("cpt-a") },
+                noConnectionReuseUntil: -Infinity,
+            },
+        } as unknown as Attempt<TargetResponse>;
+        return new Promise(resolve => {
+            waiting.set(attempt.id, resolve);
+            sender.send(attempt);
+        });
+    };
+    context.after(() => {
+        connections.close();
+        server.close();
+    });
+    return { ask };
+}
+
+const answer = (id: string | undefined, body: string): string =>
+    `HTTP/1.1 200 OK\r\n${id === undefined ? "" : `X-Request-Id: ${id}\r\n`}Content-Length: ${body.length}\r\n\r\n${body}`;
+
+test("a second copy of an answer, sent when its connection is in use again, is not the next request's answer", async context => {
+    const target = await startTarget(
+        context,
+        (socket, turn) =>
+            void socket.write(turn === 0 ? answer("one", "first") : answer("one", "first") + answer("two", "second")),
+    );
+    assert.equal(await target.ask("one"), "first");
+    assert.equal(await target.ask("two"), "failed: response belongs to another request");
+});
+
+test("an answer that names no request is not passed on, since it may be another request's", async context => {
+    const target = await startTarget(
+        context,
+        (socket, turn) => void socket.write(turn === 0 ? answer("one", "first") : answer(undefined, "first")),
+    );
+    assert.equal(await target.ask("one"), "first");
+    assert.equal(await target.ask("two"), "failed: response belongs to another request");
+});
+
+test("a second copy that arrives while its connection is idle closes it, and the next request uses another", async context => {
+    const target = await startTarget(context, (socket, turn) => {
+        socket.write(answer(turn === 0 ? "one" : "two", turn === 0 ? "first" : "second"));
+        if (turn === 0) {
+            setTimeout(() => socket.write(answer("one", "first")), 50);
+        }
+    });
+    assert.equal(await target.ask("one"), "first");
+    await new Promise(resolve => setTimeout(resolve, 150));
+    assert.equal(await target.ask("two"), "second");
+});
--- a/packages/steer/src/targets/targetSender.ts
+++ b/packages/steer/src/targets/targetSender.ts
@@ -73,10 +73,8 @@
                 connectTimeoutMs,
                 {
                     onWriteStart: () => dispatcher().recordWritten(attempt),
-                    isExpected: response => {
-                        const { echoedRequestId } = decodeHead(response);
-                        return echoedRequestId === undefined || echoedRequestId === job.request.id;
-                    },
+                    // Without an id it may be a late copy of the response to an earlier request on the connection.
+                    isExpected: response => decodeHead(response).echoedRequestId === job.request.id,
                     onResponse: response => {
                         cancels.delete(attempt.id);
                         dispatcher().handleResponse(attempt, decodeHead(response), response);
