--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -112,6 +112,28 @@
     assert.ok(response?.kind === "refusal" && response.retryAfterMs! <= 667);
 });
 
+test("work that runs at a target goes on, and is started nowhere else, while the target is silent, leaving or gone", () => {
+    const silent = { isReached: false, isExpectedTarget: false, isHealthy: false, coldMs: undefined, load: undefined };
+    const changes: readonly ((bench: TestBench) => void)[] = [
+        bench => bench.targetHealth.recordHealthCheck(bench.sent[0]!.target, silent),
+        bench => bench.registry.put(record("one", { isDraining: true })),
+        bench => bench.registry.remove(bench.sent[0]!.target.record.id),
+    ];
+    for (const isIdempotent of [true, false]) {
+        for (const change of changes) {
+            const bench = createTestBench({ routes: [route({ isIdempotent })], targets: [record("one")] });
+            bench.submit("a");
+            bench.dispatcher.recordWritten(bench.sent[0]!);
+            bench.registry.put(record("three"));
+            change(bench);
+            bench.timer.advance(900);
+            assert.deepEqual([bench.sent.length, bench.cancelled.length], [1, 0]);
+            bench.respond(bench.sent[0]!);
+            assert.equal(codeOf(bench.finalResponses.get("a")), "answer to a");
+        }
+    }
+});
+
 test("a response after the request has ended is ignored", () => {
     const bench = createTestBench();
     bench.submit("a");
