perf: a placement costs the candidates, and what an entry tells of its attempts doesn't grow with the entries

Causes: - Each request asked every target of the service whether it is usable and has the object cached, and a cold target's share of the rate limit was computed from the list of members for each of them. Now rendezvous scores are compared first and few targets are checked; an index names the targets that an object was sent to (objectHolders.ts). - Each change of a record rebuilt the whole index of targets. Now it is rebuilt when it is next read. - Each entry sent its digest to every entry of its data centre, four times a second. Now it sends it to the relay, which sends those of all in few datagrams (digestRelay.ts): 21 entries send and receive about 1,600 datagrams a second before, about 170 now (worked out).

--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -16,17 +16,18 @@
 import { createPoisonList } from "../../poison/poisonList.js";
 import { createRandom } from "../../random/random.js";
 import { createVirtualTimer } from "../../time/virtualTimer.js";
+import { createCacheCapacity } from "../cacheCapacity.js";
 import { coldRateLimitPerEntry } from "../coldTargetLimit.js";
 import { nearestEntries } from "../directory.js";
 import { createMembers, type MemberRecord } from "../members.js";
-import { createObjectAffinity } from "../objectAffinity.js";
+import { createObjectAffinity, type RegionHomes } from "../objectAffinity.js";
 import { createOfferedLoad } from "../offeredLoad.js";
 import { createRegionShiftLimiter } from "../regionShiftLimiter.js";
 import { createRemoteObjects } from "../remoteObjects.js";
 import { createRetryBudget } from "../retryBudget.js";
 import { createRouteTable } from "../routeTable.js";
 import { computeAllowances, createSpillover, type EntryLoad, initialAllowances } from "../spillover.js";
-import { createTarget } from "../target.js";
+import { createTarget, type Target } from "../target.js";
 import { createTargetCacheModel } from "../targetCacheModel.js";
 import { createTargetRegistry } from "../targetRegistry.js";
 import { createWeightedRoundRobin } from "../weightedRoundRobin.js";
@@ -181,7 +182,7 @@
 });
 
 test("the capacity of a target's cache is learned from slow and fast requests", () => {
-    const memory = createTargetCacheModel();
+    const memory = createTargetCacheModel({ capacity: createCacheCapacity(), onAdded: () => {}, onDropped: () => {} });
     const real = 20;
     const random = createRandom(3);
     const recent: number[] = [];
@@ -202,16 +203,19 @@
     const homes = createObjectAffinity(timer);
     const own = [createTarget(record("one"), timer), createTarget(record("three"), timer)];
     const others = [createTarget(record("fives"), timer), createTarget(record("sevens1"), timer)];
+    const isUsable = (): boolean => true;
+    const homesOf = (key: number, local: readonly Target[], near: readonly Target[], objectCount: number): RegionHomes =>
+        homes.homesInRegion(key, { local, sameRegion: [near], isUsable }, objectCount);
     for (const key of ["a", "b", "c", "d"].map(name => hashText(name))) {
-        const { first, local, near } = homes.homesInRegion(key, own, others, 40);
+        const { first, local, near } = homesOf(key, own, others, 40);
         assert.deepEqual([own.includes(local!), others.includes(near!)], [true, true]);
         assert.ok(first === local || first === near);
-        assert.deepEqual(homes.homesInRegion(key, [...own].reverse(), others, 40), { first, local, near });
-        assert.equal(homes.homesInRegion(key, others, own, 40).first, first);
+        assert.deepEqual(homesOf(key, [...own].reverse(), others, 40), { first, local, near });
+        assert.equal(homesOf(key, others, own, 40).first, first);
     }
-    assert.equal(homes.homesInRegion(1, own, others, 150).local, undefined);
+    assert.equal(homesOf(1, own, others, 150).local, undefined);
     const spread = new Set(
-        Array.from({ length: 200 }, (_, index) => homes.homesInRegion(hashText(`o${index}`), own, others, 180).first!.record.id),
+        Array.from({ length: 200 }, (_, index) => homesOf(hashText(`o${index}`), own, others, 180).first!.record.id),
     );
     assert.equal(spread.size, 4);
 });
--- a/packages/core/src/steering/objectAffinity.ts
+++ b/packages/core/src/steering/objectAffinity.ts
@@ -25,10 +25,20 @@
     recentUses(service: ServiceId, key: number): number;
     /** Number of the service's objects that were used recently. */
     activeObjectCount(service: ServiceId): number;
-    /** Targets of the region that may cache an object. */
-    homesInRegion(key: number, local: readonly Target[], sameRegion: readonly Target[], objectCount: number): RegionHomes;
-    /** The only target in other regions that may cache the object. */
-    homeInOtherRegion(key: number, targets: readonly Target[]): Target | undefined;
+    /** Usable targets of the region that may cache an object. */
+    homesInRegion(key: number, targets: RegionTargets, objectCount: number): RegionHomes;
+    /** The only usable target in other regions that may cache the object. */
+    homeInOtherRegion(key: number, targets: readonly TargetGroup[], isUsable: (target: Target) => boolean): Target | undefined;
+}
+
+/** Targets of one service in one data centre. */
+export type TargetGroup = readonly Target[];
+
+export interface RegionTargets {
+    readonly local: TargetGroup;
+    /** In the region's other data centres. */
+    readonly sameRegion: readonly TargetGroup[];
+    readonly isUsable: (target: Target) => boolean;
 }
 
 /** Fraction of the estimated cache capacity that is relied on. */
@@ -43,14 +53,17 @@
 
 const scoreOf = (key: number, target: Target): number => mixHashes(key, target.hashSeed);
 
-function best(key: number, targets: readonly Target[]): Target | undefined {
+/** The usable target with the highest score. Few targets are checked for being usable, since that costs more than a score. */
+function best(key: number, groups: readonly TargetGroup[], isUsable: (target: Target) => boolean): Target | undefined {
     let bestTarget: Target | undefined;
     let bestScore = -1;
-    for (const target of targets) {
-        const score = scoreOf(key, target);
-        if (score > bestScore) {
-            bestTarget = target;
-            bestScore = score;
+    for (const group of groups) {
+        for (const target of group) {
+            const score = scoreOf(key, target);
+            if (score > bestScore && isUsable(target)) {
+                bestTarget = target;
+                bestScore = score;
+            }
         }
     }
     return bestTarget;
@@ -58,7 +71,7 @@
 
 /** Whether the targets together can cache all objects in use. */
 function canCacheAll(targets: readonly Target[], objectCount: number): boolean {
-    const cacheCapacity = targets.reduce((sum, target) => sum + target.cache.capacity(), 0);
+    const cacheCapacity = targets.reduce((sum, target) => sum + (target.isSuspect ? 0 : target.cache.capacity()), 0);
     return usableCacheFraction * cacheCapacity >= Math.max(1, objectCount);
 }
 
@@ -90,9 +103,9 @@
             const usage = usageOf(service);
             return Math.max(usage.current.size, usage.previous.size);
         },
-        homesInRegion: (key, local, sameRegion, objectCount) => {
-            const bestLocal = best(key, local);
-            const bestNear = best(key, sameRegion);
+        homesInRegion: (key, { local, sameRegion, isUsable }, objectCount) => {
+            const bestLocal = best(key, [local], isUsable);
+            const bestNear = best(key, sameRegion, isUsable);
             const first = bestLocal === undefined || bestNear === undefined
                 ? bestLocal ?? bestNear
                 : scoreOf(key, bestLocal) >= scoreOf(key, bestNear)
@@ -102,6 +115,6 @@
                 ? { first, local: bestLocal, near: bestNear }
                 : { first, local: undefined, near: undefined };
         },
-        homeInOtherRegion: (key, targets) => best(key, targets),
+        homeInOtherRegion: best,
     };
 }
--- a/packages/core/src/steering/target.ts
+++ b/packages/core/src/steering/target.ts
@@ -1,7 +1,8 @@
 /** This entry's view of one target: its registration, its last load report, and this entry's requests there. */
 import { hashText } from "../hash/hash.js";
 import type { Timer } from "../time/timer.js";
-import type { CacheCapacity } from "./cacheCapacity.js";
+import { type CacheCapacity, createCacheCapacity } from "./cacheCapacity.js";
+import type { ObjectHolders } from "./objectHolders.js";
 import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter.js";
 import type { Route } from "./steeringDocument.js";
 import { createTargetCacheModel, type TargetCacheModel } from "./targetCacheModel.js";
@@ -51,8 +52,14 @@
     isUntried: boolean;
 }
 
-export function createTarget(record: TargetRecord, timer: Timer, isUntried = false, capacity?: CacheCapacity): Target {
-    return {
+export function createTarget(
+    record: TargetRecord,
+    timer: Timer,
+    isUntried = false,
+    capacity: CacheCapacity = createCacheCapacity(),
+    holders?: ObjectHolders,
+): Target {
+    const target: Target = {
         record,
         hashSeed: hashText(record.id),
         coldUntil: timer.now() + record.coldMs,
@@ -66,9 +73,14 @@
         isRemoved: false,
         report: undefined,
         meanOthersInFlight: 0,
-        cache: createTargetCacheModel(capacity),
+        cache: createTargetCacheModel({
+            capacity,
+            onAdded: object => holders?.add(object, target),
+            onDropped: object => holders?.remove(object, target),
+        }),
         isUntried,
     };
+    return target;
 }
 
 /** Records a load report that came with a response; the request of that response still counts as in flight. */
@@ -96,8 +108,8 @@
 }
 
 /**
- * Estimated requests of entries that tell nothing of them: those of the last report complete over time, and the average number takes their
- * place.
+ * Estimated requests of entries that tell nothing of them: those of the last report complete over time, and the average
+ * number takes their place.
  */
 function othersInFlight(target: Target, now: number, meanWorkMs: number): number {
     const report = target.report;
--- a/packages/core/src/steering/targetCacheModel.ts
+++ b/packages/core/src/steering/targetCacheModel.ts
@@ -1,5 +1,5 @@
 /** Estimates which objects a target has cached: it keeps those used last, as many as the service's targets can keep. */
-import { type CacheCapacity, createCacheCapacity, maxCapacity } from "./cacheCapacity.js";
+import { type CacheCapacity, maxCapacity } from "./cacheCapacity.js";
 
 export interface TargetCacheModel {
     /** Whether the target is likely to have the object cached. */
@@ -15,9 +15,19 @@
     recordAccess(key: number): number | undefined;
     /** Adjusts the capacity to whether a request for an object with that reuse distance was fast. */
     adjustCapacity(reuseDistance: number, wasQuick: boolean): void;
+    /** Forgets all objects, because the target is gone. */
+    clear(): void;
 }
 
-export function createTargetCacheModel(capacity: CacheCapacity = createCacheCapacity()): TargetCacheModel {
+export interface TargetCacheModelOptions {
+    readonly capacity: CacheCapacity;
+    /** An object is remembered from now on. */
+    readonly onAdded: (key: number) => void;
+    /** An object is no longer remembered. */
+    readonly onDropped: (key: number) => void;
+}
+
+export function createTargetCacheModel({ capacity, onAdded, onDropped }: TargetCacheModelOptions): TargetCacheModel {
     /** In order of use, least recently used first. */
     const objects = new Map<number, true>();
     /** Number of objects used since this one, or `undefined` if it was never seen. */
@@ -43,13 +53,22 @@
         isFull: () => objects.size >= capacity.current(),
         recordAccess: key => {
             const distance = reuseDistanceOf(key);
-            objects.delete(key);
+            if (!objects.delete(key)) {
+                onAdded(key);
+            }
             objects.set(key, true);
             if (objects.size > maxCapacity) {
-                objects.delete(objects.keys().next().value!);
+                const oldest = objects.keys().next().value!;
+                objects.delete(oldest);
+                onDropped(oldest);
             }
             return distance;
         },
         adjustCapacity: capacity.record,
+        clear: () => {
+            const dropped = [...objects.keys()];
+            objects.clear();
+            dropped.forEach(onDropped);
+        },
     };
 }
--- a/packages/core/src/steering/targetRegistry.ts
+++ b/packages/core/src/steering/targetRegistry.ts
@@ -2,6 +2,7 @@
 import type { DataCentreId, ServiceId, TargetId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 import { type CacheCapacity, createCacheCapacity } from "./cacheCapacity.js";
+import { createObjectHolders } from "./objectHolders.js";
 import { createTarget, type Target } from "./target.js";
 import type { TargetRecord } from "./targetRecord.js";
 
@@ -16,6 +17,8 @@
     find(id: TargetId): Target | undefined;
     /** Finds a target by the hash of its id. */
     findByHash(hashSeed: number): Target | undefined;
+    /** Targets that this entry or its peers sent the object to recently; they may have evicted it since. */
+    holdersOf(object: number): Iterable<Target>;
     /** Targets of a service in a data centre that are not draining. */
     targetsIn(service: ServiceId, dataCentre: DataCentreId): readonly Target[];
     dataCentresOf(service: ServiceId): Iterable<DataCentreId>;
@@ -38,13 +41,23 @@
     const capacities = new Map<ServiceId, CacheCapacity>();
     /** End of the startup window: targets that appear later have newly joined. */
     let settledAt: number | undefined;
+    const holders = createObjectHolders();
     const services = new Map<ServiceId, Map<DataCentreId, Target[]>>();
+    /** Rebuilt when it is next read, since records often change many at a time. */
+    let isIndexStale = false;
 
     const capacityOf = (service: ServiceId): CacheCapacity => {
         const known = capacities.get(service) ?? createCacheCapacity();
         capacities.set(service, known);
         return known;
     };
+    const index = (): ReadonlyMap<ServiceId, ReadonlyMap<DataCentreId, readonly Target[]>> => {
+        if (isIndexStale) {
+            isIndexStale = false;
+            rebuildIndex();
+        }
+        return services;
+    };
     const rebuildIndex = (): void => {
         services.clear();
         for (const target of targets.values()) {
@@ -71,6 +84,8 @@
             target.isRemoved = true;
             targets.delete(id);
             targetsByHash.delete(target.hashSeed);
+            target.cache.clear();
+            isIndexStale = true;
             onChanged(target, "removed");
         }
     };
@@ -79,6 +94,7 @@
         if (known !== undefined && record.startedAt < known.record.startedAt) {
             return;
         }
+        isIndexStale = true;
         if (known === undefined || known.record.startedAt !== record.startedAt || known.record.address !== record.address) {
             removeTarget(record.id);
             const target = createTarget(
@@ -86,6 +102,7 @@
                 timer,
                 settledAt !== undefined && timer.now() > settledAt,
                 capacityOf(record.service),
+                holders,
             );
             targets.set(record.id, target);
             targetsByHash.set(target.hashSeed, target);
@@ -99,28 +116,22 @@
         onChanged(target, change);
     };
     return {
-        put: record => {
-            upsert(record);
-            rebuildIndex();
-        },
-        remove: id => {
-            removeTarget(id);
-            rebuildIndex();
-        },
+        put: upsert,
+        remove: removeTarget,
         replaceAll: records => {
             const ids = new Set(records.map(record => record.id));
             [...targets.keys()].filter(id => !ids.has(id)).forEach(removeTarget);
             records.forEach(upsert);
-            rebuildIndex();
         },
         retire: target => {
             target.isRemoved = true;
-            rebuildIndex();
+            isIndexStale = true;
         },
         find: id => targets.get(id),
         findByHash: hashSeed => targetsByHash.get(hashSeed),
-        targetsIn: (service, dataCentre) => services.get(service)?.get(dataCentre) ?? [],
-        dataCentresOf: service => services.get(service)?.keys() ?? [],
+        holdersOf: holders.holdersOf,
+        targetsIn: (service, dataCentre) => index().get(service)?.get(dataCentre) ?? [],
+        dataCentresOf: service => index().get(service)?.keys() ?? [],
         all: () => targets.values(),
     };
 }
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -9,7 +9,7 @@
 import { recentArrivalCount } from "./coldTargetLimit.js";
 import type { Job } from "./job.js";
 import type { Locality } from "./locality.js";
-import type { ObjectAffinity } from "./objectAffinity.js";
+import type { ObjectAffinity, TargetGroup } from "./objectAffinity.js";
 import type { RegionShiftLimiter } from "./regionShiftLimiter.js";
 import type { RemoteObjects } from "./remoteObjects.js";
 import type { Spillover } from "./spillover.js";
@@ -121,15 +121,17 @@
     other: ScoredTarget,
 ): ScoredTarget => (current === undefined || other.score > current.score ? other : current);
 
-interface UsableTargets {
-    readonly local: Target[];
+/** Targets of the data centres that a request may use, by data centre. */
+interface ReachableTargets {
+    local: TargetGroup;
     /** In other data centres of the region. */
-    readonly sameRegion: Target[];
-    readonly remote: Target[];
+    readonly sameRegion: TargetGroup[];
+    readonly remote: TargetGroup[];
+    readonly dataCentres: Set<DataCentreId>;
 }
 
 interface Candidates {
-    readonly targets: readonly Target[];
+    readonly targets: Iterable<Target>;
     /** The one that would hold a further copy of the object in the region. */
     readonly copy: Target | undefined;
 }
@@ -238,42 +240,59 @@
         const kilobytes = workTimes.transferBytes(job.route) / 1_000;
         return (kilobytes * perKilobyte) / (job.route.priority <= urgentPriority ? urgentWeight : 1);
     };
-    const usableTargets = (job: Job<Answer>, now: number): UsableTargets => {
-        const found: UsableTargets = { local: [], sameRegion: [], remote: [] };
+    const reachableTargets = (job: Job<Answer>): ReachableTargets => {
+        const found: ReachableTargets = { local: [], sameRegion: [], remote: [], dataCentres: new Set() };
         for (const dataCentre of registry.dataCentresOf(job.service)) {
             if (!mayUseDataCentre(job, dataCentre)) {
                 continue;
             }
-            const isInOwnRegion = options.regionOf(dataCentre) === self.region;
-            const list = dataCentre === self.dataCentre ? found.local : isInOwnRegion ? found.sameRegion : found.remote;
-            list.push(...registry.targetsIn(job.service, dataCentre).filter(target => mayUseTarget(job, target, now)));
+            found.dataCentres.add(dataCentre);
+            const group = registry.targetsIn(job.service, dataCentre);
+            if (dataCentre === self.dataCentre) {
+                found.local = group;
+            }
+            else {
+                (options.regionOf(dataCentre) === self.region ? found.sameRegion : found.remote).push(group);
+            }
         }
         return found;
     };
+    /** Targets of the service that are likely to have the request's object cached, whether or not they may be used. */
+    const cachingTargets = (job: Job<Answer>): Target[] => {
+        const { objectId } = job.request;
+        if (!job.route.isSticky || objectId === undefined) {
+            return [];
+        }
+        const key = objectKey(job.route, objectId);
+        const isCaching = ({ record, isRemoved, cache }: Target): boolean =>
+            record.service === job.service && !record.isDraining && !isRemoved && cache.isCached(key);
+        return [...registry.holdersOf(key)].filter(isCaching);
+    };
     /** All usable targets; for an object, those that have it cached and those that may cache it. */
     const candidateTargets = (job: Job<Answer>, now: number): Candidates => {
-        const { local, sameRegion, remote } = usableTargets(job, now);
+        const { local, sameRegion, remote, dataCentres } = reachableTargets(job);
+        const isUsable = (target: Target): boolean => mayUseTarget(job, target, now);
         const { objectId } = job.request;
         if (!job.route.isSticky || objectId === undefined) {
-            return { targets: [...local, ...sameRegion, ...remote], copy: undefined };
+            return { targets: [local, ...sameRegion, ...remote].flat().filter(isUsable), copy: undefined };
         }
         const key = objectKey(job.route, objectId);
-        const homes = objectAffinity.homesInRegion(key, local, sameRegion, objectAffinity.activeObjectCount(job.service));
-        const { first, near } = homes;
-        const remoteHome = objectAffinity.homeInOtherRegion(key, remote);
+        const remoteHome = objectAffinity.homeInOtherRegion(key, remote, isUsable);
         if (
             remoteHome !== undefined && isRemoteObject(job) &&
             now < job.request.arrivedAt + remoteHoldRatio * job.route.objectiveMs
         ) {
             return { targets: [remoteHome], copy: undefined };
         }
-        const isCandidate = (target: Target): boolean =>
-            target.cache.isCached(key) || needsFirstRequest(target) || target === first || target === near
-            || target === homes.local || target === remoteHome;
-        return {
-            targets: [...local, ...sameRegion, ...remote].filter(isCandidate),
-            copy: homes.local === first ? undefined : homes.local,
-        };
+        const objectCount = objectAffinity.activeObjectCount(job.service);
+        const homes = objectAffinity.homesInRegion(key, { local, sameRegion, isUsable }, objectCount);
+        const targets = new Set<Target>();
+        [homes.first, homes.near, homes.local, remoteHome].forEach(home => home !== undefined && targets.add(home));
+        cachingTargets(job)
+            .filter(target => dataCentres.has(target.record.dataCentre) && isUsable(target))
+            .forEach(target => targets.add(target));
+        local.filter(target => needsFirstRequest(target) && isUsable(target)).forEach(target => targets.add(target));
+        return { targets, copy: homes.local === homes.first ? undefined : homes.local };
     };
     return {
         select: job => {
@@ -311,12 +330,8 @@
             if (isRemoteObject(job)) {
                 return workTimes.warmMs(job.route) + options.remoteRoundTripMs;
             }
-            for (const target of registry.targetsIn(job.service, self.dataCentre)) {
-                if (!target.isSuspect && isWarmAt(job, target)) {
-                    return workTimes.warmMs(job.route);
-                }
-            }
-            return expectedFirstRunMs(job.route);
+            const isLocal = (target: Target): boolean => target.record.dataCentre === self.dataCentre && !target.isSuspect;
+            return cachingTargets(job).some(isLocal) ? workTimes.warmMs(job.route) : expectedFirstRunMs(job.route);
         },
     };
 }
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -239,8 +239,9 @@
             const digest = entry.steering.ownAttempts.takeDigest();
             const peers = entries.filter(peer => peer !== entry && peer.dataCentre === entry.dataCentre);
             if (digest !== undefined) {
+                // Through a relay, which passes them on in its own next round.
                 timer.after(
-                    oneWayDelaysMs.sameDataCentre,
+                    digestIntervalMs,
                     () => peers.forEach(peer => peer.steering.peerAttempts.apply(entry.id, digest)),
                 );
             }
--- a/packages/steer/src/mesh/digestCodec.ts
+++ b/packages/steer/src/mesh/digestCodec.ts
@@ -1,6 +1,6 @@
 /**
- * Datagrams that tell the other entries of the data centre about attempts: one compact `msgpackr` array each, the sender
- * and two byte strings of fixed-size rows.
+ * Datagrams that tell the other entries of the data centre about attempts: compact `msgpackr` arrays; each digest is its
+ * sender and two byte strings of fixed-size rows.
  */
 import { type InstanceId, toInstanceId } from "@pimentospring/core/ids";
 import type { AttemptDigest, StartedObject, TargetCount } from "@pimentospring/core/steering/attemptDigest";
@@ -16,24 +16,54 @@
 const maxCount = 255;
 /** Two 32-bit hashes. */
 const startedRowBytes = 8;
-/** Rows of each kind in one datagram; a datagram stays below the common MTU. */
-const maxRows = 120;
+/** Rows of each kind in one digest, so that it fits into a datagram. */
+const maxRows = 90;
+/** Lengths and types of a digest's parts. */
+const framingBytes = 8;
 
 const packr = new Packr({ useRecords: false });
 
-export function encodeDigest({ sender, digest }: PeerDigest): Buffer {
-    return packr.pack([sender, encodeCounts(digest.inFlight.slice(0, maxRows)), encodeStarted(digest.started.slice(0, maxRows))]);
+/** Digests in one datagram. */
+export interface DigestMessage {
+    /** Whether a relay sends the digests to all entries; otherwise an entry sends its own to the relay. */
+    readonly isRelayed: boolean;
+    readonly digests: readonly PeerDigest[];
 }
 
-/** Decodes a datagram. Returns `undefined` if it is not a digest. */
-export function decodeDigest(bytes: Buffer): PeerDigest | undefined {
-    let row: unknown;
+/** Size of a digest in a datagram, rounded up. */
+export const digestBytes = ({ sender, digest }: PeerDigest): number =>
+    sender.length + framingBytes + digest.inFlight.length * countRowBytes + digest.started.length * startedRowBytes;
+
+export const encodeDigests = ({ isRelayed, digests }: DigestMessage): Buffer =>
+    packr.pack([isRelayed, digests.map(encodeDigest)]);
+
+/** Decodes a datagram. Returns `undefined` if it holds no digests. */
+export function decodeDigests(bytes: Buffer): DigestMessage | undefined {
+    let message: unknown;
     try {
-        row = packr.unpack(bytes);
+        message = packr.unpack(bytes);
     }
     catch {
         return undefined;
     }
+    if (!Array.isArray(message) || message.length !== 2) {
+        return undefined;
+    }
+    const [isRelayed, rows] = message as [unknown, unknown];
+    if (typeof isRelayed !== "boolean" || !Array.isArray(rows)) {
+        return undefined;
+    }
+    const digests = rows.map(decodeDigest);
+    return digests.includes(undefined) ? undefined : { isRelayed, digests: digests as PeerDigest[] };
+}
+
+const encodeDigest = ({ sender, digest }: PeerDigest): unknown[] => [
+    sender,
+    encodeCounts(digest.inFlight.slice(0, maxRows)),
+    encodeStarted(digest.started.slice(0, maxRows)),
+];
+
+function decodeDigest(row: unknown): PeerDigest | undefined {
     if (!Array.isArray(row) || row.length !== 3) {
         return undefined;
     }
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -1,7 +1,8 @@
 /**
  * UDP heartbeats between entries. Once a second each entry sends its callers' offered load to every entry of its data
  * centre. One entry per data centre, the relay, also sends the data centre's total load to the relays of the other data
- * centres. Several times a second each entry tells those of its data centre of its attempts at targets. Poison reports, store revisions and shutdown are announced without waiting for the next heartbeat.
+ * centres. Several times a second each entry tells those of its data centre of its attempts at targets, through the relay.
+ * Poison reports, store revisions and shutdown are announced without waiting for the next heartbeat.
  */
 import type { DataCentreId, InstanceId, ServiceId } from "@pimentospring/core/ids";
 import type { AttemptDigest } from "@pimentospring/core/steering/attemptDigest";
@@ -10,7 +11,8 @@
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createSocket, type Socket } from "node:dgram";
-import { decodeDigest, encodeDigest } from "./digestCodec.js";
+import { decodeDigests, type DigestMessage, encodeDigests, type PeerDigest } from "./digestCodec.js";
+import { createDigestRelay } from "./digestRelay.js";
 import { decodeHeartbeat, encodeHeartbeat, type EntryLoads, type Heartbeat, type PoisonReport } from "./heartbeat.js";
 
 export interface MeshOptions {
@@ -63,9 +65,17 @@
     return { dataCentre, entry: dataCentre, loads };
 }
 
+function lowestId(entries: readonly Member[]): Member | undefined {
+    return entries.reduce<Member | undefined>(
+        (lowest, entry) => lowest === undefined || entry.record.id < lowest.record.id ? entry : lowest,
+        undefined,
+    );
+}
+
 export function createMesh(options: MeshOptions): Mesh {
     const { timer, log, self, members } = options;
     const socket: Socket = createSocket("udp4");
+    const digestRelay = createDigestRelay();
     const localLoads = new Map<string, ReceivedLoads>();
     const remoteLoads = new Map<string, ReceivedLoads>();
     let isLeaving = false;
@@ -136,17 +146,37 @@
             });
         }
     };
-    const sendDigest = (): void => {
+    const sendDigests = (): void => {
         const digest = options.takeDigest();
-        if (digest !== undefined) {
-            const bytes = encodeDigest({ sender: self.id, digest });
-            members.liveMembers().filter(isLocal).forEach(member => sendTo(member, bytes));
+        const local = members.liveMembers().filter(isLocal);
+        const own: PeerDigest[] = digest === undefined ? [] : [{ sender: self.id, digest }];
+        const relay = lowestId(local);
+        if (relay === undefined || self.id < relay.record.id) {
+            own.forEach(digestRelay.add);
+        }
+        else if (own.length > 0) {
+            sendTo(relay, encodeDigests({ isRelayed: false, digests: own }));
+        }
+        // Entries may disagree for a moment about which of them is the relay: whoever receives digests passes them on.
+        for (const digests of digestRelay.takeGroups()) {
+            const bytes = encodeDigests({ isRelayed: true, digests });
+            local.forEach(member => sendTo(member, bytes));
+        }
+    };
+    const receiveDigests = ({ isRelayed, digests }: DigestMessage): void => {
+        for (const peerDigest of digests) {
+            if (peerDigest.sender !== self.id) {
+                options.onDigest(peerDigest.sender, peerDigest.digest);
+            }
+            if (!isRelayed) {
+                digestRelay.add(peerDigest);
+            }
         }
     };
     const receiveDatagram = (bytes: Buffer): void => {
-        const peerDigest = decodeDigest(bytes);
-        if (peerDigest !== undefined) {
-            options.onDigest(peerDigest.sender, peerDigest.digest);
+        const digestMessage = decodeDigests(bytes);
+        if (digestMessage !== undefined) {
+            receiveDigests(digestMessage);
             return;
         }
         const heartbeat = decodeHeartbeat(bytes);
@@ -180,7 +210,7 @@
                 });
                 socket.on("message", receiveDatagram);
                 timer.subscribe(heartbeatIntervalMs, sendHeartbeats);
-                timer.subscribe(digestIntervalMs, sendDigest);
+                timer.subscribe(digestIntervalMs, sendDigests);
             }),
         broadcastPoison: poison => {
             const bytes = encodeHeartbeat(createHeartbeat([], [poison]));
--- a/packages/steer/src/store/__tests__/malformedPeers.test.ts
+++ b/packages/steer/src/store/__tests__/malformedPeers.test.ts
@@ -4,7 +4,7 @@
 import { Packr } from "msgpackr";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { decodeDigest, encodeDigest } from "../../mesh/digestCodec.js";
+import { decodeDigests, encodeDigests } from "../../mesh/digestCodec.js";
 import { decodeHeartbeat } from "../../mesh/heartbeat.js";
 import { decodeStateRequest, decodeStoreUpdate } from "../peerMessages.js";
 import { decodeMember } from "../storeItems.js";
@@ -65,7 +65,7 @@
         for (const message of [packed, packed.subarray(0, packed.length >> 1), Buffer.from(bytes)]) {
             assert.equal(decodeStateRequest(message), undefined);
             assert.equal(decodeStoreUpdate(message), undefined);
-            assert.equal(decodeDigest(message), undefined);
+            assert.equal(decodeDigests(message), undefined);
         }
     }));
 });
@@ -75,9 +75,10 @@
         sender: toInstanceId("a"),
         digest: { inFlight: [{ target: 4_294_967_295, count: 3 }], started: [{ target: 1, object: 2_147_483_648 }] },
     };
-    const bytes = encodeDigest(peerDigest);
-    assert.deepEqual(decodeDigest(bytes), peerDigest);
+    const message = { isRelayed: true, digests: [peerDigest, { ...peerDigest, sender: toInstanceId("b") }] };
+    const bytes = encodeDigests(message);
+    assert.deepEqual(decodeDigests(bytes), message);
     assert.equal(decodeHeartbeat(bytes), undefined);
-    assert.equal(decodeDigest(packr.pack(["a", 0, 7, [], []])), undefined);
-    assert.ok(bytes.length < 30);
+    assert.equal(decodeDigests(packr.pack(["a", 0, 7, [], []])), undefined);
+    assert.ok(encodeDigests({ isRelayed: false, digests: [peerDigest] }).length < 30);
 });
