feat: targets that refuse with free slots are tried again, and are no outliers while all of them do

Causes: up to a third of the targets was ejected for failing as often as all others; a refused request went to another target, where its object was not cached; and its caller was told to come back after 240 ms or more, although it could have been in time at once. And only 0.6 of the retry budget was used.

- A target is ejected only if it fails clearly more often than the mean of its peers.
- A refusal with free slots in the load report doesn't exclude the target from the next attempt of the request.
- The caller of such a request may return at once where slots are free.
- Entries use 0.75 of the retry budget.
Three incarnations of every entry in one window stay below the whole.

--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -61,6 +61,17 @@
     assert.ok(response?.kind === "refusal" && response.retryAfterMs! > 0);
 });
 
+test("a target that refuses although it has free slots is tried again, and the caller may return at once", () => {
+    const bench = createTestBench({ routes: [atMostOnceRoute], targets: [record("one")] });
+    const load = { running: 1, waiting: 0, slots: 4, slowness: 1 };
+    bench.submit("a");
+    bench.respond(bench.sent[0]!, { status: 503, isNotRun: true, load });
+    assert.equal(bench.sent.length, 2);
+    bench.respond(bench.sent[1]!, { status: 503, isNotRun: true, load });
+    const response = bench.finalResponses.get("a");
+    assert.ok(response?.kind === "refusal" && response.retryAfterMs! < 100);
+});
+
 test("an idempotent request that may have run is retried, and is never reported as not run afterwards", () => {
     const bench = createTestBench({ targets: [record("one"), record("three"), record("fives")] });
     bench.submit("a");
--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -1,6 +1,6 @@
 /**
  * Tells refused callers when to retry, and recognises their retries. Retry times are spread out and become longer with
- * slot pressure. Retries go before other late requests, so that no request is refused twice.
+ * slot pressure; a caller whom targets with free slots refused comes back at once, while its response can still be in time. Retries go before other late requests, so that no request is refused twice.
  */
 import type { Fingerprint } from "../ids.js";
 import type { Random } from "../random/random.js";
@@ -39,17 +39,22 @@
     readonly now: number;
     /** From 0 to 1. */
     readonly pressure: number;
+    /** Whether targets refused the request although they had free slots, so that waiting for slots gains nothing. */
+    readonly hadFreeSlots: boolean;
     readonly random: Random;
 }
 
 /** Fraction of the remaining time within which callers are told to retry. */
 const retryWindowFraction = 1 / 3;
+/** Shortest delay where slots are taken, as a fraction of that window. */
+const minSlotWaitFraction = 0.3;
 const minRetryAfterMs = 20;
 
 /** Milliseconds, from now, until the caller should retry. */
 export function retryAfterMs(options: RetryAfterOptions): number {
-    const { job, now, pressure, random } = options;
+    const { job, now, pressure, hadFreeSlots, random } = options;
     const maxDelayMs = Math.max(0, (job.request.deadlineAt - now) * retryWindowFraction);
-    const delayFraction = (0.3 + 0.7 * pressure) * (0.6 + 0.4 * random.next());
+    const minFraction = hadFreeSlots ? 0 : minSlotWaitFraction;
+    const delayFraction = (minFraction + (1 - minFraction) * pressure) * (0.6 + 0.4 * random.next());
     return Math.max(minRetryAfterMs, maxDelayMs * delayFraction);
 }
--- a/packages/core/src/steering/job.ts
+++ b/packages/core/src/steering/job.ts
@@ -38,6 +38,8 @@
     writtenAttempts: number;
     /** Connections that failed before any byte of the request was sent. */
     failedConnections: number;
+    /** Whether the last target refused the request although it had free slots. */
+    wasRefusedWithFreeSlots: boolean;
     /** Whether a target may have run the request, so that the result must not say that it was not run. */
     mayHaveRun: boolean;
     /** Error response of a target, delivered if no other target gives a better one. */
@@ -104,6 +106,7 @@
         attempt: undefined,
         writtenAttempts: 0,
         failedConnections: 0,
+        wasRefusedWithFreeSlots: false,
         mayHaveRun: false,
         failureResponse: undefined,
         cancelTimeout: () => {},
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -15,7 +15,7 @@
 import type { OfferedLoad } from "./offeredLoad.js";
 import type { RegionShiftLimiter } from "./regionShiftLimiter.js";
 import { createRequestQueue, type QueuedRequest } from "./requestQueue.js";
-import { classifyResponse, type ResponseAction } from "./responseAction.js";
+import { classifyResponse, isRefusedWithFreeSlots, type ResponseAction } from "./responseAction.js";
 import type { RetryBudget } from "./retryBudget.js";
 import type { RouteTable } from "./routeTable.js";
 import { createServiceRates } from "./serviceRates.js";
@@ -127,7 +127,13 @@
         }
         else {
             callerRetries.recordRefusal(job.request.fingerprint());
-            const wait = retryAfterMs({ job, now: timer.now(), pressure: pressure.levelOf(job.service), random });
+            const wait = retryAfterMs({
+                job,
+                now: timer.now(),
+                pressure: pressure.levelOf(job.service),
+                hadFreeSlots: job.wasRefusedWithFreeSlots,
+                random,
+            });
             finishJob(job, { kind: "refusal", result, retryAfterMs: wait }, why);
         }
     };
@@ -386,6 +392,11 @@
                 recordLoadReport(target, head.load, now);
             }
             releaseSlot(attempt);
+            job.wasRefusedWithFreeSlots = isRefusedWithFreeSlots(head);
+            if (job.wasRefusedWithFreeSlots) {
+                // It may accept the request next time, and elsewhere the object is probably not cached.
+                job.triedTargets.delete(target.record.id);
+            }
             const action = classifyResponse(job, head, answer);
             targetHealth.recordResponse(target, head, action.kind === "deliver");
             if (action.kind === "deliver" && head.status < 300) {
--- a/packages/core/src/steering/responseAction.ts
+++ b/packages/core/src/steering/responseAction.ts
@@ -17,6 +17,10 @@
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
+/** Whether the target refused the request although it reports free slots, so that not its load is the reason. */
+export const isRefusedWithFreeSlots = ({ isNotRun, isMisdirected, load }: ResponseHead): boolean =>
+    isNotRun && !isMisdirected && load !== undefined && load.running < load.slots;
+
 export function classifyResponse<Answer>(job: Job<Answer>, head: ResponseHead, answer: Answer): ResponseAction<Answer> {
     if (head.isNotRun || head.isMisdirected) {
         const reason = head.isMisdirected ? "another target has the address" : `shed with status ${head.status}`;
--- a/packages/core/src/steering/retryBudget.ts
+++ b/packages/core/src/steering/retryBudget.ts
@@ -33,7 +33,7 @@
 }
 
 /** Fraction of the budget that is used; the rest covers entries that restart and lose their counts. */
-const usedBudgetFraction = 0.6;
+const usedBudgetFraction = 0.75;
 const slices = 10;
 
 interface Counts {
--- a/packages/core/src/steering/targetHealth.ts
+++ b/packages/core/src/steering/targetHealth.ts
@@ -45,6 +45,11 @@
 
 /** Failure rate above which a target is ejected. */
 const ejectionFailureRate = 0.4;
+/**
+ * By how much its failure rate must exceed the mean of the service's other targets in the data centre. When all of them
+ * fail alike, an ejection only moves their requests to targets that have not cached the objects.
+ */
+const minFailureRateExcess = 0.3;
 const ejectionMs = 1_500;
 /** Maximum fraction of a service's targets in a data centre that may be ejected at once. */
 const maxEjectedFraction = 0.34;
@@ -70,8 +75,14 @@
         const unavailable = peers.filter(peer => peer.ejectedUntil > timer.now() || peer.isSuspect).length;
         return unavailable + 1 <= Math.max(1, Math.floor(maxEjectedFraction * peers.length)) && peers.length > 1;
     };
+    /** Load pattern: many targets refuse or fail part of their requests at once, for seconds. */
+    const isOutlier = (target: Target): boolean => {
+        const others = registry.targetsIn(target.record.service, target.record.dataCentre).filter(other => other !== target);
+        const meanRate = others.reduce((sum, other) => sum + other.failureRate, 0) / Math.max(1, others.length);
+        return target.failureRate > Math.max(ejectionFailureRate, meanRate + minFailureRateExcess);
+    };
     const ejectIfFailing = (target: Target): void => {
-        if (target.failureRate > ejectionFailureRate && target.ejectedUntil <= timer.now() && mayEject(target)) {
+        if (target.ejectedUntil <= timer.now() && isOutlier(target) && mayEject(target)) {
             target.ejectedUntil = timer.now() + ejectionMs;
             target.failureRate = ejectionFailureRate * 0.8;
             onChanged(target, "ejected", "too many requests failed");
--- a/packages/harness/src/steering/sharedTarget.ts
+++ b/packages/harness/src/steering/sharedTarget.ts
@@ -35,6 +35,8 @@
     accept(work: SharedTargetRequest): () => void;
     running(): number;
     queued(): number;
+    /** From now on refuses this fraction of the requests as not run, although it has free slots. */
+    setShedFraction(fraction: number): void;
     /** Crashes the target: its requests are never answered. */
     crash(): void;
 }
@@ -54,6 +56,7 @@
     const running = new Set<SharedTargetRequest>();
     const queue: SharedTargetRequest[] = [];
     let hasCrashed = false;
+    let shedFraction = 0;
     let slowness = 1;
     let slownessUntil = -Infinity;
 
@@ -114,7 +117,10 @@
             if (hasCrashed) {
                 return () => {};
             }
-            if (running.size < traits.slots) {
+            if (shedFraction > 0 && random.next() < shedFraction) {
+                reply(work, 503, true);
+            }
+            else if (running.size < traits.slots) {
                 start(work);
             }
             else if (queue.length < traits.maxQueued) {
@@ -134,6 +140,9 @@
         },
         running: () => running.size,
         queued: () => queue.length,
+        setShedFraction: fraction => {
+            shedFraction = fraction;
+        },
         crash: () => {
             hasCrashed = true;
         },
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -38,6 +38,8 @@
     run(durationMs: number): void;
     /** Crashes targets of the service in the data centre; the entries are notified at once. */
     crashTargets(service: string, dataCentre: string, count: number): void;
+    /** From now on all targets of the service refuse this fraction of the requests, although they have free slots. */
+    setShedFraction(service: string, fraction: number): void;
     classOutcome(name: string): ClassOutcome;
     /** Answers in time per request of a class; a late answer counts as a fifth. */
     earnedValueRatio(name: string): number;
@@ -343,6 +345,10 @@
                 entries.forEach(({ steering }) => steering.registry.remove(target.record.id));
             }
         },
+        setShedFraction: (service, fraction) =>
+            [...targets.values()].filter(({ record }) => record.service === service).forEach(target =>
+                target.setShedFraction(fraction)
+            ),
         classOutcome: name => outcomes.get(name)!,
         earnedValueRatio: name => {
             const { requests, inTime, late } = outcomes.get(name)!;
