fix(steer): targets that leave several at a time are not taken for records that expired

Cause, from the logs of both entries of the region: four removals of a release arrived in one batch of the watch, which upper-b-1 took for a mass expiry, so that it kept the fourth target for 2.3 s; upper-a-1 got three and one and removed all at once. The bound of four removals held for 26 targets and one watcher that asks without pause; a batch of a release on hundreds of targets always holds more.

- A batch counts as an expiry if it removes a third of all known targets; it is judged whole, so that an expiry keeps all of them.
- An outage of the store that a waiting watch doesn't notice shows in the renewals of the entry's lease, which now count as well.

--- a/packages/core/src/steering/targetRegistry.ts
+++ b/packages/core/src/steering/targetRegistry.ts
@@ -23,6 +23,7 @@
     targetsIn(service: ServiceId, dataCentre: DataCentreId): readonly Target[];
     dataCentresOf(service: ServiceId): Iterable<DataCentreId>;
     all(): Iterable<Target>;
+    count(): number;
 }
 
 export interface TargetRegistryOptions {
@@ -133,5 +134,6 @@
         targetsIn: (service, dataCentre) => index().get(service)?.get(dataCentre) ?? [],
         dataCentresOf: service => index().get(service)?.keys() ?? [],
         all: () => targets.values(),
+        count: () => targets.size,
     };
 }
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -172,7 +172,8 @@
         registry,
         members,
         self: instance,
-        hasStoreFailedRecently: () => timer.now() - replica.lastFailureAt() < storeFailureWindowMs,
+        hasStoreFailedRecently: () =>
+            timer.now() - Math.max(replica.lastFailureAt(), registration.lastFailureAt()) < storeFailureWindowMs,
         onRegistrationLost: () => registration.markLost(),
         onDocumentAccepted: next => {
             document = next;
@@ -202,6 +203,7 @@
         isWatchNeeded: () => watcherElection.isWatcher(),
         onEvent: projection.apply,
         onBatchApplied: () => {
+            projection.onBatchApplied();
             dispatcher.dispatchQueued();
             if (watcherElection.isElected() || replica.isWatching()) {
                 mesh.announceRevision();
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -204,6 +204,22 @@
     assert.deepEqual(applied, ["a", "c", "d"]);
 });
 
+test("a renewal that the store does not serve counts as a failure of the store, a lease that ended does not", async () => {
+    const store = createFakeStore();
+    const timer = createVirtualTimer();
+    const value = Buffer.from("{}");
+    const key = memberKey(toInstanceId("me"));
+    const registration = createRegistration({ store, timer, random: createRandom(1), log: silentLog, key, value });
+    registration.start();
+    await advance(timer, 2_000);
+    store.expireLeases();
+    await advance(timer, 4_000);
+    assert.equal(registration.lastFailureAt(), -Infinity);
+    store.failure = { kind: "unknown", reason: "no response" };
+    await advance(timer, 3_000);
+    assert.ok(registration.lastFailureAt() > 6_000);
+});
+
 test("an entry's record is written again after its lease expires or its key is removed", async () => {
     const store = createFakeStore();
     const timer = createVirtualTimer();
@@ -233,9 +249,15 @@
 test("a target whose record expired during a store outage is removed unless the record is written again in time", () => {
     const timer = createVirtualTimer();
     const removedIds: string[] = [];
-    const removals = createDeferredRemovals({ timer, hasStoreFailedRecently: () => true, remove: id => removedIds.push(id) });
+    const removals = createDeferredRemovals({
+        timer,
+        hasStoreFailedRecently: () => true,
+        targetCount: () => 30,
+        remove: id => removedIds.push(id),
+    });
     removals.schedule(toTargetId("live"));
     removals.schedule(toTargetId("dead"));
+    removals.decide();
     timer.advance(1_500);
     removals.cancel(toTargetId("live"));
     timer.advance(removalDelayMs);
@@ -247,12 +269,47 @@
     const removals = createDeferredRemovals({
         timer: createVirtualTimer(),
         hasStoreFailedRecently: () => false,
+        targetCount: () => 30,
         remove: id => removedIds.push(id),
     });
     removals.schedule(toTargetId("one"));
+    removals.decide();
     assert.deepEqual(removedIds, ["one"]);
 });
 
+test("targets that leave are removed at once, however many of a large deployment are in one batch of changes", () => {
+    for (const targetCount of [32, 600]) {
+        const leaving = Array.from({ length: targetCount / 4 }, (_, index) => toTargetId(`t${index}`));
+        const removedIds: string[] = [];
+        const removals = createDeferredRemovals({
+            timer: createVirtualTimer(),
+            hasStoreFailedRecently: () => false,
+            targetCount: () => targetCount,
+            remove: id => removedIds.push(id),
+        });
+        leaving.forEach(removals.schedule);
+        removals.decide();
+        assert.deepEqual(removedIds, leaving);
+    }
+});
+
+test("records that vanish together, as by an outage of the store that went unnoticed, are not removed at once", () => {
+    const timer = createVirtualTimer();
+    const removedIds: string[] = [];
+    const removals = createDeferredRemovals({
+        timer,
+        hasStoreFailedRecently: () => false,
+        targetCount: () => 32,
+        remove: id => removedIds.push(id),
+    });
+    const ids = Array.from({ length: 32 }, (_, index) => toTargetId(`t${index}`));
+    ids.forEach(removals.schedule);
+    removals.decide();
+    assert.equal(removedIds.length, 0);
+    timer.advance(removalDelayMs);
+    assert.equal(removedIds.length, ids.length);
+});
+
 /** Decodes documents from their version and targets from their address; anything else is malformed. */
 const itemDecoder: StoreItemDecoder = {
     parseKey: key =>
--- a/packages/steer/src/store/registration.ts
+++ b/packages/steer/src/store/registration.ts
@@ -3,7 +3,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import type { Store } from "./store.js";
+import type { Store, StoreFailure } from "./store.js";
 
 export interface RegistrationOptions {
     readonly store: Store;
@@ -18,6 +18,8 @@
     start(): void;
     /** Marks the record as lost, so that it is written again. */
     markLost(): void;
+    /** Time of the last call that the store did not serve, on the timer's clock. */
+    lastFailureAt(): number;
     /** Removes the record by revoking its lease. */
     deregister(): Promise<void>;
 }
@@ -31,23 +33,34 @@
     let lease: number | undefined;
     let isWritten = false;
     let isDeregistering = false;
+    let failureAt = -Infinity;
 
+    const recordFailure = (failure: StoreFailure): void => {
+        if (failure.kind !== "noLease") {
+            failureAt = timer.now();
+        }
+    };
     const write = async (): Promise<boolean> => {
         if (lease === undefined) {
             const granted = await store.grantLease(leaseMs);
             if (granted.isErr) {
+                recordFailure(granted.error);
                 return false;
             }
             lease = granted.value;
         }
         const written = await store.write({ expected: [], puts: [{ key, value, lease }], removes: [] });
-        if (written.isErr && written.error.kind === "noLease") {
-            lease = undefined;
+        if (written.isErr) {
+            recordFailure(written.error);
+            lease = written.error.kind === "noLease" ? undefined : lease;
         }
         return written.isOk;
     };
     const renew = async (): Promise<boolean> => {
         const renewed = await store.renewLease(lease!);
+        if (renewed.isErr) {
+            recordFailure(renewed.error);
+        }
         if (renewed.isErr && renewed.error.kind === "noLease") {
             lease = undefined;
             isWritten = false;
@@ -73,6 +86,7 @@
         markLost: () => {
             isWritten = false;
         },
+        lastFailureAt: () => failureAt,
         deregister: async () => {
             isDeregistering = true;
             if (lease !== undefined) {
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -27,6 +27,8 @@
 
 export interface StoreProjection {
     apply(event: StoreEvent): void;
+    /** Called after all events of a batch. */
+    onBatchApplied(): void;
     /** Decodes items of unknown targets again; changed settings may have made them valid. */
     retryUnknownTargets(items: readonly StoreItem[]): void;
     isEvacuated(dataCentre: DataCentreId): boolean;
@@ -41,6 +43,7 @@
     const removals = createDeferredRemovals({
         timer,
         hasStoreFailedRecently: options.hasStoreFailedRecently,
+        targetCount: registry.count,
         remove: registry.remove,
     });
     let version = -Infinity;
@@ -132,6 +135,7 @@
     };
     return {
         apply: event => (event.kind === "written" ? applyWritten(event.item) : applyRemoved(event.key, event.revision)),
+        onBatchApplied: removals.decide,
         retryUnknownTargets: items => {
             for (const item of items) {
                 const storeKey = parseStoreKey(item.key, decoder);
