feat: a region with few targets sends its part of the objects away from the first request

Cause: at most 0.3 of the objects left the region at first, and that share may change by only 4.5 in 100 a second, so that the region was short of slots for eight seconds. The slots are known from the start; the share now begins at the plan made from them, at most 0.7.

--- a/packages/core/src/steering/remoteObjects.ts
+++ b/packages/core/src/steering/remoteObjects.ts
@@ -28,8 +28,8 @@
  * Fraction of the limit that is used; the rest is left for requests that move between regions because a target is full.
  */
 const usedChangeFraction = 0.6;
-/** Upper bound of the initial fraction, since the load is not known yet. */
-const maxInitialFraction = 0.3;
+/** Upper bound of the initial fraction, since the load is not known yet. Later changes are slow: it has to be high enough. */
+const maxInitialFraction = 0.7;
 /** Plans that differ from the current fraction by less than this change nothing. */
 const deadBandFraction = 0.04;
 const hashSeed = 0x5eed;
