--- a/packages/core/src/steering/attemptDigest.ts
+++ b/packages/core/src/steering/attemptDigest.ts
@@ -1,8 +1,7 @@
 /**
  * What the entries of a data centre tell each other about their attempts: how many run at each target, and which objects
  * targets have begun to work on. Many entries share a target, and each of them alone sees too few of its requests to know
- * which slots are taken and which objects it has cached. They also tell which requests they refused, since a caller's retry
- * arrives at any of them.
+ * which slots are taken and which objects it has cached.
  */
 import type { Target } from "./target.js";
 
@@ -11,8 +10,6 @@
     readonly inFlight: readonly TargetCount[];
     /** Objects on which attempts started work since the previous digest. */
     readonly started: readonly StartedObject[];
-    /** Requests refused as not run since the previous digest, by the hash of their fingerprint. */
-    readonly refused: readonly number[];
 }
 
 /** Targets are named by the hash of their id. */
@@ -31,20 +28,16 @@
     /** Records that the number of this entry's attempts at the target has changed. */
     recordInFlight(target: Target): void;
     recordStarted(target: Target, object: number): void;
-    /** Records that a request was refused, so that its caller's retry is recognised at whichever entry it arrives. */
-    recordRefused(fingerprintHash: number): void;
     /** Returns what is to be told now, and forgets the objects that it names; `undefined` if nothing changed. */
     takeDigest(): AttemptDigest | undefined;
 }
 
 /** Objects named in one digest, so that it fits into a datagram. */
-const maxStartedObjects = 90;
-const maxRefused = 90;
+const maxStartedObjects = 100;
 
 export function createOwnAttempts(): OwnAttempts {
     const busyTargets = new Set<Target>();
     let started: StartedObject[] = [];
-    let refused: number[] = [];
     let hasChanged = false;
     return {
         recordInFlight: target => {
@@ -60,23 +53,14 @@
             hasChanged = true;
             started.push({ target: target.hashSeed, object });
         },
-        recordRefused: fingerprintHash => {
-            hasChanged = true;
-            refused.push(fingerprintHash);
-        },
         takeDigest: () => {
             if (!hasChanged && busyTargets.size === 0) {
                 return undefined;
             }
             const inFlight = [...busyTargets].map(target => ({ target: target.hashSeed, count: target.inFlight }));
-            const digest = {
-                inFlight,
-                started: started.slice(0, maxStartedObjects),
-                refused: refused.slice(0, maxRefused),
-            };
+            const digest = { inFlight, started: started.slice(0, maxStartedObjects) };
             started = started.slice(maxStartedObjects);
-            refused = refused.slice(maxRefused);
-            hasChanged = started.length > 0 || refused.length > 0;
+            hasChanged = started.length > 0;
             return digest;
         },
     };
--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -2,22 +2,23 @@
  * Tells refused callers when to retry, and recognises their retries. Retry times are spread out and become longer with
  * slot pressure; a caller whom targets with free slots refused comes back at once, while its response can still be in time. Retries go before other late requests, so that no request is refused twice.
  */
+import type { Fingerprint } from "../ids.js";
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
 import type { Job } from "./job.js";
 
 export interface CallerRetryTracker {
-    /** Records that this entry or a peer refused a request, which may be sent again; `fingerprint` is a hash. */
-    recordRefusal(fingerprint: number): void;
+    /** Records that a request was refused and may be sent again. */
+    recordRefusal(fingerprint: Fingerprint): void;
     /** Whether the request was refused recently; each refusal counts for one retry. */
-    consumeRefusal(fingerprint: number): boolean;
+    consumeRefusal(fingerprint: Fingerprint): boolean;
 }
 
 const refusalRetentionMs = 8_000;
-const maxRefusals = 8_000;
+const maxRefusals = 4_000;
 
 export function createCallerRetryTracker(timer: Timer): CallerRetryTracker {
-    const refusedAt = new Map<number, number>();
+    const refusedAt = new Map<Fingerprint, number>();
     return {
         recordRefusal: fingerprint => {
             refusedAt.delete(fingerprint);
--- a/packages/core/src/steering/peerAttempts.ts
+++ b/packages/core/src/steering/peerAttempts.ts
@@ -2,7 +2,6 @@
 import type { InstanceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 import type { AttemptDigest, TargetCount } from "./attemptDigest.js";
-import type { CallerRetryTracker } from "./callerRetries.js";
 import type { ObjectAffinity } from "./objectAffinity.js";
 import type { Target } from "./target.js";
 import type { TargetRegistry } from "./targetRegistry.js";
@@ -15,7 +14,6 @@
     readonly timer: Timer;
     readonly registry: TargetRegistry;
     readonly objectAffinity: ObjectAffinity;
-    readonly callerRetries: CallerRetryTracker;
 }
 
 /** Attempts of an entry without newer digests are forgotten after this time. */
@@ -33,7 +31,7 @@
 }
 
 export function createPeerAttempts(options: PeerAttemptsOptions): PeerAttempts {
-    const { timer, registry, objectAffinity, callerRetries } = options;
+    const { timer, registry, objectAffinity } = options;
     const peers = new Map<InstanceId, PeerState>();
     const add = (inFlight: readonly KnownTargetCount[], sign: 1 | -1): void =>
         inFlight.forEach(({ target, count }) => {
@@ -58,7 +56,6 @@
             const inFlight = resolve(digest.inFlight);
             add(inFlight, 1);
             peers.set(entry, { inFlight, receivedAt: timer.now() });
-            digest.refused.forEach(callerRetries.recordRefusal);
             for (const item of digest.started) {
                 const target = registry.findByHash(item.target);
                 if (target !== undefined) {
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -2,7 +2,6 @@
  * Dispatches requests to targets, from arrival to the final response. Makes decisions only; sending, reading and
  * responding are done by functions that are passed in.
  */
-import { hashText } from "../hash/hash.js";
 import { type AttemptId, type DataCentreId, type ServiceId, toAttemptId } from "../ids.js";
 import type { PoisonList } from "../poison/poisonList.js";
 import type { Random } from "../random/random.js";
@@ -10,7 +9,7 @@
 import type { Timer } from "../time/timer.js";
 import { isDeferredAsLate, isLikelyServedInTime, isWorthSendingNow, lateWaitDeadline } from "./admission.js";
 import type { OwnAttempts } from "./attemptDigest.js";
-import { type CallerRetryTracker, retryAfterMs } from "./callerRetries.js";
+import { createCallerRetryTracker, retryAfterMs } from "./callerRetries.js";
 import { type Attempt, createJob, type FinalResponse, type Job, type ResponseHead, type SteeringRequest } from "./job.js";
 import type { ObjectAffinity } from "./objectAffinity.js";
 import type { OfferedLoad } from "./offeredLoad.js";
@@ -69,7 +68,6 @@
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
     readonly ownAttempts: OwnAttempts;
-    readonly callerRetries: CallerRetryTracker;
     readonly offeredLoad: OfferedLoad;
     readonly pressure: SlotPressure;
     readonly retryBudget: RetryBudget;
@@ -90,8 +88,9 @@
 const maxFailedConnections = 3;
 
 export function createRequestDispatcher<Answer>(options: RequestDispatcherOptions<Answer>): RequestDispatcher<Answer> {
-    const { timer, random, targetSelector, pressure, retryBudget, workTimes, events, targetHealth, callerRetries } = options;
+    const { timer, random, targetSelector, pressure, retryBudget, workTimes, events, targetHealth } = options;
     const queue = createRequestQueue<Answer>();
+    const callerRetries = createCallerRetryTracker(timer);
     const rates = createServiceRates(timer, options.offeredLoad);
     const finishers = new Map<Job<Answer>, (response: FinalResponse<Answer>) => void>();
     const inFlight = new Map<string, number>();
@@ -127,9 +126,7 @@
             finishJob(job, { kind: "refusal", result: results.outcomeUnknown, retryAfterMs: undefined }, why);
         }
         else {
-            const fingerprint = hashText(job.request.fingerprint());
-            callerRetries.recordRefusal(fingerprint);
-            options.ownAttempts.recordRefused(fingerprint);
+            callerRetries.recordRefusal(job.request.fingerprint());
             const wait = retryAfterMs({
                 job,
                 now: timer.now(),
@@ -343,7 +340,7 @@
         }
         const service = options.roundRobin.nextService(route);
         retryBudget.deposit(service);
-        const isCallerRetry = callerRetries.consumeRefusal(hashText(request.fingerprint()));
+        const isCallerRetry = callerRetries.consumeRefusal(request.fingerprint());
         const job = createJob<Answer>({ request, route, service, isCallerRetry });
         if (route.isSticky && request.objectId !== undefined) {
             options.objectAffinity.recordUse(service, objectKey(route, request.objectId));
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -7,7 +7,6 @@
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
 import { createOwnAttempts, type OwnAttempts } from "./attemptDigest.js";
-import { createCallerRetryTracker } from "./callerRetries.js";
 import { coldRateLimitPerEntry } from "./coldTargetLimit.js";
 import type { Attempt } from "./job.js";
 import type { MemberRecord, Members } from "./members.js";
@@ -85,13 +84,12 @@
     const workTimes = createWorkTimes();
     const objectAffinity = createObjectAffinity(timer);
     const ownAttempts = createOwnAttempts();
-    const callerRetries = createCallerRetryTracker(timer);
     const pressure = createSlotPressure(timer);
     const offeredLoad = createOfferedLoad(timer);
     const maxRegionShift = (): number => bounds().regionShift;
     const regionShift = createRegionShiftLimiter({ timer, maxFractionChange: maxRegionShift });
     const registry = createTargetRegistry({ timer, onChanged: options.onTargetChanged });
-    const peerAttempts = createPeerAttempts({ timer, registry, objectAffinity, callerRetries });
+    const peerAttempts = createPeerAttempts({ timer, registry, objectAffinity });
     const topology = createTopology({ self, regions: () => bounds().regions, members });
     const { roundTripMs, coversDataCentre } = topology;
     const spillover = createSpillover({
@@ -161,7 +159,6 @@
         workTimes,
         objectAffinity,
         ownAttempts,
-        callerRetries,
         offeredLoad,
         pressure,
         retryBudget: createRetryBudget({
--- a/packages/steer/src/mesh/digestCodec.ts
+++ b/packages/steer/src/mesh/digestCodec.ts
@@ -1,6 +1,6 @@
 /**
  * Datagrams that tell the other entries of the data centre about attempts: compact `msgpackr` arrays; each digest is its
- * sender and three byte strings of fixed-size rows.
+ * sender and two byte strings of fixed-size rows.
  */
 import { type InstanceId, toInstanceId } from "@pimentospring/core/ids";
 import type { AttemptDigest, StartedObject, TargetCount } from "@pimentospring/core/steering/attemptDigest";
@@ -16,8 +16,6 @@
 const maxCount = 255;
 /** Two 32-bit hashes. */
 const startedRowBytes = 8;
-/** A 32-bit hash. */
-const refusedRowBytes = 4;
 /** Rows of each kind in one digest, so that it fits into a datagram. */
 const maxRows = 90;
 /** Lengths and types of a digest's parts. */
@@ -34,8 +32,7 @@
 
 /** Size of a digest in a datagram, rounded up. */
 export const digestBytes = ({ sender, digest }: PeerDigest): number =>
-    sender.length + framingBytes + digest.inFlight.length * countRowBytes + digest.started.length * startedRowBytes
-    + digest.refused.length * refusedRowBytes;
+    sender.length + framingBytes + digest.inFlight.length * countRowBytes + digest.started.length * startedRowBytes;
 
 export const encodeDigests = ({ isRelayed, digests }: DigestMessage): Buffer =>
     packr.pack([isRelayed, digests.map(encodeDigest)]);
@@ -64,20 +61,16 @@
     sender,
     encodeCounts(digest.inFlight.slice(0, maxRows)),
     encodeStarted(digest.started.slice(0, maxRows)),
-    encodeHashes(digest.refused.slice(0, maxRows)),
 ];
 
 function decodeDigest(row: unknown): PeerDigest | undefined {
-    if (!Array.isArray(row) || row.length !== 4) {
+    if (!Array.isArray(row) || row.length !== 3) {
         return undefined;
     }
-    const [sender, counts, started, refused] = row as unknown[];
-    const areRows = isRows(counts, countRowBytes) && isRows(started, startedRowBytes) && isRows(refused, refusedRowBytes);
-    if (typeof sender !== "string" || !areRows) {
-        return undefined;
-    }
-    const digest = { inFlight: decodeCounts(counts), started: decodeStarted(started), refused: decodeHashes(refused) };
-    return { sender: toInstanceId(sender), digest };
+    const [sender, counts, started] = row as [unknown, unknown, unknown];
+    return typeof sender === "string" && isRows(counts, countRowBytes) && isRows(started, startedRowBytes)
+        ? { sender: toInstanceId(sender), digest: { inFlight: decodeCounts(counts), started: decodeStarted(started) } }
+        : undefined;
 }
 
 const isRows = (value: unknown, rowBytes: number): value is Buffer =>
@@ -101,12 +94,6 @@
     return bytes;
 }
 
-function encodeHashes(hashes: readonly number[]): Buffer {
-    const bytes = Buffer.alloc(hashes.length * refusedRowBytes);
-    hashes.forEach((hash, index) => bytes.writeUInt32BE(hash, index * refusedRowBytes));
-    return bytes;
-}
-
 const rowStarts = (bytes: Buffer, rowBytes: number): number[] =>
     Array.from({ length: bytes.length / rowBytes }, (_, index) => index * rowBytes);
 
@@ -115,5 +102,3 @@
 
 const decodeStarted = (bytes: Buffer): StartedObject[] =>
     rowStarts(bytes, startedRowBytes).map(at => ({ target: bytes.readUInt32BE(at), object: bytes.readUInt32BE(at + 4) }));
-
-const decodeHashes = (bytes: Buffer): number[] => rowStarts(bytes, refusedRowBytes).map(at => bytes.readUInt32BE(at));
