test(harness): callers choose an entry for each new connection, as the users' callers do

Cause: simulated callers sent their retries to the entry that had refused them, which knows them; the users' callers choose at random. Change: the choice. sheddingTargets and overfilledTargets pass.

--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -280,7 +280,7 @@
                 return;
             }
             const waitMs = Math.min(retryAfterMs, maxRetryDelayFraction * (deadlineAt - timer.now()));
-            timer.after(waitMs, () => sendRequest(caller, true));
+            timer.after(waitMs, () => sendRequest({ ...caller, entry: anyEntryOf(caller.entry.dataCentre) }, true));
         };
         caller.entry.steering.dispatcher.submit({
             id,
@@ -293,17 +293,21 @@
             fingerprint: () => caller.id as Fingerprint,
         }, finish);
     };
+    /** Callers choose an entry for each new connection. */
+    const anyEntryOf = (dataCentre: DataCentreId): Entry => {
+        const local = entries.filter(entry => entry.dataCentre === dataCentre);
+        return local[random.below(local.length)]!;
+    };
     const drawWorkMs = (trafficClass: TrafficClass): number => {
         const spread = 1 + workDeviationRatio * (2 * random.next() - 1) * Math.sqrt(3);
         return trafficClass.workMs * spread * (random.next() < straggler.fraction ? straggler.factor : 1);
     };
     const startCaller = (trafficClass: TrafficClass, dataCentre: string): void => {
-        const own = entries.filter(entry => entry.dataCentre === dataCentre);
         const caller: Caller = {
             trafficClass,
             object: `${regionOf(dataCentre)}${random.below(trafficClass.objectCount)}`,
             firstSentAt: timer.now(),
-            entry: own[random.below(own.length)]!,
+            entry: anyEntryOf(toDataCentreId(dataCentre)),
             workMs: drawWorkMs(trafficClass),
             id: `c${requestCount}`,
         };
