--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -31,6 +31,7 @@
     SteeringSimulationOptions,
     TrafficClass,
 } from "./simulationOptions.js";
+import { valueRatio } from "./valueRatio.js";
 
 export interface SteeringSimulation {
     readonly timer: VirtualTimer;
@@ -67,7 +68,6 @@
 /** Relative standard deviation of the service time, and the stragglers, which take several times as long. */
 const workDeviationRatio = 0.15;
 const straggler = { fraction: 0.03, factor: 7 };
-const lateAnswerRatio = 0.2;
 /** A caller waits for the advised retry delay, but at most for this fraction of the remaining time. */
 const maxRetryDelayFraction = 1 / 3;
 const peerUpdateIntervalMs = 1_000;
@@ -358,10 +358,7 @@
             ),
         classOutcome: name => outcomes.get(name)!,
         regionOutcome: region => regionOutcomes.get(toRegionId(region))!,
-        earnedValueRatio: name => {
-            const { requests, inTime, late } = outcomes.get(name)!;
-            return (inTime + lateAnswerRatio * late) / requests;
-        },
+        earnedValueRatio: name => valueRatio(outcomes.get(name)!),
         serviceOutcome: name => {
             const { sent, sentToFull, waiting, running } = counts.get(name)!;
             return { sent, sentToFullTargets: sentToFull, meanQueued: waiting / sampleCount, meanRunning: running / sampleCount };
