fix: objects that start together beyond the size of a digest are told in the next one

Cause: an entry put up to 100 started objects into a digest, of which the codec encodes 90; the others were lost, found while reading the change again. Change: one constant for both.

--- a/packages/core/src/steering/__tests__/peerAttempts.test.ts
+++ b/packages/core/src/steering/__tests__/peerAttempts.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { toInstanceId } from "../../ids.js";
 import { createVirtualTimer } from "../../time/virtualTimer.js";
-import { createOwnAttempts } from "../attemptDigest.js";
+import { createOwnAttempts, maxStartedObjects } from "../attemptDigest.js";
 import { createObjectAffinity } from "../objectAffinity.js";
 import { createPeerAttempts } from "../peerAttempts.js";
 import { freeSlots, recordLoadReport, type Target } from "../target.js";
@@ -85,3 +85,13 @@
     assert.deepEqual(own.takeDigest(), { inFlight: [], started: [] });
     assert.equal(own.takeDigest(), undefined);
 });
+
+test("objects that don't fit into a digest follow in the next one", () => {
+    const { target } = createView();
+    const own = createOwnAttempts();
+    const objects = Array.from({ length: maxStartedObjects + 10 }, (_, index) => index);
+    objects.forEach(object => own.recordStarted(target(), object));
+    const [full, rest] = [own.takeDigest()!, own.takeDigest()!];
+    assert.equal(full.started.length, maxStartedObjects);
+    assert.deepEqual([...full.started, ...rest.started].map(({ object }) => object), objects);
+});
--- a/packages/core/src/steering/attemptDigest.ts
+++ b/packages/core/src/steering/attemptDigest.ts
@@ -32,8 +32,8 @@
     takeDigest(): AttemptDigest | undefined;
 }
 
-/** Objects named in one digest, so that it fits into a datagram. */
-const maxStartedObjects = 100;
+/** Objects named in one digest, so that it fits into a datagram; the others follow in the next one. */
+export const maxStartedObjects = 90;
 
 export function createOwnAttempts(): OwnAttempts {
     const busyTargets = new Set<Target>();
--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -1,6 +1,7 @@
 /**
  * Tells refused callers when to retry, and recognises their retries. Retry times are spread out and become longer with
- * slot pressure; a caller whom targets with free slots refused comes back at once, while its response can still be in time. Retries go before other late requests, so that no request is refused twice.
+ * slot pressure; a caller whom targets with free slots refused comes back at once, while its response can still be in
+ * time. Retries go before other late requests, so that no request is refused twice.
  */
 import type { Fingerprint } from "../ids.js";
 import type { Random } from "../random/random.js";
--- a/packages/steer/src/mesh/digestCodec.ts
+++ b/packages/steer/src/mesh/digestCodec.ts
@@ -3,7 +3,12 @@
  * sender and two byte strings of fixed-size rows.
  */
 import { type InstanceId, toInstanceId } from "@pimentospring/core/ids";
-import type { AttemptDigest, StartedObject, TargetCount } from "@pimentospring/core/steering/attemptDigest";
+import {
+    type AttemptDigest,
+    maxStartedObjects,
+    type StartedObject,
+    type TargetCount,
+} from "@pimentospring/core/steering/attemptDigest";
 import { Packr } from "msgpackr";
 
 export interface PeerDigest {
@@ -16,8 +21,8 @@
 const maxCount = 255;
 /** Two 32-bit hashes. */
 const startedRowBytes = 8;
-/** Rows of each kind in one digest, so that it fits into a datagram. */
-const maxRows = 90;
+/** Rows of each kind in one digest. */
+const maxRows = maxStartedObjects;
 /** Lengths and types of a digest's parts. */
 const framingBytes = 8;
 
--- a/packages/steer/src/store/__tests__/malformedPeers.test.ts
+++ b/packages/steer/src/store/__tests__/malformedPeers.test.ts
@@ -1,5 +1,6 @@
 /** What other writers and other versions put into the store or send as a peer: malformed parts change nothing. */
 import { toInstanceId } from "@pimentospring/core/ids";
+import { maxStartedObjects } from "@pimentospring/core/steering/attemptDigest";
 import fc from "fast-check";
 import { Packr } from "msgpackr";
 import assert from "node:assert/strict";
@@ -78,6 +79,9 @@
     const message = { isRelayed: true, digests: [peerDigest, { ...peerDigest, sender: toInstanceId("b") }] };
     const bytes = encodeDigests(message);
     assert.deepEqual(decodeDigests(bytes), message);
+    const started = Array.from({ length: maxStartedObjects }, (_, index) => ({ target: index, object: index }));
+    const full = { isRelayed: false, digests: [{ sender: toInstanceId("a"), digest: { inFlight: [], started } }] };
+    assert.deepEqual(decodeDigests(encodeDigests(full)), full);
     assert.equal(decodeHeartbeat(bytes), undefined);
     assert.equal(decodeDigests(packr.pack(["a", 0, 7, [], []])), undefined);
     assert.ok(encodeDigests({ isRelayed: false, digests: [peerDigest] }).length < 30);
