--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -1,29 +1,26 @@
-/**
- * Simulates several entries that steer one load to the same targets, in virtual time.
- * Callers retry a refused request once, after the advised delay, as the users' callers do.
- */
+/** Simulates several entries that steer one load to the same targets, in virtual time. */
 import { hashText } from "@pimentospring/core/hash/hash";
 import {
     type DataCentreId,
-    type Fingerprint,
     type InstanceId,
     toDataCentreId,
     toInstanceId,
     toRegionId,
-    toRequestId,
     toServiceId,
     toTargetId,
 } from "@pimentospring/core/ids";
 import { createPoisonList } from "@pimentospring/core/poison/poisonList";
 import { createRandom } from "@pimentospring/core/random/random";
-import type { Attempt, FinalResponse } from "@pimentospring/core/steering/job";
+import type { Attempt } from "@pimentospring/core/steering/job";
 import { createMembers, type MemberRecord } from "@pimentospring/core/steering/members";
 import { createRouteTable } from "@pimentospring/core/steering/routeTable";
 import { createSteering, type Steering, type SteeringBounds } from "@pimentospring/core/steering/steering";
 import type { Route, Service } from "@pimentospring/core/steering/steeringDocument";
 import type { TargetRecord } from "@pimentospring/core/steering/targetRecord";
 import { createVirtualTimer, type VirtualTimer } from "@pimentospring/core/time/virtualTimer";
+import { oneWayDelayMs, regionOf } from "./network.js";
 import { createSharedTarget, type SharedTarget } from "./sharedTarget.js";
+import { createSimulatedCallers, simulatedHost } from "./simulatedCallers.js";
 import type {
     ClassOutcome,
     ServiceOutcome,
@@ -55,26 +52,9 @@
     readonly steering: Steering<string>;
 }
 
-interface Caller {
-    readonly trafficClass: TrafficClass;
-    readonly object: string;
-    readonly firstSentAt: number;
-    readonly entry: Entry;
-    readonly workMs: number;
-    readonly id: string;
-}
-
-const simulatedHost = "world.example";
-/** Relative standard deviation of the service time, and the stragglers, which take several times as long. */
-const workDeviationRatio = 0.15;
-const straggler = { fraction: 0.03, factor: 7 };
-/** A caller waits for the advised retry delay, but at most for this fraction of the remaining time. */
-const maxRetryDelayFraction = 1 / 3;
 const peerUpdateIntervalMs = 1_000;
 const digestIntervalMs = 250;
 const sampleIntervalMs = 20;
-/** One-way network delays. */
-const oneWayDelaysMs = { sameDataCentre: 0.2, sameRegion: 0.9, remote: 35 };
 const bounds: Omit<SteeringBounds, "regions"> = {
     regionShift: 0.15,
     repeats: { ratio: 0.2, slack: 56, windowMs: 10_000 },
@@ -82,15 +62,6 @@
     prices: { dataCentre: 0.02, region: 0.01 },
 };
 
-const regionOf = (dataCentre: string) => toRegionId(dataCentre.split("-")[0]!);
-
-function oneWayDelayMs(from: string, to: string): number {
-    if (from === to) {
-        return oneWayDelaysMs.sameDataCentre;
-    }
-    return regionOf(from) === regionOf(to) ? oneWayDelaysMs.sameRegion : oneWayDelaysMs.remote;
-}
-
 export function createSteeringSimulation(options: SteeringSimulationOptions): SteeringSimulation {
     const timer = createVirtualTimer();
     const random = createRandom(options.seed);
@@ -113,14 +84,8 @@
     });
     const targets = new Map<string, SharedTarget>();
     const abandonByAttempt = new Map<Attempt<string>, () => void>();
-    const workMsByRequest = new Map<string, number>();
-    const noOutcome = (): ClassOutcome => ({ requests: 0, inTime: 0, late: 0, refused: 0, failed: 0 });
-    const outcomes = new Map(options.classes.map(({ name }) => [name, noOutcome()]));
-    const regionOutcomes = new Map(dataCentres.map(name => [regionOf(name), noOutcome()]));
     const counts = new Map(options.services.map(({ name }) => [name, { sent: 0, sentToFull: 0, waiting: 0, running: 0 }]));
     let sampleCount = 0;
-    let requestCount = 0;
-    let isLoadRunning = true;
 
     const sendToTarget = (entry: Entry, attempt: Attempt<string>): void => {
         const { record } = attempt.target;
@@ -137,7 +102,7 @@
             const { request, route } = attempt.job;
             const abandon = target.accept({
                 object: `${route.prefix}${request.objectId}`,
-                workMs: workMsByRequest.get(request.id)!,
+                workMs: callers.workMsOf(request.id),
                 deadlineAt: request.deadlineAt,
                 respond: head =>
                     timer.after(delayMs, () => {
@@ -259,69 +224,13 @@
         }
     };
 
-    const outcomesOf = ({ trafficClass, firstSentAt, entry }: Caller): readonly ClassOutcome[] =>
-        firstSentAt < (options.countedFromMs ?? 0)
-            ? []
-            : [outcomes.get(trafficClass.name)!, regionOutcomes.get(regionOf(entry.dataCentre))!];
-    const sendRequest = (caller: Caller, isRetry: boolean): void => {
-        const count = (ending: keyof ClassOutcome): void => outcomesOf(caller).forEach(outcome => outcome[ending]++);
-        const deadlineAt = caller.firstSentAt + caller.trafficClass.deadlineMs;
-        const id = toRequestId(`r${++requestCount}`);
-        workMsByRequest.set(id, caller.workMs);
-        const finish = (ending: FinalResponse<string>): void => {
-            workMsByRequest.delete(id);
-            if (ending.kind === "answer") {
-                count(timer.now() - caller.firstSentAt <= caller.trafficClass.objectiveMs ? "inTime" : "late");
-                return;
-            }
-            const retryAfterMs = ending.retryAfterMs;
-            if (isRetry || retryAfterMs === undefined) {
-                count(ending.result.outcome === "notRun" ? "refused" : "failed");
-                return;
-            }
-            const waitMs = Math.min(retryAfterMs, maxRetryDelayFraction * (deadlineAt - timer.now()));
-            timer.after(waitMs, () => sendRequest({ ...caller, entry: anyEntryOf(caller.entry.dataCentre) }, true));
-        };
-        caller.entry.steering.dispatcher.submit({
-            id,
-            host: simulatedHost,
-            path: `/${caller.trafficClass.name}/${caller.object}`,
-            objectId: caller.object,
-            arrivedAt: timer.now(),
-            deadlineAt,
-            bodyBytes: 0,
-            fingerprint: () => caller.id as Fingerprint,
-        }, finish);
-    };
-    /** Callers choose an entry for each new connection. */
-    const anyEntryOf = (dataCentre: DataCentreId): Entry => {
-        const local = entries.filter(entry => entry.dataCentre === dataCentre);
-        return local[random.below(local.length)]!;
-    };
-    const drawWorkMs = (trafficClass: TrafficClass): number => {
-        const spread = 1 + workDeviationRatio * (2 * random.next() - 1) * Math.sqrt(3);
-        return trafficClass.workMs * spread * (random.next() < straggler.fraction ? straggler.factor : 1);
-    };
-    const startCaller = (trafficClass: TrafficClass, dataCentre: string): void => {
-        const caller: Caller = {
-            trafficClass,
-            object: `${regionOf(dataCentre)}${random.below(trafficClass.objectCount)}`,
-            firstSentAt: timer.now(),
-            entry: anyEntryOf(toDataCentreId(dataCentre)),
-            workMs: drawWorkMs(trafficClass),
-            id: `c${requestCount}`,
-        };
-        outcomesOf(caller).forEach(outcome => outcome.requests++);
-        sendRequest(caller, false);
-    };
-    const scheduleArrivals = (trafficClass: TrafficClass, dataCentre: string): void => {
-        timer.after(random.exponential(1_000 / trafficClass.arrivalsPerSecond), () => {
-            if (isLoadRunning) {
-                startCaller(trafficClass, dataCentre);
-                scheduleArrivals(trafficClass, dataCentre);
-            }
-        });
-    };
+    const callers = createSimulatedCallers({
+        timer,
+        random,
+        simulation: options,
+        dispatchersIn: dataCentre =>
+            entries.filter(entry => entry.dataCentre === dataCentre).map(({ steering }) => steering.dispatcher),
+    });
 
     for (const service of options.services) {
         for (const [dataCentre, count] of Object.entries(service.targetCounts)) {
@@ -333,13 +242,13 @@
     timer.subscribe(peerUpdateIntervalMs, broadcastLoads);
     timer.subscribe(digestIntervalMs, shareDigests);
     timer.subscribe(sampleIntervalMs, sample);
-    dataCentres.forEach(dataCentre => options.classes.forEach(trafficClass => scheduleArrivals(trafficClass, dataCentre)));
+    callers.start();
     const maxDeadlineMs = Math.max(...options.classes.map(trafficClass => trafficClass.deadlineMs));
     return {
         timer,
         run: durationMs => {
             timer.advance(durationMs);
-            isLoadRunning = false;
+            callers.stop();
             timer.advance(2 * maxDeadlineMs);
         },
         crashTargets: (service, dataCentre, count) => {
@@ -356,9 +265,9 @@
             [...targets.values()].filter(({ record }) => record.service === service).forEach(target =>
                 target.setShedFraction(fraction)
             ),
-        classOutcome: name => outcomes.get(name)!,
-        regionOutcome: region => regionOutcomes.get(toRegionId(region))!,
-        earnedValueRatio: name => valueRatio(outcomes.get(name)!),
+        classOutcome: callers.classOutcome,
+        regionOutcome: region => callers.regionOutcome(toRegionId(region)),
+        earnedValueRatio: name => valueRatio(callers.classOutcome(name)),
         serviceOutcome: name => {
             const { sent, sentToFull, waiting, running } = counts.get(name)!;
             return { sent, sentToFullTargets: sentToFull, meanQueued: waiting / sampleCount, meanRunning: running / sampleCount };
--- a/scripts/src/__tests__/platform.test.ts
+++ b/scripts/src/__tests__/platform.test.ts
@@ -1,7 +1,7 @@
 /** End-to-end tests of the steering daemon as a process, against stand-ins for the platform's store and targets. */
 import { standinHost } from "@pimentospring/standin/direct/operatorStandin";
 import assert from "node:assert/strict";
-import { spawnSync } from "node:child_process";
+import { spawn } from "node:child_process";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
@@ -42,22 +42,29 @@
 
 const clientMain = fileURLToPath(new URL("../../../packages/client/dist/main.js", import.meta.url));
 
-function runClient(...args: readonly string[]): { readonly code: number | null; readonly text: string; } {
-    const result = spawnSync(process.execPath, [clientMain, ...args], { encoding: "utf8" });
-    return { code: result.status, text: result.stdout + result.stderr };
+/** Doesn't block this process, in which the store and the targets run. */
+function runClient(...args: readonly string[]): Promise<{ readonly code: number | null; readonly text: string; }> {
+    const child = spawn(process.execPath, [clientMain, ...args]);
+    let text = "";
+    const collect = (chunk: Buffer): void => {
+        text += String(chunk);
+    };
+    child.stdout.on("data", collect);
+    child.stderr.on("data", collect);
+    return new Promise(resolve => child.once("close", code => resolve({ code, text })));
 }
 
-test("the client shows the entries of the mesh and the route of a request", () => {
+test("the client shows the entries of the mesh and the route of a request", async () => {
     const control = addressOf(daemons[0]!, "control");
-    const status = runClient("steering", control);
+    const status = await runClient("steering", control);
     assert.equal(status.code, 0, status.text);
     daemons.forEach(({ host }) => assert.match(status.text, new RegExp(`${host}/\\S+ +cpt-a +3 +\\d+ +watches`)));
-    const route = runClient("route", control, standinHost, "/order/1");
+    const route = await runClient("route", control, standinHost, "/order/1");
     assert.equal(route.code, 0, route.text);
     assert.match(route.text, /route \/order\/ \(\/order\/\) of version 3\nmay run more than once: no; at most 2 targets/);
-    const notFound = runClient("route", control, standinHost, "/none/1");
+    const notFound = await runClient("route", control, standinHost, "/none/1");
     assert.deepEqual([notFound.code, notFound.text], [1, "a.example/none/1: no route in version 3\n"]);
-    const unreachable = runClient("steering", "127.0.71.200:17413");
+    const unreachable = await runClient("steering", "127.0.71.200:17413");
     assert.equal(unreachable.code, 5);
     assert.match(unreachable.text, /5009/);
 });
