--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -32,6 +32,7 @@
 
 function startReplica(
     store: FakeStore,
+    onEvent: (event: StoreEvent) => void = () => {},
 ): { readonly timer: VirtualTimer; readonly replica: StoreReplica; readonly events: StoreEvent[]; } {
     const timer = createVirtualTimer();
     const events: StoreEvent[] = [];
@@ -43,7 +44,10 @@
         prefix: "",
         watchPauseMs: () => 100,
         isWatchNeeded: () => watchNeed.isNeeded,
-        onEvent: event => events.push(event),
+        onEvent: event => {
+            events.push(event);
+            onEvent(event);
+        },
         onBatchApplied: () => {},
     });
     replica.start();
@@ -180,23 +184,11 @@
 test("an item that can't be applied keeps neither the others nor the watch from going on", async () => {
     const store = createFakeStore();
     ["a", "b", "c"].forEach(key => store.put(key, "1"));
-    const timer = createVirtualTimer();
     const applied: string[] = [];
-    const replica = createStoreReplica({
-        store,
-        timer,
-        random: createRandom(1),
-        log: silentLog,
-        prefix: "",
-        watchPauseMs: () => 100,
-        isWatchNeeded: () => true,
-        onEvent: event => {
-            assert.ok(event.kind === "written" && event.item.key !== "b");
-            applied.push(event.item.key);
-        },
-        onBatchApplied: () => {},
+    const { timer } = startReplica(store, event => {
+        assert.ok(event.kind === "written" && event.item.key !== "b");
+        applied.push(event.item.key);
     });
-    replica.start();
     await advance(timer, 500);
     assert.deepEqual(applied, ["a", "c"]);
     store.put("d", "1");
