refactor(steer): timeouts of store calls by the timer service, transports as arguments, replication wired in one module

Cause: the parts that follow the store can't be played together in virtual time. Timeouts of store calls ran on AbortSignal.timeout in the adapter, which also decided them; the mesh opened its own UDP socket, and state requests their own HTTP calls; steer.ts wired replica, registration, election and state requests. Change: createStoreCalls ends each call in bounded time; the port's calls take a signal; DatagramSocket and StateRequester are arguments; createReplication wires the parts. No behaviour changes.

--- a/packages/steer/src/mesh/__tests__/digestRelay.test.ts
+++ b/packages/steer/src/mesh/__tests__/digestRelay.test.ts
@@ -6,6 +6,7 @@
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
 import { test, type TestContext } from "node:test";
+import { createUdpSocket } from "../datagramSocket.js";
 import { digestBytes, encodeDigests, type PeerDigest } from "../digestCodec.js";
 import { createDigestRelay } from "../digestRelay.js";
 import { createMesh, type Mesh } from "../mesh.js";
@@ -76,6 +77,7 @@
         const mesh = createMesh({
             timer,
             log: { write: () => {} } as unknown as Log,
+            socket: createUdpSocket(),
             self,
             members,
             ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [] }),
--- a/packages/steer/src/mesh/__tests__/mesh.test.ts
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -6,6 +6,7 @@
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
 import { test } from "node:test";
+import { createUdpSocket } from "../datagramSocket.js";
 import { createMesh, type Mesh } from "../mesh.js";
 
 const service = toServiceId("tokens");
@@ -45,6 +46,7 @@
         const mesh = createMesh({
             timer,
             log: silentLog,
+            socket: createUdpSocket(),
             self,
             members,
             ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [{ service, slots: slots.get(self.id)! }] }),
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -10,7 +10,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import { createSocket, type Socket } from "node:dgram";
+import type { DatagramSocket } from "./datagramSocket.js";
 import { decodeDigests, type DigestMessage, encodeDigests, type PeerDigest } from "./digestCodec.js";
 import { createDigestRelay } from "./digestRelay.js";
 import { decodeHeartbeat, encodeHeartbeat, type EntryLoads, type Heartbeat, type PoisonReport } from "./heartbeat.js";
@@ -18,6 +18,7 @@
 export interface MeshOptions {
     readonly timer: Timer;
     readonly log: Log;
+    readonly socket: DatagramSocket;
     readonly self: MemberRecord;
     readonly members: Members;
     /** Load currently offered by this entry's callers. */
@@ -73,8 +74,7 @@
 }
 
 export function createMesh(options: MeshOptions): Mesh {
-    const { timer, log, self, members } = options;
-    const socket: Socket = createSocket("udp4");
+    const { timer, log, socket, self, members } = options;
     const digestRelay = createDigestRelay();
     const localLoads = new Map<string, ReceivedLoads>();
     const remoteLoads = new Map<string, ReceivedLoads>();
@@ -87,13 +87,8 @@
         if (!isOpen) {
             return;
         }
-        const [host, port] = member.record.mesh.split(":");
         sentBytes += bytes.length;
-        socket.send(bytes, Number(port), host, error => {
-            if (error !== null) {
-                log.write(logEvents.datagramFailed, { peer: member.record.mesh, reason: error.message });
-            }
-        });
+        socket.send(member.record.mesh, bytes);
     };
     const isLocal = (member: Member): boolean => member.record.dataCentre === self.dataCentre;
     /** The live entry with the lowest id in each data centre; `undefined` where that is this entry. */
@@ -198,20 +193,15 @@
         options.onHeartbeat(heartbeat, member);
     };
     return {
-        start: () =>
-            new Promise((resolve, reject) => {
-                const [host, port] = self.mesh.split(":");
-                socket.once("error", reject);
-                socket.bind(Number(port), host, () => {
-                    socket.off("error", reject);
-                    socket.on("error", error => log.write(logEvents.datagramFailed, { reason: error.message }));
-                    isOpen = true;
-                    resolve();
-                });
-                socket.on("message", receiveDatagram);
-                timer.subscribe(heartbeatIntervalMs, sendHeartbeats);
-                timer.subscribe(digestIntervalMs, sendDigests);
-            }),
+        start: async () => {
+            await socket.bind(self.mesh, {
+                onDatagram: receiveDatagram,
+                onError: (reason, peer) => log.write(logEvents.datagramFailed, { peer, reason }),
+            });
+            isOpen = true;
+            timer.subscribe(heartbeatIntervalMs, sendHeartbeats);
+            timer.subscribe(digestIntervalMs, sendDigests);
+        },
         broadcastPoison: poison => {
             const bytes = encodeHeartbeat(createHeartbeat([], [poison]));
             members.liveMembers().forEach(member => sendTo(member, bytes));
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -23,6 +23,7 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createCallerServer } from "./callers/callerServer.js";
 import { createRequestHandler } from "./callers/requestHandler.js";
+import { createUdpSocket } from "./mesh/datagramSocket.js";
 import type { Heartbeat } from "./mesh/heartbeat.js";
 import { createMesh } from "./mesh/mesh.js";
 import { registerGauges } from "./observe/gauges.js";
@@ -32,13 +33,11 @@
 import { startServiceLog } from "./observe/serviceLog.js";
 import { createStatusRoutes } from "./observe/statusRoutes.js";
 import type { SteerSettings } from "./settings/settings.js";
-import { createPeerSync } from "./store/peerSync.js";
-import { createRegistration } from "./store/registration.js";
+import { createReplication } from "./store/replication.js";
+import { requestState } from "./store/stateRequester.js";
 import type { Store } from "./store/store.js";
-import { encodeMember, memberKey, type StoreItemDecoder } from "./store/storeItems.js";
+import type { StoreItemDecoder } from "./store/storeItems.js";
 import { createStoreProjection } from "./store/storeProjection.js";
-import { createStoreReplica, storeFailureWindowMs } from "./store/storeReplica.js";
-import { createWatcherElection } from "./store/watcherElection.js";
 import { createHealthChecks } from "./targets/healthChecks.js";
 import { createTargetConnections } from "./targets/targetConnections.js";
 import type { TargetResponse } from "./targets/targetResponse.js";
@@ -78,8 +77,6 @@
 const maxBufferedBytes = 64 * 1024 * 1024;
 /** Limit on the memory of all request bodies together. */
 const maxRequestBytes = 64 * 1024 * 1024;
-/** Pause between two watch calls of a data centre's first watcher, and of its reserve. */
-const watchPausesMs = { first: 400, reserve: 1_000 } as const;
 /** Requests that arrive later than this after the stop request are refused. */
 const acceptGraceMs = 3_000;
 const listenerCloseDelayMs = 4_500;
@@ -172,9 +169,8 @@
         registry,
         members,
         self: instance,
-        hasStoreFailedRecently: () =>
-            timer.now() - Math.max(replica.lastFailureAt(), registration.lastFailureAt()) < storeFailureWindowMs,
-        onRegistrationLost: () => registration.markLost(),
+        hasStoreFailedRecently: () => replication.hasStoreFailedRecently(),
+        onRegistrationLost: () => replication.markRegistrationLost(),
         onDocumentAccepted: next => {
             document = next;
             routeTable = createRouteTable(next);
@@ -193,26 +189,23 @@
         stopDeadline: () => stopDeadline,
     });
     const callerServer = createCallerServer({ log, timer, maxBufferedBytes: maxRequestBytes, onRequest: requestHandler.handle });
-    const replica = createStoreReplica({
+    const replication = createReplication({
         store,
         timer,
         random,
         log,
-        prefix: "",
-        watchPauseMs: () => watcherElection.isFirstWatcher() ? watchPausesMs.first : watchPausesMs.reserve,
-        isWatchNeeded: () => watcherElection.isWatcher(),
+        self,
+        members,
+        seeds: () => settings.seeds,
+        requestState,
         onEvent: projection.apply,
         onBatchApplied: () => {
             projection.onBatchApplied();
             dispatcher.dispatchQueued();
-            if (watcherElection.isElected() || replica.isWatching()) {
-                mesh.announceRevision();
-            }
         },
+        announceRevision: () => mesh.announceRevision(),
     });
-    const registration = createRegistration({ store, timer, random, log, key: memberKey(instance), value: encodeMember(self) });
-    const watcherElection = createWatcherElection({ timer, self, members });
-    const peerSync = createPeerSync({ log, timer, self, members, replica, seeds: () => settings.seeds });
+    const { replica } = replication;
     const onHeartbeat = (heartbeat: Heartbeat, sender: { readonly record: MemberRecord; }): void => {
         members.recordDataCentreAlive(sender.record.dataCentre);
         heartbeat.loads.forEach(({ dataCentre, entry, loads }) => {
@@ -222,15 +215,12 @@
         heartbeat.poison.forEach(report =>
             poisonList.recordReportedDeaths(report.fingerprint, report.deaths, report.targetIncarnation)
         );
-        replica.recordPeerRevision(heartbeat.revision);
-        if (heartbeat.isWatching && !heartbeat.isLeaving) {
-            watcherElection.recordWatcherHeartbeat(sender.record);
-        }
-        peerSync.onPeerRevision(sender.record, heartbeat.revision);
+        replication.onHeartbeat(heartbeat, sender.record);
     };
     const mesh = createMesh({
         timer,
         log,
+        socket: createUdpSocket(),
         self,
         members,
         ownLoads: () => ({
@@ -292,12 +282,11 @@
             const [host, port] = settings.callers.split(":");
             const control = splitAddress(settings.control);
             const onError = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
-            await listen(createRouter({ ...peerSync.routes, ...statusRoutes }, onError), control.host, control.port);
-            peerSync.start();
+            await listen(createRouter({ ...replication.routes, ...statusRoutes }, onError), control.host, control.port);
+            replication.startPeerSync();
             await mesh.start();
             await listen(callerServer.server, host!, Number(port));
-            replica.start();
-            registration.start();
+            replication.start();
             startServiceLog({
                 timer,
                 log,
@@ -331,12 +320,11 @@
             stopDeadline = stopRequestedAt + settings.stopGraceMs - stopMarginMs;
             callerServer.disableKeepAlive();
             mesh.announceLeaving();
-            void registration.deregister();
+            void replication.deregister();
             const abortedCount = await drain();
-            replica.stop();
             mesh.close();
             connections.close();
-            store.close();
+            replication.stop();
             return abortedCount;
         },
     };
--- a/packages/steer/src/store/__tests__/fakeStore.ts
+++ b/packages/steer/src/store/__tests__/fakeStore.ts
@@ -1,8 +1,9 @@
 /** In-memory store whose calls tests can make fail. */
 import { err, ok } from "true-myth/result";
-import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreItem, StoreResult, StoreWrite } from "../store.js";
+import type { StoreChanges, StoreEvent, StoreFailure, StoreItem, StoreResult, StoreWrite } from "../store.js";
+import type { StoreCalls } from "../storeCalls.js";
 
-export interface FakeStore extends Store {
+export interface FakeStore extends StoreCalls {
     readonly calls: string[];
     readonly writes: StoreWrite[];
     /** Error returned by every call while set. */
--- a/packages/steer/src/store/peerSync.ts
+++ b/packages/steer/src/store/peerSync.ts
@@ -8,7 +8,6 @@
 import { readBody, type Routes, sendJson } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import { request } from "undici";
 import {
     decodeStateRequest,
     decodeStoreUpdate,
@@ -19,6 +18,12 @@
 import { decodeMember, encodeMember } from "./storeItems.js";
 import type { StoreReplica, StoreUpdate } from "./storeReplica.js";
 
+/**
+ * Sends an encoded state request to a peer's control address. Resolves to the encoded update, or to `undefined` if the
+ * peer has none; rejects if there is no response.
+ */
+export type StateRequester = (address: string, request: Buffer) => Promise<Buffer | undefined>;
+
 export interface PeerSyncOptions {
     readonly log: Log;
     readonly timer: Timer;
@@ -27,18 +32,21 @@
     readonly replica: StoreReplica;
     /** Control addresses (`host:port`) of entries to ask while no peer is known. */
     readonly seeds: () => readonly string[];
+    readonly requestState: StateRequester;
 }
 
 export interface PeerSync {
     /** Routes for peers, served on the control address. */
     readonly routes: Routes;
+    /** Returns the encoded update for a peer, or `undefined` if it is up to date. */
+    respond(stateRequest: StateRequest): Buffer | undefined;
     start(): void;
     /** Handles the store revision announced by a peer. */
     onPeerRevision(peer: MemberRecord, revision: number): void;
 }
 
-const path = "/state";
-const requestTimeoutMs = 800;
+/** Path of the route for peers. */
+export const statePath = "/state";
 /** Interval at which it is checked whether to ask a seed. */
 const seedCheckIntervalMs = 500;
 /** An entry without the store asks a seed if it has asked nobody for this long. */
@@ -56,13 +64,8 @@
         lastRequestAt = timer.now();
         isRequestPending = true;
         try {
-            const response = await request(`http://${address}${path}`, {
-                method: "POST",
-                body: encodeStateRequest(createRequest()),
-                signal: AbortSignal.timeout(requestTimeoutMs),
-            });
-            const bytes = Buffer.from(await response.body.arrayBuffer());
-            if (response.statusCode === 200) {
+            const bytes = await options.requestState(address, encodeStateRequest(createRequest()));
+            if (bytes !== undefined) {
                 receiveUpdate(address, bytes);
             }
         }
@@ -86,13 +89,14 @@
             log.write(logEvents.stateAdopted, { peer, revision: update.revision, kind: update.kind });
         }
     };
-    /** Returns an update for the requester, or `undefined` if it is up to date. */
-    const updateFor = (stateRequest: StateRequest): StoreUpdate | undefined => {
+    const respond = (stateRequest: StateRequest): Buffer | undefined => {
         const record = decodeMember(stateRequest.id, stateRequest.record);
         if (record.isValid) {
             members.addAnnounced(record.value);
         }
-        return replica.revision() > stateRequest.after ? replica.updateSince(stateRequest.after) : undefined;
+        return replica.revision() > stateRequest.after
+            ? encodeStoreUpdate(replica.updateSince(stateRequest.after))
+            : undefined;
     };
     const synchroniseFromSeed = (): void => {
         const seeds = options.seeds().filter(seed => seed !== self.control);
@@ -105,18 +109,18 @@
     };
     return {
         routes: {
-            [`POST ${path}`]: async (incoming, response) => {
+            [`POST ${statePath}`]: async (incoming, response) => {
                 const stateRequest = decodeStateRequest(await readBody(incoming, maxRequestBytes));
                 if (stateRequest === undefined) {
                     sendJson(response, 400, { error: "the state request is malformed" });
                     return;
                 }
-                const update = updateFor(stateRequest);
-                const body = update === undefined ? undefined : encodeStoreUpdate(update);
+                const body = respond(stateRequest);
                 response.writeHead(body === undefined ? 204 : 200, { "content-type": "application/msgpack" });
                 response.end(body);
             },
         },
+        respond,
         start: () => {
             timer.subscribe(seedCheckIntervalMs, synchroniseFromSeed);
         },
--- a/packages/steer/src/store/registration.ts
+++ b/packages/steer/src/store/registration.ts
@@ -3,10 +3,11 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import type { Store, StoreFailure } from "./store.js";
+import type { StoreFailure } from "./store.js";
+import type { StoreCalls } from "./storeCalls.js";
 
 export interface RegistrationOptions {
-    readonly store: Store;
+    readonly store: StoreCalls;
     readonly timer: Timer;
     readonly random: Random;
     readonly log: Log;
--- /dev/null
+++ b/packages/steer/src/store/replication.ts
@@ -0,0 +1,118 @@
+/**
+ * Keeps this entry's replica of the store current and its record in the store: from the store itself if this entry
+ * watches it, otherwise from peers.
+ */
+import type { Random } from "@pimentospring/core/random/random";
+import type { MemberRecord, Members } from "@pimentospring/core/steering/members";
+import type { Timer } from "@pimentospring/core/time/timer";
+import type { Routes } from "@pimentospring/runtime/http/jsonServer";
+import type { Log } from "@pimentospring/runtime/logs/log";
+import type { Heartbeat } from "../mesh/heartbeat.js";
+import { createPeerSync, type StateRequester } from "./peerSync.js";
+import { createRegistration } from "./registration.js";
+import type { Store, StoreEvent } from "./store.js";
+import { createStoreCalls } from "./storeCalls.js";
+import { encodeMember, memberKey } from "./storeItems.js";
+import { createStoreReplica, storeFailureWindowMs, type StoreReplica } from "./storeReplica.js";
+import { createWatcherElection } from "./watcherElection.js";
+
+export interface ReplicationOptions {
+    readonly store: Store;
+    readonly timer: Timer;
+    readonly random: Random;
+    readonly log: Log;
+    readonly self: MemberRecord;
+    readonly members: Members;
+    /** Control addresses (`host:port`) of entries to ask while no peer is known. */
+    readonly seeds: () => readonly string[];
+    readonly requestState: StateRequester;
+    readonly onEvent: (event: StoreEvent) => void;
+    /** Called after all events of a batch. */
+    readonly onBatchApplied: () => void;
+    /** Announces this entry's revision to its peers. */
+    readonly announceRevision: () => void;
+}
+
+export interface Replication {
+    readonly replica: StoreReplica;
+    /** Routes for peers, served on the control address. */
+    readonly routes: Routes;
+    /** Begins to answer peers and to ask seeds. */
+    startPeerSync(): void;
+    /** Begins to call the store. */
+    start(): void;
+    onHeartbeat(heartbeat: Heartbeat, sender: MemberRecord): void;
+    /** Whether the store failed recently, so that a removed record may merely have expired. */
+    hasStoreFailedRecently(): boolean;
+    /** Writes this entry's record again. */
+    markRegistrationLost(): void;
+    /** Removes this entry's record. */
+    deregister(): Promise<void>;
+    stop(): void;
+}
+
+/** Pause between two watch calls of a data centre's first watcher, and of its reserve. */
+const watchPausesMs = { first: 400, reserve: 1_000 } as const;
+
+export function createReplication(options: ReplicationOptions): Replication {
+    const { timer, random, log, self, members } = options;
+    const store = createStoreCalls(timer, options.store);
+    const watcherElection = createWatcherElection({ timer, self, members });
+    const replica = createStoreReplica({
+        store,
+        timer,
+        random,
+        log,
+        prefix: "",
+        watchPauseMs: () => watcherElection.isFirstWatcher() ? watchPausesMs.first : watchPausesMs.reserve,
+        isWatchNeeded: watcherElection.isWatcher,
+        onEvent: options.onEvent,
+        onBatchApplied: () => {
+            options.onBatchApplied();
+            if (watcherElection.isElected() || replica.isWatching()) {
+                options.announceRevision();
+            }
+        },
+    });
+    const registration = createRegistration({
+        store,
+        timer,
+        random,
+        log,
+        key: memberKey(self.id),
+        value: encodeMember(self),
+    });
+    const peerSync = createPeerSync({
+        log,
+        timer,
+        self,
+        members,
+        replica,
+        seeds: options.seeds,
+        requestState: options.requestState,
+    });
+    return {
+        replica,
+        routes: peerSync.routes,
+        startPeerSync: peerSync.start,
+        start: () => {
+            replica.start();
+            registration.start();
+        },
+        onHeartbeat: (heartbeat, sender) => {
+            replica.recordPeerRevision(heartbeat.revision);
+            if (heartbeat.isWatching && !heartbeat.isLeaving) {
+                watcherElection.recordWatcherHeartbeat(sender);
+            }
+            peerSync.onPeerRevision(sender, heartbeat.revision);
+        },
+        hasStoreFailedRecently: () =>
+            timer.now() - Math.max(replica.lastFailureAt(), registration.lastFailureAt()) < storeFailureWindowMs,
+        markRegistrationLost: registration.markLost,
+        deregister: registration.deregister,
+        stop: () => {
+            replica.stop();
+            store.close();
+        },
+    };
+}
--- a/packages/steer/src/store/store.ts
+++ b/packages/steer/src/store/store.ts
@@ -1,6 +1,6 @@
 /**
  * Port to a platform's key-value store, implemented by the platform's adapter. The daemon reaches a store only through
- * it.
+ * it. A call ends when its signal is aborted; it has no timeout of its own.
  */
 import type { Result } from "true-myth/result";
 
@@ -50,14 +50,14 @@
 
 export interface Store {
     /** Reads a page of the items whose keys begin with `prefix`; `after` is the last key of the previous page. */
-    range(prefix: string, after: string | undefined): StoreResult<StorePage>;
+    range(prefix: string, after: string | undefined, signal: AbortSignal): StoreResult<StorePage>;
     /** Long poll for changes after `revision`; resolves as soon as there is one, or empty after `waitMs`. */
-    watch(prefix: string, revision: number, waitMs: number): StoreResult<StoreChanges>;
+    watch(prefix: string, revision: number, waitMs: number, signal: AbortSignal): StoreResult<StoreChanges>;
     /** Atomic. Resolves to the new revision. */
-    write(write: StoreWrite): StoreResult<number>;
+    write(write: StoreWrite, signal: AbortSignal): StoreResult<number>;
     /** Resolves to the id of the lease. */
-    grantLease(lifetimeMs: number): StoreResult<number>;
-    renewLease(lease: number): StoreResult<void>;
-    revokeLease(lease: number): StoreResult<void>;
+    grantLease(lifetimeMs: number, signal: AbortSignal): StoreResult<number>;
+    renewLease(lease: number, signal: AbortSignal): StoreResult<void>;
+    revokeLease(lease: number, signal: AbortSignal): StoreResult<void>;
     close(): void;
 }
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -7,10 +7,11 @@
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { err, ok } from "true-myth/result";
-import type { Store, StoreEvent, StoreFailure, StoreItem, StoreResult } from "./store.js";
+import type { StoreEvent, StoreFailure, StoreItem, StoreResult } from "./store.js";
+import type { StoreCalls } from "./storeCalls.js";
 
 export interface StoreReplicaOptions {
-    readonly store: Store;
+    readonly store: StoreCalls;
     readonly timer: Timer;
     readonly random: Random;
     readonly log: Log;
