feat(steer): an entry says how current its copy of the store is

Change: events 205 and 206 when the copy goes stale and is fresh again, five metrics, the status and pimento steering; revisions of entries that are no known members are kept apart. No decision depends on it.

--- a/packages/client/src/commands/steeringCommands.ts
+++ b/packages/client/src/commands/steeringCommands.ts
@@ -48,7 +48,7 @@
         status.dataCentre,
         String(status.version),
         String(status.revision),
-        status.isLeaving ? "leaving" : status.isWatching ? "watches" : "follows peers",
+        storeState(status),
         String(status.inFlight),
         String(status.entries.length),
     ]);
@@ -69,6 +69,15 @@
     ].join("\n");
 }
 
+function storeState({ isLeaving, isWatching, freshness }: SteeringStatus): string {
+    if (isLeaving) {
+        return "leaving";
+    }
+    const source = isWatching ? "watches" : "follows peers";
+    const staleMs = freshness?.staleMs ?? 0;
+    return staleMs === 0 ? source : `${source}, stale for ${(staleMs / 1_000).toFixed(1)} s`;
+}
+
 function serviceRow(status: SteeringStatus, service: ServiceStatus): string[] {
     const notServing = service.targets.filter(target => target.state !== "serving").map(target => `${target.id} ${target.state}`);
     return [
--- a/packages/core/src/steering/steeringStatus.ts
+++ b/packages/core/src/steering/steeringStatus.ts
@@ -26,6 +26,19 @@
     readonly targets: readonly TargetStatus[];
 }
 
+/** How current an entry's copy of the store is; times in milliseconds, `undefined` ones are left out. */
+export interface ReplicaFreshnessStatus {
+    /** Highest store revision announced by a member, and by an entry that is not a known member. */
+    readonly peerRevision: number;
+    readonly unknownPeerRevision: number;
+    /** Age of the pending call for changes. */
+    readonly pendingMs: number | undefined;
+    /** Time since the store's last response to any call. */
+    readonly silentMs: number | undefined;
+    /** Time for which the copy has been stale; 0 if it is fresh. */
+    readonly staleMs: number;
+}
+
 export interface SteeringStatus {
     readonly instance: InstanceId;
     readonly dataCentre: DataCentreId;
@@ -38,6 +51,8 @@
     readonly revision: number;
     /** Whether the entry watches the store directly. */
     readonly isWatching: boolean;
+    /** `undefined` from entries of versions before it was reported. */
+    readonly freshness: ReplicaFreshnessStatus | undefined;
     readonly isLeaving: boolean;
     readonly inFlight: number;
     /** Other live entries. */
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -54,6 +54,14 @@
         "warn",
         "The platform's list of instances can't be read; the last one stays in use.",
     ),
+    replicaStale: defineEvent(
+        205,
+        "replicaStale",
+        "warn",
+        "This entry's copy of the store is behind another entry's, or the store has not responded for some time; the line "
+            + "gives the age of the pending call and the revisions of others.",
+    ),
+    replicaFresh: defineEvent(206, "replicaFresh", "info", "This entry's copy of the store is current again."),
     peerMet: defineEvent(300, "peerMet", "info", "A connection to a peer was established."),
     peerRefused: defineEvent(301, "peerRefused", "warn", "A peer with another key or protocol version was refused."),
     peerLost: defineEvent(302, "peerLost", "warn", "The connection to a peer was lost; it is dialled again."),
--- a/packages/steer/src/mesh/__tests__/digestRelay.test.ts
+++ b/packages/steer/src/mesh/__tests__/digestRelay.test.ts
@@ -83,6 +83,7 @@
             ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [] }),
             revision: () => 1,
             isWatching: () => true,
+            onUnknownHeartbeat: () => {},
             takeDigest: () => digestOf(self.id, targetsPerEntry).digest,
             onDigest: entry => heard.get(self.id)!.add(entry),
             onHeartbeat: () => {},
--- a/packages/steer/src/mesh/__tests__/mesh.test.ts
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -52,6 +52,7 @@
             ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [{ service, slots: slots.get(self.id)! }] }),
             revision: () => 1,
             isWatching: () => true,
+            onUnknownHeartbeat: () => {},
             takeDigest: () => undefined,
             onDigest: () => {},
             onHeartbeat: heartbeat => {
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -26,6 +26,8 @@
     readonly revision: () => number;
     readonly isWatching: () => boolean;
     readonly onHeartbeat: (heartbeat: Heartbeat, member: Member) => void;
+    /** Takes the heartbeat of an entry that is not a known member. */
+    readonly onUnknownHeartbeat: (heartbeat: Heartbeat) => void;
     /** Takes what this entry has to tell about its attempts; `undefined` if nothing. */
     readonly takeDigest: () => AttemptDigest | undefined;
     readonly onDigest: (entry: InstanceId, digest: AttemptDigest) => void;
@@ -181,6 +183,7 @@
         }
         const member = members.recordHeartbeat(heartbeat.sender, heartbeat.isLeaving);
         if (member === undefined) {
+            options.onUnknownHeartbeat(heartbeat);
             return;
         }
         for (const loads of heartbeat.loads) {
--- a/packages/steer/src/observe/gauges.ts
+++ b/packages/steer/src/observe/gauges.ts
@@ -1,4 +1,5 @@
 /** Gauges that are read on each scrape. */
+import type { Freshness } from "../store/replicaFreshness.js";
 import type { SteerMetrics } from "./metrics.js";
 
 export interface GaugeSources {
@@ -11,6 +12,7 @@
     readonly targetConnections: () => number;
     readonly meshSentBytes: () => number;
     readonly isStoreConnected: () => boolean;
+    readonly freshness: () => Freshness;
     readonly waitingRequests: () => number;
 }
 
@@ -30,5 +32,27 @@
         "1 while the platform's store responds, otherwise 0",
         () => (sources.isStoreConnected() ? 1 : 0),
     );
+    const { freshness } = sources;
+    metrics.registerGauge("pimento_store_revision", "Revision of this entry's copy of the store", () => freshness().revision);
+    metrics.registerGauge(
+        "pimento_store_peer_revision",
+        "Highest store revision heard of from other entries",
+        () => Math.max(freshness().peerRevision, freshness().unknownPeerRevision),
+    );
+    metrics.registerGauge(
+        "pimento_store_pending_seconds",
+        "Age of the pending call for changes; 0 if none is pending",
+        () => (freshness().pendingMs ?? 0) / 1_000,
+    );
+    metrics.registerGauge(
+        "pimento_store_silent_seconds",
+        "Time since the store's last response to any call of this entry; 0 before the first",
+        () => (freshness().silentMs ?? 0) / 1_000,
+    );
+    metrics.registerGauge(
+        "pimento_store_stale_seconds",
+        "Time for which this entry's copy of the store has been stale; 0 if it is fresh",
+        () => freshness().staleMs / 1_000,
+    );
     metrics.registerGauge("pimento_waiting", "Requests queued for a slot", sources.waitingRequests);
 }
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -231,6 +231,7 @@
         revision: replica.revision,
         isWatching: replica.isWatching,
         onHeartbeat,
+        onUnknownHeartbeat: replication.onUnknownHeartbeat,
         takeDigest: steering.ownAttempts.takeDigest,
         onDigest: steering.peerAttempts.apply,
     });
@@ -248,6 +249,7 @@
             documentFaults: document?.faults ?? [],
             revision: replica.revision(),
             isWatching: replica.isWatching(),
+            freshness: replication.freshness(),
             isLeaving: stopRequestedAt !== undefined,
         }),
     });
@@ -259,6 +261,7 @@
         targetConnections: connections.openCount,
         meshSentBytes: mesh.sentBytes,
         isStoreConnected: replica.isConnected,
+        freshness: replication.freshness,
         waitingRequests: () => [...services.keys()].reduce((sum, service) => sum + dispatcher.queuedCount(service), 0),
     });
 
--- a/packages/steer/src/store/__tests__/fakeStore.ts
+++ b/packages/steer/src/store/__tests__/fakeStore.ts
@@ -97,6 +97,7 @@
                 : Promise.resolve(err<void, StoreFailure>({ kind: "noLease", reason: "status 404" })),
         revokeLease: lease => respond("revokeLease", () => void liveLeases.delete(lease)),
         close: () => {},
+        lastResponseAt: () => -Infinity,
     };
     return store;
 }
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -10,6 +10,7 @@
 import type { Heartbeat } from "../mesh/heartbeat.js";
 import { createPeerSync, type StateRequester } from "./peerSync.js";
 import { createRegistration } from "./registration.js";
+import { createReplicaFreshness, type Freshness } from "./replicaFreshness.js";
 import type { Store, StoreEvent } from "./store.js";
 import { createStoreCalls } from "./storeCalls.js";
 import { encodeMember, memberKey } from "./storeItems.js";
@@ -42,6 +43,9 @@
     /** Begins to call the store. */
     start(): void;
     onHeartbeat(heartbeat: Heartbeat, sender: MemberRecord): void;
+    /** Takes the heartbeat of an entry that is not a known member. */
+    onUnknownHeartbeat(heartbeat: Heartbeat): void;
+    freshness(): Freshness;
     /** Whether the store failed recently, so that a removed record may merely have expired. */
     hasStoreFailedRecently(): boolean;
     /** Writes this entry's record again. */
@@ -91,21 +95,32 @@
         seeds: options.seeds,
         requestState: options.requestState,
     });
+    const freshness = createReplicaFreshness({
+        timer,
+        log,
+        revision: replica.revision,
+        pendingSince: replica.pendingSince,
+        lastResponseAt: store.lastResponseAt,
+    });
     return {
         replica,
         routes: peerSync.routes,
         startPeerSync: peerSync.start,
         start: () => {
+            freshness.start();
             replica.start();
             registration.start();
         },
         onHeartbeat: (heartbeat, sender) => {
+            freshness.recordPeerRevision(heartbeat.revision);
             replica.recordPeerRevision(heartbeat.revision);
             if (heartbeat.isWatching && !heartbeat.isLeaving) {
                 watcherElection.recordWatcherHeartbeat(sender);
             }
             peerSync.onPeerRevision(sender, heartbeat.revision);
         },
+        onUnknownHeartbeat: ({ revision }) => freshness.recordUnknownPeerRevision(revision),
+        freshness: freshness.current,
         hasStoreFailedRecently: () =>
             timer.now() - Math.max(replica.lastFailureAt(), registration.lastFailureAt()) < storeFailureWindowMs,
         markRegistrationLost: registration.markLost,
--- a/packages/steer/src/store/storeCalls.ts
+++ b/packages/steer/src/store/storeCalls.ts
@@ -11,6 +11,8 @@
     renewLease(lease: number): StoreResult<void>;
     revokeLease(lease: number): StoreResult<void>;
     close(): void;
+    /** Time of the store's last response to any call, on the timer's clock; `-Infinity` before the first. */
+    lastResponseAt(): number;
 }
 
 const callTimeoutMs = 1_500;
@@ -18,6 +20,7 @@
 const watchTimeoutMarginMs = 1_500;
 
 export function createStoreCalls(timer: Timer, store: Store): StoreCalls {
+    let responseAt = -Infinity;
     const callWithin = async <Value>(
         timeoutMs: number,
         start: (signal: AbortSignal) => StoreResult<Value>,
@@ -33,6 +36,9 @@
         });
         const result = await Promise.race([start(abort.signal), timeout]);
         cancelTimeout();
+        if (result.isOk || result.error.kind !== "unknown") {
+            responseAt = timer.now();
+        }
         return result;
     };
     return {
@@ -44,5 +50,6 @@
         renewLease: lease => callWithin(callTimeoutMs, signal => store.renewLease(lease, signal)),
         revokeLease: lease => callWithin(callTimeoutMs, signal => store.revokeLease(lease, signal)),
         close: () => store.close(),
+        lastResponseAt: () => responseAt,
     };
 }
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -41,6 +41,8 @@
     isConnected(): boolean;
     /** Whether this entry watches the store itself and the store responds. */
     isWatching(): boolean;
+    /** Time since which a call to the store has been pending, on the timer's clock; `undefined` if none is. */
+    pendingSince(): number | undefined;
     /** Time of the store's last failure, on the timer's clock. */
     lastFailureAt(): number;
 }
@@ -92,7 +94,7 @@
     let isWatchRequired = false;
     let failureAt = -Infinity;
     let failures = 0;
-    let isCallPending = false;
+    let pendingSince: number | undefined;
     /** Time at which a peer first had a newer revision during the pending call. */
     let newerRevisionAt: number | undefined;
 
@@ -200,9 +202,9 @@
             timer.after(watchNeedCheckIntervalMs, () => void watchLoop());
             return;
         }
-        isCallPending = true;
+        pendingSince = timer.now();
         const outcome = await synchronise().catch((error: Error) => err<void, StoreFailure>(toUnexpectedFailure(error)));
-        isCallPending = false;
+        pendingSince = undefined;
         newerRevisionAt = undefined;
         if (isStopped) {
             return;
@@ -240,12 +242,13 @@
         },
         revision: () => revision,
         recordPeerRevision: peerRevision => {
-            if (isCallPending && peerRevision > revision) {
+            if (pendingSince !== undefined && peerRevision > revision) {
                 newerRevisionAt ??= timer.now();
             }
         },
         isConnected: () => isConnected,
         isWatching: () => isWatchRequired && isConnected && !isSilent(),
+        pendingSince: () => pendingSince,
         lastFailureAt: () => failureAt,
     };
 }
