test(steer): changes around the end of an outage of the store, in virtual time; three fail

Change: a deployment of entries with their real replication and mesh, a store that can fall silent for some of them, and a network, under virtual time. Bound: two seconds from the store's first response to any entry until the change is in force at all.

--- a/packages/steer/src/mesh/datagramSocket.ts
+++ b/packages/steer/src/mesh/datagramSocket.ts
@@ -9,7 +9,8 @@
 }
 
 export interface DatagramListeners {
-    readonly onDatagram: (bytes: Buffer) => void;
+    /** `sender` is the address that the datagram came from. */
+    readonly onDatagram: (bytes: Buffer, sender: string) => void;
     /** `peer` is the address that a datagram could not be sent to. */
     readonly onError: (reason: string, peer: string | undefined) => void;
 }
@@ -28,7 +29,8 @@
                     socket.on("error", error => onError(error.message, undefined));
                     resolve();
                 });
-                socket.on("message", onDatagram);
+                socket.on("message", (bytes, { address: senderHost, port: senderPort }) =>
+                    onDatagram(bytes, `${senderHost}:${senderPort}`));
             }),
         send: (address, bytes) => {
             const [host, port] = address.split(":");
--- /dev/null
+++ b/packages/steer/src/store/__tests__/storeServer.ts
@@ -0,0 +1,189 @@
+/** A store under virtual time that can fail for some of its clients: calls take time, and unanswered ones never end. */
+import type { Timer } from "@pimentospring/core/time/timer";
+import { err, ok, type Result } from "true-myth/result";
+import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreItem, StoreResult } from "../store.js";
+
+/** How the store treats calls: `silent` drops them, `reset` breaks their connection, `busy` refuses them. */
+export type StoreMode = "up" | "silent" | "reset" | "busy" | "slow";
+
+export interface StoreServerOptions {
+    readonly timer: Timer;
+    /** One-way delay between a client and the store. */
+    readonly delayMs: (client: number) => number;
+}
+
+export interface StoreCall {
+    readonly at: number;
+    readonly client: number;
+    readonly name: string;
+}
+
+export interface StoreServer {
+    /** Calls that reached the store or were dropped, in order. */
+    readonly calls: StoreCall[];
+    clientOf(client: number): Store;
+    /** Sets how calls of a client are treated. Silence, or a reset, also ends its pending watches. */
+    setMode(client: number, mode: StoreMode): void;
+    put(key: string, value: string): void;
+    remove(key: string): void;
+    /** Drops what a stopped client waits for. */
+    disconnect(client: number): void;
+    /** Times at which clients got a response. */
+    readonly responseTimes: { readonly at: number; readonly client: number; }[];
+}
+
+interface PendingWatch {
+    readonly client: number;
+    readonly after: number;
+    readonly respond: () => void;
+    readonly drop: (isReset: boolean) => void;
+}
+
+const serviceMs = 4;
+const slowServiceMs = 200;
+const busyFailure: StoreFailure = { kind: "refused", reason: "status 503" };
+const resetFailure: StoreFailure = { kind: "unknown", reason: "connection reset" };
+
+export function createStoreServer({ timer, delayMs }: StoreServerOptions): StoreServer {
+    let revision = 1;
+    let lastLease = 0;
+    const liveLeases = new Set<number>();
+    const items = new Map<string, StoreItem>();
+    const history: StoreEvent[] = [];
+    const modes = new Map<number, StoreMode>();
+    const calls: StoreCall[] = [];
+    const responseTimes: { at: number; client: number; }[] = [];
+    const watches = new Set<PendingWatch>();
+    const modeOf = (client: number): StoreMode => modes.get(client) ?? "up";
+    const revisionOf = (event: StoreEvent): number => (event.kind === "written" ? event.item.revision : event.revision);
+    const eventsAfter = (after: number): StoreEvent[] => history.filter(event => revisionOf(event) > after);
+    const wakeWatches = (): void => {
+        for (const watch of [...watches]) {
+            if (watch.after < revision) {
+                watch.respond();
+            }
+        }
+    };
+    const put = (key: string, value: string): void => {
+        const item = { key, value: Buffer.from(value), revision: ++revision };
+        items.set(key, item);
+        history.push({ kind: "written", item });
+        wakeWatches();
+    };
+    const remove = (key: string): void => {
+        if (items.delete(key)) {
+            history.push({ kind: "removed", key, revision: ++revision });
+            wakeWatches();
+        }
+    };
+    /** Carries out a call after its way to the store; `serve` responds at once or later. */
+    const call = <Value>(
+        client: number,
+        name: string,
+        signal: AbortSignal,
+        serve: (respond: (result: Result<Value, StoreFailure>) => void) => void,
+    ): StoreResult<Value> =>
+        new Promise(resolve => {
+            const abort = (): void => resolve(err({ kind: "unknown", reason: "aborted" }));
+            signal.addEventListener("abort", abort, { once: true });
+            const respond = (result: Result<Value, StoreFailure>): void => {
+                if (modeOf(client) === "silent") {
+                    return;
+                }
+                timer.after(delayMs(client), () => {
+                    responseTimes.push({ at: timer.now(), client });
+                    resolve(result);
+                });
+            };
+            timer.after(delayMs(client), () => {
+                if (signal.aborted) {
+                    return;
+                }
+                calls.push({ at: timer.now(), client, name });
+                const mode = modeOf(client);
+                if (mode === "busy" || mode === "reset") {
+                    timer.after(delayMs(client), () => resolve(err(mode === "busy" ? busyFailure : resetFailure)));
+                }
+                else if (mode !== "silent") {
+                    timer.after(mode === "slow" ? slowServiceMs : serviceMs, () => serve(respond));
+                }
+            });
+        });
+    const clientOf = (client: number): Store => ({
+        range: (prefix, after, signal) =>
+            call(client, "range", signal, respond => {
+                const found = [...items.values()].filter(item => item.key.startsWith(prefix) && item.key > (after ?? ""));
+                found.sort((a, b) => (a.key < b.key ? -1 : 1));
+                respond(ok({ items: found, hasMore: false, revision }));
+            }),
+        watch: (_prefix, after, waitMs, signal) =>
+            call<StoreChanges>(client, "watch", signal, respond => {
+                if (after < revision || waitMs === 0) {
+                    respond(ok({ events: eventsAfter(after), revision }));
+                    return;
+                }
+                const watch: PendingWatch = {
+                    client,
+                    after,
+                    respond: () => {
+                        watches.delete(watch);
+                        respond(ok({ events: eventsAfter(after), revision }));
+                    },
+                    drop: isReset => {
+                        watches.delete(watch);
+                        if (isReset) {
+                            respond(err(resetFailure));
+                        }
+                    },
+                };
+                watches.add(watch);
+                signal.addEventListener("abort", () => watches.delete(watch), { once: true });
+                timer.after(waitMs, () => watches.has(watch) && watch.respond());
+            }),
+        write: (write, signal) =>
+            call<number>(client, "write", signal, respond => {
+                const lease = write.puts[0]?.lease ?? 0;
+                if (lease !== 0 && !liveLeases.has(lease)) {
+                    respond(err({ kind: "noLease", reason: "status 404" }));
+                    return;
+                }
+                write.puts.forEach(({ key, value }) => put(key, value.toString()));
+                write.removes.forEach(remove);
+                respond(ok(revision));
+            }),
+        grantLease: (_lifetimeMs, signal) =>
+            call<number>(client, "grantLease", signal, respond => {
+                liveLeases.add(++lastLease);
+                respond(ok(lastLease));
+            }),
+        renewLease: (lease, signal) =>
+            call<void>(
+                client,
+                "renewLease",
+                signal,
+                respond => respond(liveLeases.has(lease) ? ok(undefined) : err({ kind: "noLease", reason: "status 404" })),
+            ),
+        revokeLease: (lease, signal) =>
+            call<void>(client, "revokeLease", signal, respond => {
+                liveLeases.delete(lease);
+                respond(ok(undefined));
+            }),
+        close: () => {},
+    });
+    const dropWatches = (client: number, isReset: boolean): void =>
+        [...watches].filter(watch => watch.client === client).forEach(watch => watch.drop(isReset));
+    return {
+        calls,
+        responseTimes,
+        clientOf,
+        setMode: (client, mode) => {
+            modes.set(client, mode);
+            if (mode === "silent" || mode === "reset") {
+                dropWatches(client, mode === "reset");
+            }
+        },
+        put,
+        remove,
+        disconnect: client => dropWatches(client, false),
+    };
+}
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -8,6 +8,7 @@
 import type { Routes } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import type { Heartbeat } from "../mesh/heartbeat.js";
+import type { StateRequest } from "./peerMessages.js";
 import { createPeerSync, type StateRequester } from "./peerSync.js";
 import { createRegistration } from "./registration.js";
 import { createReplicaFreshness, type Freshness } from "./replicaFreshness.js";
@@ -38,6 +39,8 @@
     readonly replica: StoreReplica;
     /** Routes for peers, served on the control address. */
     readonly routes: Routes;
+    /** Returns the encoded update for a peer, or `undefined` if it is up to date. */
+    respondToPeer(stateRequest: StateRequest): Buffer | undefined;
     /** Begins to answer peers and to ask seeds. */
     startPeerSync(): void;
     /** Begins to call the store. */
@@ -105,6 +108,7 @@
     return {
         replica,
         routes: peerSync.routes,
+        respondToPeer: peerSync.respond,
         startPeerSync: peerSync.start,
         start: () => {
             freshness.start();
