--- /dev/null
+++ b/packages/steer/src/store/replicatedItems.ts
@@ -0,0 +1,112 @@
+/**
+ * The store's items as this entry knows them, with recent changes for peers. Each key's revision only moves forward, so that a late response never restores an
+ * older value.
+ */
+import type { Log } from "@pimentospring/runtime/logs/log";
+import { logEvents } from "@pimentospring/runtime/logs/logEvents";
+import type { StoreEvent, StoreItem } from "./store.js";
+
+export interface ReplicatedItemsOptions {
+    readonly log: Log;
+    readonly onEvent: (event: StoreEvent) => void;
+    /** Called after all events of a batch. */
+    readonly onBatchApplied: () => void;
+}
+
+export interface ReplicatedItems {
+    /** Current items and the revision that they reflect. */
+    snapshot(): ItemsSnapshot;
+    /** Changes after a revision, or a full snapshot if the kept history does not reach back that far. */
+    updateSince(revision: number): ItemsUpdate;
+    /** Applies events that are complete up to the revision. */
+    applyChanges(events: readonly StoreEvent[], upTo: number): void;
+    /** Makes the snapshot's items the current ones, except where a newer revision is known. */
+    applySnapshot(snapshot: ItemsSnapshot): void;
+    revision(): number;
+}
+
+export interface ItemsSnapshot {
+    readonly revision: number;
+    readonly items: readonly StoreItem[];
+}
+
+/** What an entry that has reached some revision lacks. */
+export type ItemsUpdate =
+    | ({ readonly kind: "state"; } & ItemsSnapshot)
+    | { readonly kind: "changes"; readonly revision: number; readonly events: readonly StoreEvent[]; };
+
+/** Number of recent events kept for peers. */
+const maxHistoryEvents = 1_000;
+
+const revisionOf = (event: StoreEvent): number => (event.kind === "written" ? event.item.revision : event.revision);
+
+export function createReplicatedItems(options: ReplicatedItemsOptions): ReplicatedItems {
+    const { log } = options;
+    const items = new Map<string, StoreItem>();
+    /** Most recent events, complete after revision `historyStart`. */
+    let history: StoreEvent[] = [];
+    let historyStart = 0;
+    /** Revision at which each removed key was removed, kept until the next snapshot. */
+    const removalRevisions = new Map<string, number>();
+    let revision = 0;
+
+    /** An item that can't be applied must not keep those behind it from being applied. */
+    const notify = (event: StoreEvent): void => {
+        try {
+            options.onEvent(event);
+        }
+        catch (error) {
+            log.write(logEvents.fault, { reason: (error as Error).stack, revision: revisionOf(event) });
+        }
+    };
+    const applyEvent = (event: StoreEvent): void => {
+        if (event.kind === "written") {
+            const { item } = event;
+            if (item.revision > Math.max(items.get(item.key)?.revision ?? 0, removalRevisions.get(item.key) ?? 0)) {
+                items.set(item.key, item);
+                removalRevisions.delete(item.key);
+                notify(event);
+            }
+        }
+        else if (event.revision > (items.get(event.key)?.revision ?? 0)) {
+            removalRevisions.set(event.key, event.revision);
+            if (items.delete(event.key)) {
+                notify(event);
+            }
+        }
+    };
+    return {
+        snapshot: () => ({ revision, items: [...items.values()] }),
+        updateSince: after =>
+            after >= historyStart
+                ? { kind: "changes", revision, events: history.filter(event => revisionOf(event) > after) }
+                : { kind: "state", revision, items: [...items.values()] },
+        applyChanges: (events, upTo) => {
+            events.forEach(applyEvent);
+            history.push(...events);
+            if (history.length > maxHistoryEvents) {
+                const dropped = history.splice(0, history.length - maxHistoryEvents);
+                historyStart = Math.max(historyStart, ...dropped.map(revisionOf));
+            }
+            revision = Math.max(revision, upTo);
+            if (events.length > 0) {
+                options.onBatchApplied();
+            }
+        },
+        applySnapshot: snapshot => {
+            const keys = new Set(snapshot.items.map(item => item.key));
+            for (const item of [...items.values()]) {
+                if (!keys.has(item.key) && item.revision <= snapshot.revision) {
+                    applyEvent({ kind: "removed", key: item.key, revision: snapshot.revision });
+                }
+            }
+            snapshot.items.forEach(item => applyEvent({ kind: "written", item }));
+            revision = Math.max(revision, snapshot.revision);
+            removalRevisions.clear();
+            history = [];
+            historyStart = revision;
+            options.onBatchApplied();
+        },
+        revision: () => revision,
+    };
+}
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -1,12 +1,13 @@
 /**
  * Local replica of the store: reads a snapshot, then watches for changes. Keeps its items while the store is
- * unavailable. Each key's revision only moves forward, so that a late response never restores an older value.
+ * unavailable.
  */
 import type { Random } from "@pimentospring/core/random/random";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { err, ok } from "true-myth/result";
+import { createReplicatedItems, type ItemsSnapshot, type ItemsUpdate } from "./replicatedItems.js";
 import type { StoreEvent, StoreFailure, StoreItem, StoreResult } from "./store.js";
 import type { StoreCalls } from "./storeCalls.js";
 
@@ -30,7 +31,7 @@
     start(): void;
     stop(): void;
     /** Current items and the revision that they reflect. */
-    snapshot(): StoreSnapshot;
+    snapshot(): ItemsSnapshot;
     /** Changes after a revision, or a full snapshot if the kept history does not reach back that far. */
     updateSince(revision: number): StoreUpdate;
     /** Applies a peer's update if it is newer than this replica. Returns whether it was applied. */
@@ -47,20 +48,11 @@
     lastFailureAt(): number;
 }
 
-export interface StoreSnapshot {
-    readonly revision: number;
-    readonly items: readonly StoreItem[];
-}
-
 /** Update of a replica, sent from one entry to another. */
-export type StoreUpdate =
-    | ({ readonly kind: "state"; readonly isUnsettled: boolean; } & StoreSnapshot)
-    | {
-        readonly kind: "changes";
-        readonly isUnsettled: boolean;
-        readonly revision: number;
-        readonly events: readonly StoreEvent[];
-    };
+export type StoreUpdate = ItemsUpdate & {
+    /** Whether the store failed the sender recently. */
+    readonly isUnsettled: boolean;
+};
 
 /** Longest time that a watch call waits for changes. */
 const watchTimeoutMs = 8_000;
@@ -70,25 +62,15 @@
 const maxRetryDelayMs = 1_000;
 /** Interval at which an entry that need not watch checks whether that has changed. */
 const watchNeedCheckIntervalMs = 300;
-/** Number of recent events kept for peers. */
-const maxHistoryEvents = 1_000;
 /** For this long after a store failure, a missing record may merely have expired. */
 export const storeFailureWindowMs = 4_000;
 
-const revisionOf = (event: StoreEvent): number => (event.kind === "written" ? event.item.revision : event.revision);
-
 /** An error while changes are applied must not end the watch. */
 const toUnexpectedFailure = (error: Error): StoreFailure => ({ kind: "unknown", reason: error.stack ?? error.message });
 
 export function createStoreReplica(options: StoreReplicaOptions): StoreReplica {
     const { store, timer, random, log, prefix } = options;
-    const items = new Map<string, StoreItem>();
-    /** Most recent events, complete after revision `historyStart`. */
-    let history: StoreEvent[] = [];
-    let historyStart = 0;
-    /** Revision at which each removed key was removed, kept until the next snapshot. */
-    const removalRevisions = new Map<string, number>();
-    let revision = 0;
+    const items = createReplicatedItems(options);
     let isStopped = false;
     let isConnected = false;
     let isWatchRequired = false;
@@ -99,58 +81,7 @@
     let newerRevisionAt: number | undefined;
 
     const isSilent = (): boolean => newerRevisionAt !== undefined && timer.now() - newerRevisionAt > silentWatchMs;
-    /** An item that can't be applied must not keep those behind it from being applied. */
-    const notify = (event: StoreEvent): void => {
-        try {
-            options.onEvent(event);
-        }
-        catch (error) {
-            log.write(logEvents.fault, { reason: (error as Error).stack, revision: revisionOf(event) });
-        }
-    };
-    const applyEvent = (event: StoreEvent): void => {
-        if (event.kind === "written") {
-            const { item } = event;
-            if (item.revision > Math.max(items.get(item.key)?.revision ?? 0, removalRevisions.get(item.key) ?? 0)) {
-                items.set(item.key, item);
-                removalRevisions.delete(item.key);
-                notify(event);
-            }
-        }
-        else if (event.revision > (items.get(event.key)?.revision ?? 0)) {
-            removalRevisions.set(event.key, event.revision);
-            if (items.delete(event.key)) {
-                notify(event);
-            }
-        }
-    };
-    const applyChanges = (events: readonly StoreEvent[], upTo: number): void => {
-        events.forEach(applyEvent);
-        history.push(...events);
-        if (history.length > maxHistoryEvents) {
-            const dropped = history.splice(0, history.length - maxHistoryEvents);
-            historyStart = Math.max(historyStart, ...dropped.map(revisionOf));
-        }
-        revision = Math.max(revision, upTo);
-        if (events.length > 0) {
-            options.onBatchApplied();
-        }
-    };
-    const applySnapshot = (snapshot: StoreSnapshot): void => {
-        const keys = new Set(snapshot.items.map(item => item.key));
-        for (const item of [...items.values()]) {
-            if (!keys.has(item.key) && item.revision <= snapshot.revision) {
-                applyEvent({ kind: "removed", key: item.key, revision: snapshot.revision });
-            }
-        }
-        snapshot.items.forEach(item => applyEvent({ kind: "written", item }));
-        revision = Math.max(revision, snapshot.revision);
-        removalRevisions.clear();
-        history = [];
-        historyStart = revision;
-        options.onBatchApplied();
-    };
-    const readSnapshot = async (): StoreResult<StoreSnapshot> => {
+    const readSnapshot = async (): StoreResult<ItemsSnapshot> => {
         const readItems: StoreItem[] = [];
         let firstRevision: number | undefined;
         let after: string | undefined;
@@ -170,34 +101,34 @@
         }
     };
     const synchronise = async (): StoreResult<void> => {
-        if (revision === 0) {
+        if (items.revision() === 0) {
             const snapshot = await readSnapshot();
-            return snapshot.map(applySnapshot);
+            return snapshot.map(items.applySnapshot);
         }
-        const changes = await store.watch(prefix, revision, watchTimeoutMs);
+        const changes = await store.watch(prefix, items.revision(), watchTimeoutMs);
         if (changes.isErr && changes.error.kind === "compacted") {
             const snapshot = await readSnapshot();
-            return snapshot.map(applySnapshot);
+            return snapshot.map(items.applySnapshot);
         }
-        return changes.map(({ events, revision: upTo }) => applyChanges(events, upTo));
+        return changes.map(({ events, revision: upTo }) => items.applyChanges(events, upTo));
     };
     const recordFailure = (failure: StoreFailure): void => {
         failureAt = timer.now();
         if (isConnected || failures === 0) {
-            log.write(logEvents.storeFailed, { reason: failure.reason, kind: failure.kind, revision });
+            log.write(logEvents.storeFailed, { reason: failure.reason, kind: failure.kind, revision: items.revision() });
         }
         isConnected = false;
         failures++;
     };
     const recordSuccess = (): void => {
         if (!isConnected) {
-            log.write(logEvents.storeAnswers, { revision, failures });
+            log.write(logEvents.storeAnswers, { revision: items.revision(), failures });
         }
         isConnected = true;
         failures = 0;
     };
     const watchLoop = async (): Promise<void> => {
-        isWatchRequired = revision === 0 || options.isWatchNeeded();
+        isWatchRequired = items.revision() === 0 || options.isWatchNeeded();
         if (!isWatchRequired) {
             timer.after(watchNeedCheckIntervalMs, () => void watchLoop());
             return;
@@ -218,31 +149,29 @@
         stop: () => {
             isStopped = true;
         },
-        snapshot: () => ({ revision, items: [...items.values()] }),
-        updateSince: after => {
-            const isUnsettled = timer.now() - failureAt < storeFailureWindowMs;
-            return after >= historyStart
-                ? { kind: "changes", isUnsettled, revision, events: history.filter(event => revisionOf(event) > after) }
-                : { kind: "state", isUnsettled, revision, items: [...items.values()] };
-        },
+        snapshot: items.snapshot,
+        updateSince: after => ({
+            ...items.updateSince(after),
+            isUnsettled: timer.now() - failureAt < storeFailureWindowMs,
+        }),
         applyUpdate: update => {
-            if (update.revision <= revision) {
+            if (update.revision <= items.revision()) {
                 return false;
             }
             if (update.isUnsettled) {
                 failureAt = timer.now();
             }
             if (update.kind === "state") {
-                applySnapshot(update);
+                items.applySnapshot(update);
             }
             else {
-                applyChanges(update.events, update.revision);
+                items.applyChanges(update.events, update.revision);
             }
             return true;
         },
-        revision: () => revision,
+        revision: items.revision,
         recordPeerRevision: peerRevision => {
-            if (pendingSince !== undefined && peerRevision > revision) {
+            if (pendingSince !== undefined && peerRevision > items.revision()) {
                 newerRevisionAt ??= timer.now();
             }
         },
