fix(steer): a call for changes that hangs from an outage of the store is ended by what shows the store to respond

Cause: a call for changes that was begun before or during a silent outage waits up to its own limit, 9.5 s, though the store responds to the same entry's renewals and to other entries. Where all entries hang, nobody has anything newer. Class: a wait that only its own timer ends, though other evidence shows it to be vain. Why this works: a renewal without a response for 600 ms, or a peer's newer revision for 300 ms, puts the store in doubt: the call ends and a short one that does not wait takes its place, until one is answered; a response to any later call makes it anew at once. Failed calls repeat every 0.8 s in the mean at the two watchers of a data centre; others share that rate. Still open: outages shorter than the time between renewals that no call notices, and restarted entries that are not known.

--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -9,7 +9,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createDeferredRemovals, removalDelayMs } from "../deferredRemovals.js";
-import { createRegistration } from "../registration.js";
+import { createRegistration, type Registration } from "../registration.js";
 import type { StoreEvent } from "../store.js";
 import { decodeMember, encodeMember, memberKey, type StoreItemDecoder } from "../storeItems.js";
 import { createStoreProjection } from "../storeProjection.js";
@@ -44,6 +44,7 @@
         prefix: "",
         watchPauseMs: () => 100,
         isWatchNeeded: () => watchNeed.isNeeded,
+        maxRetryIntervalMs: () => 1_000,
         onEvent: event => {
             events.push(event);
             onEvent(event);
@@ -54,6 +55,21 @@
     return { timer, replica, events };
 }
 
+function startRegistration(store: FakeStore, timer: VirtualTimer, key: string, value: Buffer): Registration {
+    const registration = createRegistration({
+        store,
+        timer,
+        random: createRandom(1),
+        log: silentLog,
+        key,
+        value,
+        onSilence: () => {},
+        onResponse: () => {},
+    });
+    registration.start();
+    return registration;
+}
+
 const keysOf = (replica: StoreReplica): string[] => replica.snapshot().items.map(item => item.key).sort();
 
 test("reads a snapshot in pages, then watches for changes", async () => {
@@ -172,9 +188,9 @@
     await advance(timer, 2_000);
     assert.equal(replica.isWatching(), true);
     replica.recordPeerRevision(replica.revision() + 1);
-    await advance(timer, 500);
+    await advance(timer, 200);
     assert.equal(replica.isWatching(), true);
-    await advance(timer, 300);
+    await advance(timer, 200);
     assert.equal(replica.isWatching(), false);
     store.speak();
     await advance(timer, 300);
@@ -201,8 +217,7 @@
     const timer = createVirtualTimer();
     const value = Buffer.from("{}");
     const key = memberKey(toInstanceId("me"));
-    const registration = createRegistration({ store, timer, random: createRandom(1), log: silentLog, key, value });
-    registration.start();
+    const registration = startRegistration(store, timer, key, value);
     await advance(timer, 2_000);
     store.expireLeases();
     await advance(timer, 4_000);
@@ -216,15 +231,7 @@
     const store = createFakeStore();
     const timer = createVirtualTimer();
     const key = memberKey(toInstanceId("me"));
-    const registration = createRegistration({
-        store,
-        timer,
-        random: createRandom(1),
-        log: silentLog,
-        key,
-        value: Buffer.from("{}"),
-    });
-    registration.start();
+    const registration = startRegistration(store, timer, key, Buffer.from("{}"));
     await advance(timer, 2_000);
     assert.equal(store.writes.length, 1);
     store.expireLeases();
--- a/packages/steer/src/store/registration.ts
+++ b/packages/steer/src/store/registration.ts
@@ -3,7 +3,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import type { StoreFailure } from "./store.js";
+import type { StoreFailure, StoreResult } from "./store.js";
 import type { StoreCalls } from "./storeCalls.js";
 
 export interface RegistrationOptions {
@@ -13,6 +13,10 @@
     readonly log: Log;
     readonly key: string;
     readonly value: Buffer;
+    /** Called when a call has been without a response for some time. */
+    readonly onSilence: () => void;
+    /** Called when the store has responded to a call, with the time at which the call began. */
+    readonly onResponse: (callStartedAt: number) => void;
 }
 
 export interface Registration {
@@ -28,6 +32,8 @@
 const leaseMs = 6_000;
 const renewIntervalMs = 2_000;
 const retryDelayMs = 400;
+/** A call without a response for this long suggests that the store does not respond. */
+const slowCallMs = 600;
 
 export function createRegistration(options: RegistrationOptions): Registration {
     const { store, timer, random, log, key, value } = options;
@@ -41,16 +47,29 @@
             failureAt = timer.now();
         }
     };
+    const observe = async <Value>(result: StoreResult<Value>): StoreResult<Value> => {
+        const startedAt = timer.now();
+        const cancel = timer.after(slowCallMs, options.onSilence);
+        const outcome = await result;
+        cancel();
+        if (outcome.isErr && outcome.error.kind === "unknown") {
+            options.onSilence();
+        }
+        else {
+            options.onResponse(startedAt);
+        }
+        return outcome;
+    };
     const write = async (): Promise<boolean> => {
         if (lease === undefined) {
-            const granted = await store.grantLease(leaseMs);
+            const granted = await observe(store.grantLease(leaseMs));
             if (granted.isErr) {
                 recordFailure(granted.error);
                 return false;
             }
             lease = granted.value;
         }
-        const written = await store.write({ expected: [], puts: [{ key, value, lease }], removes: [] });
+        const written = await observe(store.write({ expected: [], puts: [{ key, value, lease }], removes: [] }));
         if (written.isErr) {
             recordFailure(written.error);
             lease = written.error.kind === "noLease" ? undefined : lease;
@@ -58,7 +77,7 @@
         return written.isOk;
     };
     const renew = async (): Promise<boolean> => {
-        const renewed = await store.renewLease(lease!);
+        const renewed = await observe(store.renewLease(lease!));
         if (renewed.isErr) {
             recordFailure(renewed.error);
         }
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -16,7 +16,7 @@
 import { createStoreCalls } from "./storeCalls.js";
 import { encodeMember, memberKey } from "./storeItems.js";
 import { createStoreReplica, storeFailureWindowMs, type StoreReplica } from "./storeReplica.js";
-import { createWatcherElection } from "./watcherElection.js";
+import { createWatcherElection, watchersPerDataCentre } from "./watcherElection.js";
 
 export interface ReplicationOptions {
     readonly store: Store;
@@ -61,6 +61,12 @@
 /** Pause between two watch calls of a data centre's first watcher, and of its reserve. */
 const watchPausesMs = { first: 400, reserve: 1_000 } as const;
 
+/**
+ * Mean time between calls of a watcher that the store does not answer. Other entries that call the store because they hear
+ * from no watcher share this rate.
+ */
+const watcherRetryIntervalMs = 800;
+
 export function createReplication(options: ReplicationOptions): Replication {
     const { timer, random, log, self, members } = options;
     const store = createStoreCalls(timer, options.store);
@@ -73,6 +79,10 @@
         prefix: "",
         watchPauseMs: () => watcherElection.isFirstWatcher() ? watchPausesMs.first : watchPausesMs.reserve,
         isWatchNeeded: watcherElection.isWatcher,
+        maxRetryIntervalMs: () =>
+            watcherElection.isElected()
+                ? watcherRetryIntervalMs
+                : watcherRetryIntervalMs * Math.max(1, members.liveCountIn(self.dataCentre) / watchersPerDataCentre),
         onEvent: options.onEvent,
         onBatchApplied: () => {
             options.onBatchApplied();
@@ -88,6 +98,8 @@
         log,
         key: memberKey(self.id),
         value: encodeMember(self),
+        onSilence: replica.recordSilence,
+        onResponse: replica.recordResponse,
     });
     const peerSync = createPeerSync({
         log,
--- a/packages/steer/src/store/storeCalls.ts
+++ b/packages/steer/src/store/storeCalls.ts
@@ -3,9 +3,16 @@
 import { err } from "true-myth/result";
 import type { Store, StoreChanges, StoreFailure, StorePage, StoreResult, StoreWrite } from "./store.js";
 
+/** Limits of a call; one without a timeout has the usual one. */
+export interface CallLimits {
+    readonly timeoutMs: number | undefined;
+    /** Ends the call when aborted. */
+    readonly signal: AbortSignal;
+}
+
 export interface StoreCalls {
-    range(prefix: string, after: string | undefined): StoreResult<StorePage>;
-    watch(prefix: string, revision: number, waitMs: number): StoreResult<StoreChanges>;
+    range(prefix: string, after: string | undefined, limits: CallLimits): StoreResult<StorePage>;
+    watch(prefix: string, revision: number, waitMs: number, limits: CallLimits): StoreResult<StoreChanges>;
     write(write: StoreWrite): StoreResult<number>;
     grantLease(lifetimeMs: number): StoreResult<number>;
     renewLease(lease: number): StoreResult<void>;
@@ -24,17 +31,19 @@
     const callWithin = async <Value>(
         timeoutMs: number,
         start: (signal: AbortSignal) => StoreResult<Value>,
+        signal?: AbortSignal,
     ): StoreResult<Value> => {
         const abort = new AbortController();
-        const failure: StoreFailure = { kind: "unknown", reason: `no response within ${timeoutMs} ms` };
         let cancelTimeout = (): void => {};
-        const timeout = new Promise<Awaited<StoreResult<Value>>>(resolve => {
-            cancelTimeout = timer.after(timeoutMs, () => {
-                resolve(err(failure));
+        const end = new Promise<Awaited<StoreResult<Value>>>(resolve => {
+            const endWith = (reason: string): void => {
+                resolve(err({ kind: "unknown", reason }));
                 abort.abort();
-            });
+            };
+            cancelTimeout = timer.after(timeoutMs, () => endWith(`no response within ${timeoutMs} ms`));
+            signal?.addEventListener("abort", () => endWith("the call was ended"), { once: true });
         });
-        const result = await Promise.race([start(abort.signal), timeout]);
+        const result = await Promise.race([start(abort.signal), end]);
         cancelTimeout();
         if (result.isOk || result.error.kind !== "unknown") {
             responseAt = timer.now();
@@ -42,9 +51,14 @@
         return result;
     };
     return {
-        range: (prefix, after) => callWithin(callTimeoutMs, signal => store.range(prefix, after, signal)),
-        watch: (prefix, revision, waitMs) =>
-            callWithin(waitMs + watchTimeoutMarginMs, signal => store.watch(prefix, revision, waitMs, signal)),
+        range: (prefix, after, limits) =>
+            callWithin(limits.timeoutMs ?? callTimeoutMs, signal => store.range(prefix, after, signal), limits.signal),
+        watch: (prefix, revision, waitMs, limits) =>
+            callWithin(
+                limits.timeoutMs ?? waitMs + watchTimeoutMarginMs,
+                signal => store.watch(prefix, revision, waitMs, signal),
+                limits.signal,
+            ),
         write: write => callWithin(callTimeoutMs, signal => store.write(write, signal)),
         grantLease: lifetimeMs => callWithin(callTimeoutMs, signal => store.grantLease(lifetimeMs, signal)),
         renewLease: lease => callWithin(callTimeoutMs, signal => store.renewLease(lease, signal)),
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -3,13 +3,13 @@
  * unavailable.
  */
 import type { Random } from "@pimentospring/core/random/random";
-import type { Timer } from "@pimentospring/core/time/timer";
+import type { Cancel, Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { err, ok } from "true-myth/result";
 import { createReplicatedItems, type ItemsSnapshot, type ItemsUpdate } from "./replicatedItems.js";
 import type { StoreEvent, StoreFailure, StoreItem, StoreResult } from "./store.js";
-import type { StoreCalls } from "./storeCalls.js";
+import type { CallLimits, StoreCalls } from "./storeCalls.js";
 
 export interface StoreReplicaOptions {
     readonly store: StoreCalls;
@@ -22,6 +22,8 @@
     readonly watchPauseMs: () => number;
     /** Whether this entry has to watch the store itself; otherwise it receives changes from peers. */
     readonly isWatchNeeded: () => boolean;
+    /** Longest mean time from one failed call to the next. */
+    readonly maxRetryIntervalMs: () => number;
     readonly onEvent: (event: StoreEvent) => void;
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
@@ -37,8 +39,12 @@
     /** Applies a peer's update if it is newer than this replica. Returns whether it was applied. */
     applyUpdate(update: StoreUpdate): boolean;
     revision(): number;
-    /** Records that a peer has reached a revision. A watch that stays without a response to it is silent. */
+    /** Records that a peer has reached a revision. A call that stays without a response to it is ended. */
     recordPeerRevision(peerRevision: number): void;
+    /** Records that the store did not respond to another call of this entry in time. */
+    recordSilence(): void;
+    /** Records that the store responded to another call of this entry, which began at the given time. */
+    recordResponse(callStartedAt: number): void;
     isConnected(): boolean;
     /** Whether this entry watches the store itself and the store responds. */
     isWatching(): boolean;
@@ -55,11 +61,14 @@
 };
 
 /** Longest time that a watch call waits for changes. */
-const watchTimeoutMs = 8_000;
-/** A watch for changes that peers know of is silent if it has no response after this time. */
-const silentWatchMs = 700;
+const watchWaitMs = 8_000;
+/** A call to a store that may not respond. */
+const probeTimeoutMs = 700;
+/** Time that a response may take after a peer has announced a newer revision. */
+const newerRevisionGraceMs = 300;
+/** A call is made anew within this time, so that entries do not all call at once. */
+const maxRestartDelayMs = 100;
 const minRetryDelayMs = 80;
-const maxRetryDelayMs = 1_000;
 /** Interval at which an entry that need not watch checks whether that has changed. */
 const watchNeedCheckIntervalMs = 300;
 /** For this long after a store failure, a missing record may merely have expired. */
@@ -68,6 +77,13 @@
 /** An error while changes are applied must not end the watch. */
 const toUnexpectedFailure = (error: Error): StoreFailure => ({ kind: "unknown", reason: error.stack ?? error.message });
 
+interface PendingCall {
+    readonly startedAt: number;
+    /** Whether the call asks a store that may not respond, and does not wait for changes. */
+    readonly isProbe: boolean;
+    readonly abort: AbortController;
+}
+
 export function createStoreReplica(options: StoreReplicaOptions): StoreReplica {
     const { store, timer, random, log, prefix } = options;
     const items = createReplicatedItems(options);
@@ -76,17 +92,23 @@
     let isWatchRequired = false;
     let failureAt = -Infinity;
     let failures = 0;
-    let pendingSince: number | undefined;
-    /** Time at which a peer first had a newer revision during the pending call. */
-    let newerRevisionAt: number | undefined;
+    let pending: PendingCall | undefined;
+    let cancelPause: Cancel = () => {};
+    /** Time of the last sign that the store may not respond to calls begun before it. */
+    let doubtAt = -Infinity;
+    /** Time of the last response of the store. */
+    let responseAt = -Infinity;
+    /** Calls ended because of a peer's newer revision since the last response. */
+    let peerRestarts = 0;
+    let isBehindPeer = false;
 
-    const isSilent = (): boolean => newerRevisionAt !== undefined && timer.now() - newerRevisionAt > silentWatchMs;
-    const readSnapshot = async (): StoreResult<ItemsSnapshot> => {
+    const isDoubtful = (): boolean => doubtAt > responseAt;
+    const readSnapshot = async (limits: CallLimits): StoreResult<ItemsSnapshot> => {
         const readItems: StoreItem[] = [];
         let firstRevision: number | undefined;
         let after: string | undefined;
         for (;;) {
-            const page = await store.range(prefix, after);
+            const page = await store.range(prefix, after, limits);
             if (page.isErr) {
                 return err(page.error);
             }
@@ -100,20 +122,24 @@
             }
         }
     };
-    const synchronise = async (): StoreResult<void> => {
+    const synchronise = async ({ isProbe, abort }: PendingCall): StoreResult<void> => {
+        const limits = { signal: abort.signal, timeoutMs: isProbe ? probeTimeoutMs : undefined };
         if (items.revision() === 0) {
-            const snapshot = await readSnapshot();
+            const snapshot = await readSnapshot(limits);
             return snapshot.map(items.applySnapshot);
         }
-        const changes = await store.watch(prefix, items.revision(), watchTimeoutMs);
+        const changes = await store.watch(prefix, items.revision(), isProbe ? 0 : watchWaitMs, limits);
         if (changes.isErr && changes.error.kind === "compacted") {
-            const snapshot = await readSnapshot();
+            const snapshot = await readSnapshot(limits);
             return snapshot.map(items.applySnapshot);
         }
         return changes.map(({ events, revision: upTo }) => items.applyChanges(events, upTo));
     };
     const recordFailure = (failure: StoreFailure): void => {
         failureAt = timer.now();
+        if (failure.kind === "unknown") {
+            doubtAt = timer.now();
+        }
         if (isConnected || failures === 0) {
             log.write(logEvents.storeFailed, { reason: failure.reason, kind: failure.kind, revision: items.revision() });
         }
@@ -126,28 +152,74 @@
         }
         isConnected = true;
         failures = 0;
+        responseAt = timer.now();
+        peerRestarts = 0;
+        isBehindPeer = false;
+    };
+    const callAfter = (delayMs: number): void => {
+        cancelPause();
+        cancelPause = timer.after(delayMs, () => void callStore());
+    };
+    /** Ends the pending call, or the pause before the next one, and calls the store anew. */
+    const restartCall = (): void => {
+        const call = pending;
+        pending = undefined;
+        call?.abort.abort();
+        callAfter(random.next() * maxRestartDelayMs);
     };
-    const watchLoop = async (): Promise<void> => {
+    /** Time to the next call; calls that failed early are followed later than those that waited. */
+    const retryDelayMs = (callMs: number): number => {
+        const backoffMs = Math.min(options.maxRetryIntervalMs(), minRetryDelayMs * 2 ** Math.min(failures, 6));
+        return Math.max(minRetryDelayMs, backoffMs * (0.5 + random.next()) - callMs);
+    };
+    const callStore = async (): Promise<void> => {
+        if (isStopped) {
+            return;
+        }
         isWatchRequired = items.revision() === 0 || options.isWatchNeeded();
         if (!isWatchRequired) {
-            timer.after(watchNeedCheckIntervalMs, () => void watchLoop());
+            callAfter(watchNeedCheckIntervalMs);
             return;
         }
-        pendingSince = timer.now();
-        const outcome = await synchronise().catch((error: Error) => err<void, StoreFailure>(toUnexpectedFailure(error)));
-        pendingSince = undefined;
-        newerRevisionAt = undefined;
-        if (isStopped) {
+        const call: PendingCall = { startedAt: timer.now(), isProbe: isDoubtful(), abort: new AbortController() };
+        pending = call;
+        const outcome = await synchronise(call).catch((error: Error) => err<void, StoreFailure>(toUnexpectedFailure(error)));
+        if (isStopped || pending !== call) {
             return;
         }
+        pending = undefined;
         outcome.match({ Ok: recordSuccess, Err: recordFailure });
-        const retryDelayMs = Math.min(maxRetryDelayMs, minRetryDelayMs * 2 ** Math.min(failures, 6)) * (0.5 + random.next());
-        timer.after(outcome.isOk ? options.watchPauseMs() : retryDelayMs, () => void watchLoop());
+        callAfter(outcome.isOk ? options.watchPauseMs() : retryDelayMs(timer.now() - call.startedAt));
+    };
+    const recordSilence = (): void => {
+        doubtAt = timer.now();
+        if (pending !== undefined && !pending.isProbe) {
+            restartCall();
+        }
+    };
+    const recordResponse = (callStartedAt: number): void => {
+        const isOvertaken = pending === undefined ? isDoubtful() : pending.isProbe && pending.startedAt < callStartedAt;
+        responseAt = timer.now();
+        if (isWatchRequired && isOvertaken) {
+            restartCall();
+        }
+    };
+    /** A call that brings nothing although a peer has a newer revision may never be answered. */
+    const checkPeerRevision = (peerRevision: number, heardAt: number): void => {
+        if (peerRevision <= items.revision() || pending === undefined || pending.startedAt > heardAt) {
+            return;
+        }
+        peerRestarts++;
+        isBehindPeer = true;
+        doubtAt = timer.now();
+        failureAt = timer.now();
+        restartCall();
     };
     return {
-        start: () => void watchLoop(),
+        start: () => void callStore(),
         stop: () => {
             isStopped = true;
+            pending?.abort.abort();
         },
         snapshot: items.snapshot,
         updateSince: after => ({
@@ -171,13 +243,19 @@
         },
         revision: items.revision,
         recordPeerRevision: peerRevision => {
-            if (pendingSince !== undefined && peerRevision > items.revision()) {
-                newerRevisionAt ??= timer.now();
+            if (pending !== undefined && peerRevision > items.revision()) {
+                const heardAt = timer.now();
+                timer.after(
+                    newerRevisionGraceMs * 2 ** Math.min(peerRestarts, 3),
+                    () => checkPeerRevision(peerRevision, heardAt),
+                );
             }
         },
-        isConnected: () => isConnected,
-        isWatching: () => isWatchRequired && isConnected && !isSilent(),
-        pendingSince: () => pendingSince,
+        recordSilence,
+        recordResponse,
+        isConnected: () => isConnected && !isDoubtful(),
+        isWatching: () => isWatchRequired && isConnected && !isDoubtful() && !isBehindPeer,
+        pendingSince: () => pending?.startedAt,
         lastFailureAt: () => failureAt,
     };
 }
--- a/packages/steer/src/store/watcherElection.ts
+++ b/packages/steer/src/store/watcherElection.ts
@@ -21,7 +21,7 @@
     readonly members: Members;
 }
 
-const watchersPerDataCentre = 2;
+export const watchersPerDataCentre = 2;
 /** Up to two heartbeats may be lost before other entries start to watch. */
 const watcherTimeoutMs = 1_800;
 
