fix(steer): entries that don't know each other exchange their records by datagram

Cause: an entry learns of restarted ones from the store, and drops heartbeats of entries that it does not know. With a call for changes that hangs, it hears no newer revision from just those that read the store anew. Class: news thrown away because its sender is not known yet by the path that failed. Why this works: an entry answers a heartbeat of an unknown one by asking for its record, at most once a heartbeat; the reply makes it a member, whose revision counts.

--- a/packages/core/src/steering/members.ts
+++ b/packages/core/src/steering/members.ts
@@ -37,6 +37,7 @@
     markUnregistered(id: InstanceId): void;
     /** Makes exactly these entries the registered ones. */
     replaceAll(records: readonly MemberRecord[]): void;
+    isKnown(id: InstanceId): boolean;
     /** Records a heartbeat. Returns the member, if it is known. */
     recordHeartbeat(id: InstanceId, isLeaving: boolean): Member | undefined;
     /** Records that some entry of the data centre was heard from, directly or through a relay. */
@@ -111,6 +112,7 @@
             [...members.keys()].filter(id => !ids.has(id)).forEach(unregister);
             records.forEach(register);
         },
+        isKnown: id => members.has(id),
         recordHeartbeat: (id, isLeaving) => {
             const member = members.get(id);
             if (member !== undefined) {
--- a/packages/steer/src/mesh/__tests__/heartbeat.test.ts
+++ b/packages/steer/src/mesh/__tests__/heartbeat.test.ts
@@ -1,5 +1,13 @@
 /** Encoding of heartbeats: size limits, and rejection of foreign or truncated datagrams. */
-import { type Fingerprint, toDataCentreId, toInstanceId, toServiceId, toTargetIncarnationId } from "@pimentospring/core/ids";
+import {
+    type Fingerprint,
+    toDataCentreId,
+    toInstanceId,
+    toRegionId,
+    toServiceId,
+    toTargetIncarnationId,
+} from "@pimentospring/core/ids";
+import type { MemberRecord } from "@pimentospring/core/steering/members";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -20,6 +28,8 @@
         deaths: 2,
         targetIncarnation: toTargetIncarnationId("i-7f3a91c2@1765000000000"),
     }],
+    requestsRecord: false,
+    record: undefined,
 };
 
 test("heartbeats round-trip; one without poison reports takes less than 110 bytes, a poison report at most 60 more", () => {
@@ -30,6 +40,21 @@
     assert.ok(bytes.length < 110 + 60, `${bytes.length} bytes`);
 });
 
+test("a heartbeat carries the sender's record and asks for the receiver's; a malformed record counts as absent", () => {
+    const record: MemberRecord = {
+        id: heartbeat.sender,
+        callers: "10.0.0.1:80",
+        mesh: "10.0.0.1:81",
+        control: "10.0.0.1:82",
+        dataCentre: toDataCentreId("cpt-a"),
+        region: toRegionId("cpt"),
+    };
+    const introduction = { ...heartbeat, requestsRecord: true, record };
+    assert.deepEqual(decodeHeartbeat(encodeHeartbeat(introduction)), introduction);
+    const malformed = encodeHeartbeat({ ...introduction, record: { ...record, mesh: "nowhere" } });
+    assert.deepEqual(decodeHeartbeat(malformed), { ...introduction, record: undefined });
+});
+
 test("decoding arbitrary or truncated bytes never throws", () => {
     fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
         const decoded = decodeHeartbeat(Buffer.from(bytes));
--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -9,8 +9,10 @@
     toServiceId,
     toTargetIncarnationId,
 } from "@pimentospring/core/ids";
+import type { MemberRecord } from "@pimentospring/core/steering/members";
 import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import { Packr } from "msgpackr";
+import { decodeMember, encodeMember } from "../store/storeItems.js";
 
 export interface EntryLoads {
     readonly dataCentre: DataCentreId;
@@ -37,6 +39,10 @@
     /** Load at the sender, and loads of other entries that it relays. */
     readonly loads: readonly EntryLoads[];
     readonly poison: readonly PoisonReport[];
+    /** Whether the sender does not know the receiver and asks for its record. */
+    readonly requestsRecord: boolean;
+    /** The sender's record, for a receiver that asked for it. */
+    readonly record: MemberRecord | undefined;
 }
 
 type LoadsRow = readonly [
@@ -50,9 +56,11 @@
     revision: number,
     loads: readonly LoadsRow[],
     poison: readonly (readonly [fingerprint: string, deaths: number, targetIncarnation: string])[],
+    /** Encoded as in the store; left out if there is none. */
+    record?: Uint8Array,
 ];
 
-const flags = { leaving: 1, following: 2 } as const;
+const flags = { leaving: 1, following: 2, requestsRecord: 4 } as const;
 /** Loads are sent in tenths of a slot. */
 const slotUnitsPerSlot = 10;
 
@@ -65,17 +73,19 @@
         entryLoads.loads.map(load => [load.service, Math.round(load.slots * slotUnitsPerSlot)] as const),
     ]);
     const poison = heartbeat.poison.map(report => [report.fingerprint, report.deaths, report.targetIncarnation ?? ""] as const);
-    return packr.pack(
-        [
-            heartbeat.sender,
-            (heartbeat.isLeaving ? flags.leaving : 0) + (heartbeat.isWatching ? flags.following : 0),
-            heartbeat.revision,
-            loads,
-            poison,
-        ] satisfies HeartbeatRow,
-    );
+    const row: HeartbeatRow = [
+        heartbeat.sender,
+        encodeFlags(heartbeat),
+        heartbeat.revision,
+        loads,
+        poison,
+    ];
+    return packr.pack(heartbeat.record === undefined ? row : [...row, encodeMember(heartbeat.record)]);
 }
 
+const encodeFlags = ({ isLeaving, isWatching, requestsRecord }: Heartbeat): number =>
+    (isLeaving ? flags.leaving : 0) + (isWatching ? flags.following : 0) + (requestsRecord ? flags.requestsRecord : 0);
+
 /** Decodes a datagram. Returns `undefined` if it is not a valid heartbeat. */
 export function decodeHeartbeat(bytes: Buffer): Heartbeat | undefined {
     let row: unknown;
@@ -91,7 +101,8 @@
 function isHeartbeatRow(row: unknown): row is HeartbeatRow {
     return Array.isArray(row) && row.length >= 5 && typeof row[0] === "string" && Number.isInteger(row[1])
         && Number.isSafeInteger(row[2]) && row[2] >= 0
-        && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow);
+        && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow)
+        && (row[5] === undefined || row[5] instanceof Uint8Array);
 }
 
 function isLoadsRow(row: unknown): row is LoadsRow {
@@ -108,6 +119,8 @@
         sender: toInstanceId(row[0]),
         isLeaving: (row[1] & flags.leaving) !== 0,
         isWatching: (row[1] & flags.following) !== 0,
+        requestsRecord: (row[1] & flags.requestsRecord) !== 0,
+        record: row[5] === undefined ? undefined : toRecord(row[0], row[5]),
         revision: row[2],
         loads: row[3].map(([dataCentre, entry, loads]) => ({
             dataCentre: toDataCentreId(dataCentre),
@@ -121,3 +134,9 @@
         })),
     };
 }
+
+/** An invalid record counts as absent. */
+function toRecord(sender: string, bytes: Uint8Array): MemberRecord | undefined {
+    const decoded = decodeMember(toInstanceId(sender), Buffer.from(bytes));
+    return decoded.isValid ? decoded.value : undefined;
+}
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -85,13 +85,14 @@
     let isAnnouncementPending = false;
     let sentBytes = 0;
 
-    const sendTo = (member: Member, bytes: Buffer): void => {
+    const sendToAddress = (address: string, bytes: Buffer): void => {
         if (!isOpen) {
             return;
         }
         sentBytes += bytes.length;
-        socket.send(member.record.mesh, bytes);
+        socket.send(address, bytes);
     };
+    const sendTo = (member: Member, bytes: Buffer): void => sendToAddress(member.record.mesh, bytes);
     const isLocal = (member: Member): boolean => member.record.dataCentre === self.dataCentre;
     /** The live entry with the lowest id in each data centre; `undefined` where that is this entry. */
     const relays = (): Map<string, Member | undefined> => {
@@ -121,6 +122,8 @@
         revision: options.revision(),
         loads,
         poison,
+        requestsRecord: false,
+        record: undefined,
     });
     const unexpired = (received: ReadonlyMap<string, ReceivedLoads>): EntryLoads[] =>
         [...received.values()].filter(({ receivedAt }) => timer.now() - receivedAt < loadExpiryMs).map(({ loads }) => loads);
@@ -170,7 +173,18 @@
             }
         }
     };
-    const receiveDatagram = (bytes: Buffer): void => {
+    /** Entries that this one has no record of, such as ones just started while this one can't read the store, are asked for it. */
+    const exchangeRecords = (heartbeat: Heartbeat, address: string): void => {
+        if (heartbeat.record !== undefined) {
+            members.addAnnounced(heartbeat.record);
+        }
+        const requestsRecord = !heartbeat.isLeaving && !members.isKnown(heartbeat.sender);
+        if (requestsRecord || heartbeat.requestsRecord) {
+            const record = heartbeat.requestsRecord ? self : undefined;
+            sendToAddress(address, encodeHeartbeat({ ...createHeartbeat([]), requestsRecord, record }));
+        }
+    };
+    const receiveDatagram = (bytes: Buffer, address: string): void => {
         const digestMessage = decodeDigests(bytes);
         if (digestMessage !== undefined) {
             receiveDigests(digestMessage);
@@ -181,6 +195,7 @@
             log.write(logEvents.datagramRefused, { bytes: bytes.length });
             return;
         }
+        exchangeRecords(heartbeat, address);
         const member = members.recordHeartbeat(heartbeat.sender, heartbeat.isLeaving);
         if (member === undefined) {
             options.onUnknownHeartbeat(heartbeat);
--- a/packages/steer/src/store/__tests__/staleWatch.test.ts
+++ b/packages/steer/src/store/__tests__/staleWatch.test.ts
@@ -36,3 +36,23 @@
     const { appliedAfterMs, behind } = await playOutage({ ...karoo, restartedCount: 3, isPartial: true });
     assert.ok(appliedAfterMs <= maxAppliedMs, `in force after ${appliedAfterMs} ms, not at ${behind.join(", ")}`);
 });
+
+test("an entry whose call hangs unnoticed hears of a change from entries that were restarted and that it does not know", async () => {
+    for (
+        const [watchAgeMs, outageMs, seed] of [[1_500, 1_000, 2], [1_500, 1_000, 1], [100, 1_000, 1], [1_500, 200, 1]] as const
+    ) {
+        const { appliedAfterMs, behind } = await playOutage({
+            ...karoo,
+            seed,
+            watchAgeMs,
+            outageMs,
+            restartedCount: 3,
+            changeDelayMs: 337 * seed,
+        });
+        const schedule = `calls of ${watchAgeMs} ms, outage of ${outageMs} ms, seed ${seed}`;
+        assert.ok(
+            appliedAfterMs <= maxAppliedMs,
+            `${schedule}: in force after ${appliedAfterMs} ms, not at ${behind.join(", ")}`,
+        );
+    }
+});
--- a/packages/steer/src/store/storeCalls.ts
+++ b/packages/steer/src/store/storeCalls.ts
@@ -1,7 +1,7 @@
 /** Calls to the store that end in bounded time, whether or not the store responds. */
 import type { Timer } from "@pimentospring/core/time/timer";
 import { err } from "true-myth/result";
-import type { Store, StoreChanges, StoreFailure, StorePage, StoreResult, StoreWrite } from "./store.js";
+import type { Store, StoreChanges, StorePage, StoreResult, StoreWrite } from "./store.js";
 
 /** Limits of a call; one without a timeout has the usual one. */
 export interface CallLimits {
