fix(steer): an entry without the store asks a second peer while the first does not respond

The record shows refused state requests to a peer that was just restarting. Cause: an entry asked one peer at a time, the one whose heartbeat came first after the last request ended. With a peer that hangs this is the same one again and again, as heartbeats keep their order. Why this works: all peers that announce a newer revision are kept; after 250 ms or a failure the next is asked, at most two at a time, and one that failed within 3 s only if there is no other.

--- a/packages/steer/src/store/__tests__/outageScenario.ts
+++ b/packages/steer/src/store/__tests__/outageScenario.ts
@@ -25,6 +25,8 @@
     readonly restartedCount: number;
     /** Whether affected entries that are not restarted stay without the store. */
     readonly isPartial?: boolean;
+    /** Entries that do not respond to state requests after the outage. */
+    readonly hanging?: readonly number[];
     readonly change: Change;
     /** Time from the end of the outage to the change. */
     readonly changeDelayMs: number;
@@ -45,6 +47,7 @@
 
 export const observationMs = 12_000;
 const settleMs = 12_000;
+const maxStartDelayMs = 300;
 const restartMs = 1_000;
 const pollMs = 50;
 const version = 2;
@@ -66,7 +69,7 @@
     const { store, entries, timer, run } = deployment;
     store.put(configurationKey, formatConfiguration(1));
     store.put(targetKey(target), formatTarget(false));
-    entries.forEach(entry => entry.start());
+    entries.forEach(entry => timer.after(deployment.random.below(maxStartDelayMs), entry.start));
     await run(settleMs);
     // Answers all pending watches, so that they are begun anew together.
     store.put("other", "1");
@@ -76,6 +79,7 @@
     await restart(deployment, options);
     const restarted = affected.filter(({ index }) => index < options.restartedCount);
     (options.isPartial === true ? restarted : affected).forEach(({ index }) => store.setMode(index, "up"));
+    options.hanging?.forEach(index => deployment.hangingEntries.add(index));
     const endedAt = timer.now();
     await run(options.changeDelayMs);
     applyChange(options.change, deployment);
--- a/packages/steer/src/store/__tests__/staleWatch.test.ts
+++ b/packages/steer/src/store/__tests__/staleWatch.test.ts
@@ -56,3 +56,22 @@
         );
     }
 });
+
+test("an entry without the store takes a change from another peer while the one that it asked first does not respond", async () => {
+    for (const hanging of [[4], [5], [6], [7], [4, 6], [5, 7]]) {
+        for (let seed = 1; seed <= 6; seed++) {
+            const { appliedAfterMs, behind } = await playOutage({
+                ...karoo,
+                seed,
+                affectedFraction: 0.5,
+                isPartial: true,
+                hanging,
+            });
+            const schedule = `entries ${hanging.join(", ")} hang, seed ${seed}`;
+            assert.ok(
+                appliedAfterMs <= maxAppliedMs,
+                `${schedule}: in force after ${appliedAfterMs} ms, not at ${behind.join(", ")}`,
+            );
+        }
+    }
+});
--- a/packages/steer/src/store/__tests__/storeDeployment.ts
+++ b/packages/steer/src/store/__tests__/storeDeployment.ts
@@ -52,6 +52,8 @@
     readonly random: Random;
     /** Addresses between which nothing passes, by data centre. */
     readonly cutDataCentres: Set<string>;
+    /** Entries that do not respond to state requests. */
+    readonly hangingEntries: Set<number>;
     sentDatagramBytes(): number;
     /** Advances the clock, letting promises settle on the way. */
     run(durationMs: number): Promise<void>;
@@ -121,6 +123,7 @@
     const delayMs = (from: number, to: number): number =>
         regionOf(dataCentreOf(from)) === regionOf(dataCentreOf(to)) ? localDelayMs : remoteDelayMs;
     const cutDataCentres = new Set<string>();
+    const hangingEntries = new Set<number>();
     const isCut = (from: number, to: number): boolean =>
         dataCentreOf(from) !== dataCentreOf(to)
         && [from, to].some(index => cutDataCentres.has(`dc-${dataCentreOf(index)}`));
@@ -154,7 +157,7 @@
                 const to = indexOf(address);
                 const fail = (reason: string): void => reject(new Error(reason));
                 timer.after(stateTimeoutMs, () => fail("no response"));
-                if (isCut(from, to)) {
+                if (isCut(from, to) || hangingEntries.has(to)) {
                     return;
                 }
                 timer.after(delayMs(from, to), () => {
@@ -271,5 +274,5 @@
             await new Promise(resolve => setImmediate(resolve));
         }
     };
-    return { timer, store, entries, random, cutDataCentres, sentDatagramBytes: network.sentBytes, run };
+    return { timer, store, entries, random, cutDataCentres, hangingEntries, sentDatagramBytes: network.sentBytes, run };
 }
--- a/packages/steer/src/store/peerSync.ts
+++ b/packages/steer/src/store/peerSync.ts
@@ -52,28 +52,58 @@
 /** An entry without the store asks a seed if it has asked nobody for this long. */
 const seedRequestIntervalMs = 1_000;
 const maxRequestBytes = 4_096;
+/** Another peer is asked too if one has not responded for this long. */
+const hedgeDelayMs = 250;
+/** Peers asked at the same time. */
+const maxPending = 2;
+/** A peer that failed to respond is asked only if there is no other for this long. */
+const failedPeerPauseMs = 3_000;
 
 export function createPeerSync(options: PeerSyncOptions): PeerSync {
     const { log, timer, self, members, replica } = options;
     const createRequest = (): StateRequest => ({ id: self.id, record: encodeMember(self), after: replica.revision() });
+    /** Peers that have announced a newer revision, by control address; most recently heard last. */
+    const aheadPeers = new Map<string, number>();
+    /** Addresses asked at the moment. */
+    const pending = new Set<string>();
+    const failedAt = new Map<string, number>();
     let lastRequestAt = -Infinity;
-    let isRequestPending = false;
     let nextSeed = 0;
 
     const synchronise = async (address: string): Promise<void> => {
         lastRequestAt = timer.now();
-        isRequestPending = true;
+        pending.add(address);
+        const cancelHedge = timer.after(hedgeDelayMs, askNextPeer);
         try {
             const bytes = await options.requestState(address, encodeStateRequest(createRequest()));
+            failedAt.delete(address);
             if (bytes !== undefined) {
                 receiveUpdate(address, bytes);
             }
         }
         catch (error) {
+            failedAt.set(address, timer.now());
             log.write(logEvents.peerStateFailed, { peer: address, reason: (error as Error).message });
         }
         finally {
-            isRequestPending = false;
+            cancelHedge();
+            pending.delete(address);
+            aheadPeers.delete(address);
+            askNextPeer();
+        }
+    };
+    const hasFailedRecently = (address: string): boolean =>
+        timer.now() - (failedAt.get(address) ?? -Infinity) < failedPeerPauseMs;
+    /** Asks the peer heard of last that is ahead of this entry; one that failed recently only if there is no other. */
+    const askNextPeer = (): void => {
+        if (pending.size >= maxPending) {
+            return;
+        }
+        aheadPeers.forEach((revision, address) => revision <= replica.revision() && aheadPeers.delete(address));
+        const candidates = [...aheadPeers.keys()].filter(address => !pending.has(address));
+        const next = candidates.findLast(address => !hasFailedRecently(address)) ?? candidates.at(-1);
+        if (next !== undefined) {
+            void synchronise(next);
         }
     };
     const receiveUpdate = (peer: string, bytes: Buffer): void => {
@@ -101,7 +131,7 @@
     const synchroniseFromSeed = (): void => {
         const seeds = options.seeds().filter(seed => seed !== self.control);
         if (
-            replica.isConnected() || seeds.length === 0 || isRequestPending || timer.now() - lastRequestAt < seedRequestIntervalMs
+            replica.isConnected() || seeds.length === 0 || pending.size > 0 || timer.now() - lastRequestAt < seedRequestIntervalMs
         ) {
             return;
         }
@@ -125,8 +155,13 @@
             timer.subscribe(seedCheckIntervalMs, synchroniseFromSeed);
         },
         onPeerRevision: (peer, revision) => {
-            if (!replica.isWatching() && revision > replica.revision() && !isRequestPending) {
-                void synchronise(peer.control);
+            if (replica.isWatching() || revision <= replica.revision()) {
+                return;
+            }
+            aheadPeers.delete(peer.control);
+            aheadPeers.set(peer.control, revision);
+            if (pending.size === 0) {
+                askNextPeer();
             }
         },
     };
