fix(steer): after a failure of the store a newer revision is announced to other data centres at once

Cause: revisions were announced at once only inside a data centre; others heard of them with the relays' heartbeats, once a second, which is right only while their own calls for changes work. Why this works: for ten seconds after a failure of the store, or its own start, an entry that watches announces to the relays of the other data centres too.

--- a/packages/steer/src/mesh/__tests__/mesh.test.ts
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -73,3 +73,45 @@
     meshes.forEach(mesh => mesh.close());
     assert.equal([...receivedSlots.values()].reduce((sum, count) => sum + count, 0), 12);
 });
+
+test(
+    "a revision announced everywhere reaches the relays of other data centres before the next heartbeat",
+    { timeout: 10_000 },
+    async () => {
+        const timer = createVirtualTimer();
+        const records = [await recordOf("a1", "cpt-a"), await recordOf("b1", "jhb-a"), await recordOf("b2", "jhb-a")];
+        const heard = new Map<string, number[]>(records.map(({ id }) => [id, []]));
+        const start = async (self: MemberRecord): Promise<Mesh> => {
+            const members = createMembers(timer, self);
+            members.replaceAll(records.filter(record => record !== self));
+            const mesh = createMesh({
+                timer,
+                log: silentLog,
+                socket: createUdpSocket(),
+                self,
+                members,
+                ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [] }),
+                revision: () => 7,
+                isWatching: () => true,
+                onUnknownHeartbeat: () => {},
+                takeDigest: () => undefined,
+                onDigest: () => {},
+                onHeartbeat: heartbeat => heard.get(self.id)!.push(heartbeat.revision),
+            });
+            await mesh.start();
+            return mesh;
+        };
+        const meshes = await Promise.all(records.map(start));
+        meshes[0]!.announceRevision("dataCentre");
+        timer.advance(100);
+        await pause(50);
+        assert.deepEqual([...heard.values()], [[], [], []]);
+        meshes[0]!.announceRevision("dataCentre");
+        meshes[0]!.announceRevision("everywhere");
+        meshes[0]!.announceRevision("dataCentre");
+        timer.advance(100);
+        await pause(50);
+        meshes.forEach(mesh => mesh.close());
+        assert.deepEqual([...heard.values()], [[], [7], []]);
+    },
+);
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -37,14 +37,19 @@
     start(): Promise<void>;
     /** Sends the report to all live entries immediately. */
     broadcastPoison(poison: PoisonReport): void;
-    /** Announces the current store revision to the entries of this data centre, after a short debounce. */
-    announceRevision(): void;
+    /**
+     * Announces the current store revision after a short debounce: to the entries of this data centre, or also to the relays
+     * of all others, which otherwise hear of it with the next heartbeat.
+     */
+    announceRevision(scope: AnnouncementScope): void;
     /** Announces to this data centre that this entry accepts no new requests. */
     announceLeaving(): void;
     close(): void;
     sentBytes(): number;
 }
 
+export type AnnouncementScope = "dataCentre" | "everywhere";
+
 const heartbeatIntervalMs = 1_000;
 /** Shorter than most work takes, so that peers know of most attempts while they run. */
 const digestIntervalMs = 250;
@@ -82,7 +87,7 @@
     const remoteLoads = new Map<string, ReceivedLoads>();
     let isLeaving = false;
     let isOpen = false;
-    let isAnnouncementPending = false;
+    let pendingAnnouncement: AnnouncementScope | undefined;
     let sentBytes = 0;
 
     const sendToAddress = (address: string, bytes: Buffer): void => {
@@ -146,6 +151,18 @@
             });
         }
     };
+    const sendAnnouncement = (): void => {
+        const bytes = encodeHeartbeat(createHeartbeat([]));
+        members.liveMembers().filter(isLocal).forEach(member => sendTo(member, bytes));
+        if (pendingAnnouncement === "everywhere") {
+            relays().forEach((relay, dataCentre) => {
+                if (relay !== undefined && dataCentre !== self.dataCentre) {
+                    sendTo(relay, bytes);
+                }
+            });
+        }
+        pendingAnnouncement = undefined;
+    };
     const sendDigests = (): void => {
         const digest = options.takeDigest();
         const local = members.liveMembers().filter(isLocal);
@@ -224,16 +241,12 @@
             const bytes = encodeHeartbeat(createHeartbeat([], [poison]));
             members.liveMembers().forEach(member => sendTo(member, bytes));
         },
-        announceRevision: () => {
-            if (isAnnouncementPending) {
-                return;
+        announceRevision: scope => {
+            const isScheduled = pendingAnnouncement !== undefined;
+            pendingAnnouncement = pendingAnnouncement === "everywhere" ? "everywhere" : scope;
+            if (!isScheduled) {
+                timer.after(revisionDebounceMs, sendAnnouncement);
             }
-            isAnnouncementPending = true;
-            timer.after(revisionDebounceMs, () => {
-                isAnnouncementPending = false;
-                const bytes = encodeHeartbeat(createHeartbeat([]));
-                members.liveMembers().filter(isLocal).forEach(member => sendTo(member, bytes));
-            });
         },
         announceLeaving: () => {
             isLeaving = true;
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -203,7 +203,7 @@
             projection.onBatchApplied();
             dispatcher.dispatchQueued();
         },
-        announceRevision: () => mesh.announceRevision(),
+        announceRevision: scope => mesh.announceRevision(scope),
     });
     const { replica } = replication;
     const onHeartbeat = (heartbeat: Heartbeat, sender: { readonly record: MemberRecord; }): void => {
--- a/packages/steer/src/store/__tests__/storeDeployment.ts
+++ b/packages/steer/src/store/__tests__/storeDeployment.ts
@@ -221,7 +221,7 @@
                 requestState: (address, body) => network.requestState(index, address, body),
                 onEvent: event => isStopped || projection.apply(event),
                 onBatchApplied: projection.onBatchApplied,
-                announceRevision: () => mesh.announceRevision(),
+                announceRevision: scope => mesh.announceRevision(scope),
             });
             const mesh: Mesh = createMesh({
                 timer: ownTimer,
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -8,6 +8,7 @@
 import type { Routes } from "@pimentospring/runtime/http/jsonServer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import type { Heartbeat } from "../mesh/heartbeat.js";
+import type { AnnouncementScope } from "../mesh/mesh.js";
 import type { StateRequest } from "./peerMessages.js";
 import { createPeerSync, type StateRequester } from "./peerSync.js";
 import { createRegistration } from "./registration.js";
@@ -32,7 +33,7 @@
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
     /** Announces this entry's revision to its peers. */
-    readonly announceRevision: () => void;
+    readonly announceRevision: (scope: AnnouncementScope) => void;
 }
 
 export interface Replication {
@@ -67,10 +68,17 @@
  */
 const watcherRetryIntervalMs = 800;
 
+/** For this long after a failure of the store, or its own start, an entry tells other data centres at once what it reads. */
+const recoveryMs = 10_000;
+
 export function createReplication(options: ReplicationOptions): Replication {
     const { timer, random, log, self, members } = options;
     const store = createStoreCalls(timer, options.store);
     const watcherElection = createWatcherElection({ timer, self, members });
+    const startedAt = timer.now();
+    let lastSilenceAt = -Infinity;
+    /** Whether calls of other entries may still hang from a failure of the store. */
+    const isRecovering = (): boolean => timer.now() - Math.max(startedAt, lastSilenceAt, replica.lastFailureAt()) < recoveryMs;
     const replica = createStoreReplica({
         store,
         timer,
@@ -87,7 +95,7 @@
         onBatchApplied: () => {
             options.onBatchApplied();
             if (watcherElection.isElected() || replica.isWatching()) {
-                options.announceRevision();
+                options.announceRevision(isRecovering() ? "everywhere" : "dataCentre");
             }
         },
     });
@@ -98,7 +106,10 @@
         log,
         key: memberKey(self.id),
         value: encodeMember(self),
-        onSilence: replica.recordSilence,
+        onSilence: () => {
+            lastSilenceAt = timer.now();
+            replica.recordSilence();
+        },
         onResponse: replica.recordResponse,
     });
     const peerSync = createPeerSync({
