fix(entry): a watch of the own interface that stays silent while a read brings a newer document is opened anew

Cause: the entry's watch of the document is a stream without a limit; on a connection that has gone silent it stays open for good, and each later change comes into force only with the next read, 5 to 10 s later. Why this works: a read that began after the watch and brings a newer revision than both have given shows the watch to be silent; it is closed and opened anew after the usual delay.

--- a/packages/entry/src/platform/platformFollower.ts
+++ b/packages/entry/src/platform/platformFollower.ts
@@ -10,7 +10,7 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { documentKey } from "@pimentospring/runtime/platform/changes";
 import { readInstances } from "@pimentospring/runtime/platform/instanceList";
-import type { Store } from "@pimentospring/runtime/platform/store";
+import type { Store, StoredValue } from "@pimentospring/runtime/platform/store";
 import {
     frequentListIntervalMs,
     infrequentListIntervalMs,
@@ -39,6 +39,9 @@
     const { timer, random, log, core, handle, store } = options;
     const cancels: Cancel[] = [];
     let stopWatch: (() => void) | undefined;
+    let watchedAt = -Infinity;
+    /** Revision of the newest document that this entry was given by the watch or by a read. */
+    let newestRevision = 0;
     let isReadingDocument = false;
     let isClosed = false;
     let documentReadAt = -Infinity;
@@ -57,7 +60,8 @@
     };
     const readDocument = async (): Promise<void> => {
         isReadingDocument = true;
-        documentReadAt = timer.now();
+        const startedAt = timer.now();
+        documentReadAt = startedAt;
         const value = await store.get(documentKey);
         isReadingDocument = false;
         if (value.isErr) {
@@ -66,13 +70,25 @@
         }
         recordStoreResult(true, "");
         if (value.value !== undefined) {
-            handle({ kind: "documentOffered", text: value.value.text, source: "store" });
+            replaceSilentWatch(value.value, startedAt);
+            offer(value.value);
+        }
+    };
+    const offer = ({ text, modRevision }: StoredValue): void => {
+        newestRevision = Math.max(newestRevision, modRevision);
+        handle({ kind: "documentOffered", text, source: "store" });
+    };
+    /** A watch that was open before a read and did not bring what the read brought may never bring anything. */
+    const replaceSilentWatch = (value: StoredValue, readStartedAt: number): void => {
+        if (stopWatch !== undefined && watchedAt < readStartedAt && newestRevision > 0 && value.modRevision > newestRevision) {
+            stopWatch();
         }
     };
     const watch = (): void => {
+        watchedAt = timer.now();
         stopWatch = store.watch(
             documentKey,
-            value => handle({ kind: "documentOffered", text: value.text, source: "store" }),
+            offer,
             () => {
                 // Reopened after a random delay, so that entries don't all reconnect at once after an outage.
                 timer.after(watchReopenDelayMs * (1 + random.next()), () => {
