--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -18,7 +18,7 @@
 import type { Route, SteeringDocument } from "../steeringDocument.js";
 import type { Target } from "../target.js";
 import { createTargetHealth, type TargetHealth } from "../targetHealth.js";
-import { targetIncarnationOf, type TargetRecord } from "../targetRecord.js";
+import { noNotice, targetIncarnationOf, type TargetRecord } from "../targetRecord.js";
 import { createTargetRegistry, type TargetRegistry } from "../targetRegistry.js";
 import { createTargetSelector } from "../targetSelector.js";
 import { createWeightedRoundRobin } from "../weightedRoundRobin.js";
@@ -79,6 +79,7 @@
     isSigned: true,
     load: undefined,
     coldMs: undefined,
+    notice: noNotice,
     bodyBytes: 100,
     ...fields,
 });
--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { type Fingerprint, toDataCentreId, toRegionId } from "../../ids.js";
 import type { FinalResponse } from "../job.js";
+import { noNotice } from "../targetRecord.js";
 import { createTestBench, record, route, type TestBench } from "./fixture.js";
 
 const codeOf = (response: FinalResponse<string> | undefined): number | string | undefined =>
@@ -124,7 +125,14 @@
 });
 
 test("work that runs at a target goes on, and is started nowhere else, while the target is silent, leaving or gone", () => {
-    const silent = { isReached: false, isExpectedTarget: false, isHealthy: false, coldMs: undefined, load: undefined };
+    const silent = {
+        isReached: false,
+        isExpectedTarget: false,
+        isHealthy: false,
+        coldMs: undefined,
+        load: undefined,
+        notice: noNotice,
+    };
     const changes: readonly ((bench: TestBench) => void)[] = [
         bench => bench.targetHealth.recordHealthCheck(bench.sent[0]!.target, silent),
         bench => bench.registry.put(record("one", { isDraining: true })),
@@ -170,7 +178,14 @@
         bench.dispatcher.recordWritten(attempt);
         bench.dispatcher.handleConnectionFailure(attempt, "reset");
         bench.sent.at(-1)!.job.cancelTimeout();
-        const dead = { isReached: false, isExpectedTarget: false, isHealthy: false, coldMs: undefined, load: undefined };
+        const dead = {
+            isReached: false,
+            isExpectedTarget: false,
+            isHealthy: false,
+            coldMs: undefined,
+            load: undefined,
+            notice: noNotice,
+        };
         bench.targetHealth.recordHealthCheck(attempt.target, dead);
     }
     const before = bench.sent.length;
@@ -202,7 +217,14 @@
     assert.deepEqual(bench.checks.map(target => target.record.id), ["one"]);
     bench.submit("next");
     assert.equal(bench.sent.length, 2);
-    const unreached = { isReached: false, isExpectedTarget: false, isHealthy: false, coldMs: undefined, load: undefined };
+    const unreached = {
+        isReached: false,
+        isExpectedTarget: false,
+        isHealthy: false,
+        coldMs: undefined,
+        load: undefined,
+        notice: noNotice,
+    };
     bench.targetHealth.recordHealthCheck(bench.checks[0]!, unreached);
     bench.submit("later");
     assert.equal(bench.sent.length, 2);
@@ -219,7 +241,14 @@
     assert.equal([...bench.finalResponses.values()].filter(response => response.kind === "answer").length, 12);
 });
 
-const unreachedAnswer = { isReached: false, isExpectedTarget: false, isHealthy: false, coldMs: undefined, load: undefined };
+const unreachedAnswer = {
+    isReached: false,
+    isExpectedTarget: false,
+    isHealthy: false,
+    coldMs: undefined,
+    load: undefined,
+    notice: noNotice,
+};
 /** Sends `copies` of the same request at once and makes the target die while running them. */
 function crashWhileRunning(bench: TestBench, target: string, copies: number): void {
     for (let copy = 0; copy < copies; copy++) {
--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -42,6 +42,8 @@
     readonly pressure: number;
     /** Whether targets refused the request although they had free slots, so that waiting for slots gains nothing. */
     readonly hadFreeSlots: boolean;
+    /** Earliest time at which a target accepts requests. */
+    readonly notBefore: number;
     readonly random: Random;
 }
 
@@ -53,9 +55,14 @@
 
 /** Milliseconds, from now, until the caller should retry. */
 export function retryAfterMs(options: RetryAfterOptions): number {
-    const { job, now, pressure, hadFreeSlots, random } = options;
+    const { job, now, pressure, hadFreeSlots, notBefore, random } = options;
     const maxDelayMs = Math.max(0, (job.request.deadlineAt - now) * retryWindowFraction);
     const minFraction = hadFreeSlots ? 0 : minSlotWaitFraction;
     const delayFraction = (minFraction + (1 - minFraction) * pressure) * (0.6 + 0.4 * random.next());
-    return Math.max(minRetryAfterMs, maxDelayMs * delayFraction);
+    // Callers that wait for targets to open are spread over the time after it.
+    return Math.max(
+        minRetryAfterMs,
+        maxDelayMs * delayFraction,
+        notBefore - now + maxDelayMs * minSlotWaitFraction * random.next(),
+    );
 }
--- a/packages/core/src/steering/job.ts
+++ b/packages/core/src/steering/job.ts
@@ -4,7 +4,7 @@
 import type { Cancel } from "../time/timer.js";
 import type { Route } from "./steeringDocument.js";
 import type { Target } from "./target.js";
-import type { LoadReport } from "./targetRecord.js";
+import type { LoadReport, TargetNotice } from "./targetRecord.js";
 
 /** The parts of a caller's request that decisions depend on. Times are on the entry's clock. */
 export interface SteeringRequest {
@@ -72,6 +72,7 @@
     readonly load: LoadReport | undefined;
     /** Remaining duration of the target's cold start, if the target reports it. */
     readonly coldMs: number | undefined;
+    readonly notice: TargetNotice;
     readonly bodyBytes: number;
 }
 
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -87,6 +87,9 @@
 /** Maximum number of connections that may fail before anything is sent. */
 const maxFailedConnections = 3;
 
+const describeClosure = (closedMs: number): string =>
+    closedMs === Infinity ? "all targets are leaving" : `all targets want no requests for ${Math.round(closedMs)} ms`;
+
 export function createRequestDispatcher<Answer>(options: RequestDispatcherOptions<Answer>): RequestDispatcher<Answer> {
     const { timer, random, targetSelector, pressure, retryBudget, workTimes, events, targetHealth } = options;
     const queue = createRequestQueue<Answer>();
@@ -118,7 +121,7 @@
         finish(response);
     };
     /** Ends a job that will not be sent to a target again. The result says "not run" only where that is proved. */
-    const rejectJob = (job: Job<Answer>, result: Result, why: string): void => {
+    const rejectJob = (job: Job<Answer>, result: Result, why: string, notBefore = -Infinity): void => {
         if (job.failureResponse !== undefined) {
             finishJob(job, { kind: "answer", answer: job.failureResponse }, why);
         }
@@ -132,6 +135,7 @@
                 now: timer.now(),
                 pressure: pressure.levelOf(job.service),
                 hadFreeSlots: job.wasRefusedWithFreeSlots,
+                notBefore,
                 random,
             });
             finishJob(job, { kind: "refusal", result, retryAfterMs: wait }, why);
@@ -234,6 +238,11 @@
         }
         const now = timer.now();
         const lateDeadline = lateWaitDeadline(job);
+        const opensAt = targetSelector.opensAt(job);
+        if (opensAt > lateDeadline) {
+            rejectJob(job, results.noRoom, describeClosure(opensAt - now), Number.isFinite(opensAt) ? opensAt : now);
+            return;
+        }
         const { ahead, aheadInTime } = queue.countAhead(queued, now);
         const rate = rates.ratesOf(job.service);
         const canBeInTime = queued.latestStartAt > now
@@ -384,6 +393,9 @@
         },
         handleResponse: (attempt, head, answer) => {
             const { job, target } = attempt;
+            if (!head.isMisdirected) {
+                targetHealth.recordNotice(target, head.notice);
+            }
             if (job.attempt !== attempt) {
                 return;
             }
@@ -392,7 +404,7 @@
                 recordLoadReport(target, head.load, now);
             }
             releaseSlot(attempt);
-            job.wasRefusedWithFreeSlots = isRefusedWithFreeSlots(head);
+            job.wasRefusedWithFreeSlots = isRefusedWithFreeSlots(head) && head.notice.pauseMs === undefined;
             if (job.wasRefusedWithFreeSlots) {
                 // It may accept the request next time, and elsewhere the object is probably not cached.
                 job.triedTargets.delete(target.record.id);
--- a/packages/core/src/steering/steeringStatus.ts
+++ b/packages/core/src/steering/steeringStatus.ts
@@ -5,7 +5,7 @@
 export interface TargetStatus {
     readonly id: TargetId;
     readonly dataCentre: DataCentreId;
-    readonly state: "serving" | "cold" | "suspect" | "ejected";
+    readonly state: "serving" | "cold" | "suspect" | "ejected" | "paused";
     readonly slots: number;
     /** Requests of this entry in flight at the target. */
     readonly inFlight: number;
--- a/packages/core/src/steering/target.ts
+++ b/packages/core/src/steering/target.ts
@@ -33,6 +33,10 @@
     isSuspect: boolean;
     /** End of its ejection for too many failed requests, on the entry's clock. */
     ejectedUntil: number;
+    /** Until this time it wants no requests, on the entry's clock. */
+    pausedUntil: number;
+    /** Whether it has said itself that it leaves; a later record of the same incarnation does not change that. */
+    isLeaving: boolean;
     /** Recent fraction of requests that it failed or shed. */
     failureRate: number;
     /**
@@ -67,6 +71,8 @@
         peersInFlight: 0,
         isSuspect: false,
         ejectedUntil: -Infinity,
+        pausedUntil: -Infinity,
+        isLeaving: false,
         failureRate: 0,
         noConnectionReuseUntil: -Infinity,
         recentArrivals: createSlidingWindowCounter(timer, 1_000, 10),
--- a/packages/core/src/steering/targetHealth.ts
+++ b/packages/core/src/steering/targetHealth.ts
@@ -8,6 +8,7 @@
 import type { Timer } from "../time/timer.js";
 import type { ResponseHead } from "./job.js";
 import { recordLoadReport, recordRequestOutcome, type Target } from "./target.js";
+import { targetIncarnationOf, type TargetNotice } from "./targetRecord.js";
 import type { TargetRegistry } from "./targetRegistry.js";
 
 /** Result of a health check. */
@@ -19,10 +20,13 @@
     readonly isHealthy: boolean;
     readonly coldMs: number | undefined;
     readonly load: ResponseHead["load"];
+    readonly notice: TargetNotice;
 }
 
 export interface TargetHealth {
     recordResponse(target: Target, head: ResponseHead, isServed: boolean): void;
+    /** Records what the target says of its own availability, in any of its responses. */
+    recordNotice(target: Target, notice: TargetNotice): void;
     /** Records a failed connection; `fingerprint` is that of the request whose bytes the target may have received. */
     recordConnectionFailure(target: Target, fingerprint: Fingerprint | undefined): void;
     /** Records that a request timed out without a response. */
@@ -36,7 +40,11 @@
     readonly registry: TargetRegistry;
     /** Starts a health check; its result goes to `recordHealthCheck`. */
     readonly startHealthCheck: (target: Target) => void;
-    readonly onChanged: (target: Target, change: "suspect" | "cleared" | "ejected" | "misdirected", reason: string) => void;
+    readonly onChanged: (
+        target: Target,
+        change: "suspect" | "cleared" | "ejected" | "misdirected" | "paused",
+        reason: string,
+    ) => void;
     /** A target died while it ran the request. */
     readonly onTargetDeath: (fingerprint: Fingerprint, target: Target) => void;
     /** A target can be used again. */
@@ -55,6 +63,11 @@
 const maxEjectedFraction = 0.34;
 /** Interval between health checks of a suspect target. */
 const checkIntervalMs = 500;
+/** Longest pause that a target may ask for, so that a wrong time does not take it out of use for good. */
+const maxPauseMs = 60_000;
+/** Targets that asked for the same pause are used again within this part of it. */
+const pauseSpreadRatio = 0.1;
+const maxPauseSpreadMs = 300;
 /** Time after a failed connection during which at-most-once requests use new connections to the target. */
 const noConnectionReuseMs = 15_000;
 
@@ -68,7 +81,7 @@
         }
         target.isSuspect = true;
         onChanged(target, "suspect", reason);
-        options.startHealthCheck(target);
+        checkAfter(target, 0);
     };
     const mayEject = (target: Target): boolean => {
         const peers = registry.targetsIn(target.record.service, target.record.dataCentre);
@@ -88,10 +101,42 @@
             onChanged(target, "ejected", "too many requests failed");
         }
     };
+    /** Targets that named the same time are used again one after the other. */
+    const pause = (target: Target, requestedMs: number): void => {
+        const pauseMs = Math.min(requestedMs, maxPauseMs);
+        const spreadMs = Math.min(maxPauseSpreadMs, pauseMs * pauseSpreadRatio) * random.next();
+        const until = timer.now() + pauseMs + spreadMs;
+        if (until <= target.pausedUntil) {
+            return;
+        }
+        target.pausedUntil = until;
+        onChanged(target, "paused", `it wants no requests for ${Math.round(requestedMs)} ms`);
+        timer.after(until - timer.now(), options.onRecovered);
+    };
+    const checkAfter = (target: Target, delayMs: number): void => {
+        const waitMs = Math.max(delayMs, target.pausedUntil - timer.now());
+        if (waitMs <= 0) {
+            options.startHealthCheck(target);
+            return;
+        }
+        timer.after(waitMs, () => target.isRemoved || checkAfter(target, 0));
+    };
+    const recordNotice = (target: Target, { isLeaving, pauseMs }: TargetNotice): void => {
+        if (isLeaving) {
+            registry.markLeaving(targetIncarnationOf(target.record));
+        }
+        if (pauseMs !== undefined) {
+            pause(target, pauseMs);
+        }
+    };
     return {
+        recordNotice,
         recordResponse: (target, head, isServed) => {
             possibleCauses.delete(target);
-            recordRequestOutcome(target, !isServed || head.status >= 500);
+            // A target that asks for a pause or leaves is neither slow nor faulty.
+            if (head.notice.pauseMs === undefined) {
+                recordRequestOutcome(target, !isServed || head.status >= 500);
+            }
             if (head.isMisdirected) {
                 registry.retire(target);
                 onChanged(target, "misdirected", "another target has its address");
@@ -113,7 +158,7 @@
             target.noConnectionReuseUntil = timer.now() + noConnectionReuseMs;
             // Long-running work is more common than a dead target: the target stays in use until a health check fails.
             if (!target.isSuspect && !target.isRemoved) {
-                options.startHealthCheck(target);
+                checkAfter(target, 0);
             }
         },
         recordHealthCheck: (target, result) => {
@@ -130,6 +175,7 @@
             if (!result.isReached) {
                 new Set(fingerprints).forEach(fingerprint => options.onTargetDeath(fingerprint, target));
             }
+            recordNotice(target, result.notice);
             if (result.coldMs !== undefined) {
                 target.coldUntil = timer.now() + result.coldMs;
             }
@@ -144,7 +190,7 @@
                 return;
             }
             if (!result.isReached || !result.isHealthy) {
-                timer.after(checkIntervalMs * (0.8 + 0.4 * random.next()), () => options.startHealthCheck(target));
+                checkAfter(target, checkIntervalMs * (0.8 + 0.4 * random.next()));
                 return;
             }
             target.isSuspect = false;
--- a/packages/core/src/steering/targetRecord.ts
+++ b/packages/core/src/steering/targetRecord.ts
@@ -5,6 +5,7 @@
     type ServiceId,
     type TargetId,
     type TargetIncarnationId,
+    toTargetId,
     toTargetIncarnationId,
 } from "../ids.js";
 
@@ -32,6 +33,19 @@
     readonly slowness: number;
 }
 
+/** What a target says of its own availability in a response. */
+export interface TargetNotice {
+    /** It leaves: running work ends, and nothing new may be sent. */
+    readonly isLeaving: boolean;
+    /** It wants no requests for this long. */
+    readonly pauseMs: number | undefined;
+}
+
+export const noNotice: TargetNotice = { isLeaving: false, pauseMs: undefined };
+
 /** Identifies one incarnation of a target: each start under the same id is a new one. */
 export const targetIncarnationOf = (record: TargetRecord): TargetIncarnationId =>
     toTargetIncarnationId(`${record.id}@${record.startedAt}`);
+
+export const targetOfIncarnation = (incarnation: TargetIncarnationId): TargetId =>
+    toTargetId(incarnation.slice(0, incarnation.lastIndexOf("@")));
--- a/packages/core/src/steering/targetRegistry.ts
+++ b/packages/core/src/steering/targetRegistry.ts
@@ -1,10 +1,11 @@
 /** The known targets, from discovery or from the document. A restarted target counts as a new target. */
-import type { DataCentreId, ServiceId, TargetId } from "../ids.js";
+import type { DataCentreId, ServiceId, TargetId, TargetIncarnationId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 import { type CacheCapacity, createCacheCapacity } from "./cacheCapacity.js";
+import { createLeavingTargets } from "./leavingTargets.js";
 import { createObjectHolders } from "./objectHolders.js";
 import { createTarget, type Target } from "./target.js";
-import type { TargetRecord } from "./targetRecord.js";
+import { targetIncarnationOf, targetOfIncarnation, type TargetRecord } from "./targetRecord.js";
 
 export interface TargetRegistry {
     /** Adds or updates a target. */
@@ -12,6 +13,12 @@
     remove(id: TargetId): void;
     /** Makes these records the complete set; other targets are removed. */
     replaceAll(records: readonly TargetRecord[]): void;
+    /** Records that the incarnation has said that it leaves. It gets nothing more, whatever its record says. */
+    markLeaving(incarnation: TargetIncarnationId): void;
+    /** Whether the service has targets and all of them have said that they leave. */
+    isServiceLeaving(service: ServiceId): boolean;
+    /** Incarnations that this entry has recently learned to be leaving, for the other entries. */
+    recentlyLeaving(): TargetIncarnationId[];
     /** Takes a target out of use until its record changes, because it no longer has its address. */
     retire(target: Target): void;
     find(id: TargetId): Target | undefined;
@@ -39,6 +46,9 @@
     const { timer, onChanged } = options;
     const targets = new Map<TargetId, Target>();
     const targetsByHash = new Map<number, Target>();
+    const leavingTargets = createLeavingTargets(timer);
+    /** Ends of the pauses that removed targets asked for; their records may come back. */
+    const keptPauses = new Map<TargetIncarnationId, number>();
     const capacities = new Map<ServiceId, CacheCapacity>();
     /** End of the startup window: targets that appear later have newly joined. */
     let settledAt: number | undefined;
@@ -62,7 +72,7 @@
     const rebuildIndex = (): void => {
         services.clear();
         for (const target of targets.values()) {
-            if (!target.record.isDraining && !target.isRemoved) {
+            if (!target.record.isDraining && !target.isLeaving && !target.isRemoved) {
                 const { service, dataCentre } = target.record;
                 let centres = services.get(service);
                 if (centres === undefined) {
@@ -79,10 +89,17 @@
             }
         }
     };
+    const keepPause = ({ record, pausedUntil }: Target): void => {
+        keptPauses.forEach((until, incarnation) => until <= timer.now() && keptPauses.delete(incarnation));
+        if (pausedUntil > timer.now()) {
+            keptPauses.set(targetIncarnationOf(record), pausedUntil);
+        }
+    };
     const removeTarget = (id: TargetId): void => {
         const target = targets.get(id);
         if (target !== undefined) {
             target.isRemoved = true;
+            keepPause(target);
             targets.delete(id);
             targetsByHash.delete(target.hashSeed);
             target.cache.clear();
@@ -105,6 +122,8 @@
                 capacityOf(record.service),
                 holders,
             );
+            target.isLeaving = leavingTargets.has(targetIncarnationOf(record));
+            target.pausedUntil = keptPauses.get(targetIncarnationOf(record)) ?? -Infinity;
             targets.set(record.id, target);
             targetsByHash.set(target.hashSeed, target);
             settledAt ??= timer.now() + startupWindowMs;
@@ -124,6 +143,22 @@
             [...targets.keys()].filter(id => !ids.has(id)).forEach(removeTarget);
             records.forEach(upsert);
         },
+        markLeaving: incarnation => {
+            if (!leavingTargets.add(incarnation)) {
+                return;
+            }
+            const target = targets.get(targetOfIncarnation(incarnation));
+            if (target !== undefined && targetIncarnationOf(target.record) === incarnation) {
+                target.isLeaving = true;
+                isIndexStale = true;
+                onChanged(target, "draining");
+            }
+        },
+        isServiceLeaving: service => {
+            const known = [...targets.values()].filter(({ record, isRemoved }) => record.service === service && !isRemoved);
+            return known.length > 0 && known.every(({ isLeaving }) => isLeaving);
+        },
+        recentlyLeaving: leavingTargets.recent,
         retire: target => {
             target.isRemoved = true;
             isIndexStale = true;
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -43,6 +43,11 @@
     select(job: Job<Answer>): TargetSelection;
     /** Whether any target of the service has a free slot, as far as is known. */
     hasFreeSlot(service: ServiceId): boolean;
+    /**
+     * Time at which the first target of the service accepts requests again: now if any does or none is known, `Infinity` if
+     * all are leaving.
+     */
+    opensAt(job: Job<Answer>): number;
     /** Work of the job at the target that is most likely to have its object cached, in milliseconds. */
     minWorkMs(job: Job<Answer>): number;
 }
@@ -172,7 +177,9 @@
         return options.inFlightCountAt(job.service, dataCentre) + 1 <= maxInFlight;
     };
     const mayUseTarget = (job: Job<Answer>, target: Target, now: number): boolean => {
-        if (target.isSuspect || target.ejectedUntil > now || job.triedTargets.has(target.record.id)) {
+        if (
+            target.isSuspect || Math.max(target.ejectedUntil, target.pausedUntil) > now || job.triedTargets.has(target.record.id)
+        ) {
             return false;
         }
         if (isCold(target, now) && recentArrivalCount(target) + 1 > options.coldRateLimit(target)) {
@@ -264,8 +271,8 @@
             return [];
         }
         const key = objectKey(job.route, objectId);
-        const isCaching = ({ record, isRemoved, cache }: Target): boolean =>
-            record.service === job.service && !record.isDraining && !isRemoved && cache.isCached(key);
+        const isCaching = ({ record, isLeaving, isRemoved, cache }: Target): boolean =>
+            record.service === job.service && !record.isDraining && !isLeaving && !isRemoved && cache.isCached(key);
         return [...registry.holdersOf(key)].filter(isCaching);
     };
     /** All usable targets; for an object, those that have it cached and those that may cache it. */
@@ -319,13 +326,28 @@
             const now = timer.now();
             for (const dataCentre of registry.dataCentresOf(service)) {
                 if (
-                    registry.targetsIn(service, dataCentre).some(target => !target.isSuspect && isFreeNow(target, now))
+                    registry.targetsIn(service, dataCentre).some(target =>
+                        !target.isSuspect && target.pausedUntil <= now && isFreeNow(target, now)
+                    )
                 ) {
                     return true;
                 }
             }
             return false;
         },
+        opensAt: job => {
+            const now = timer.now();
+            let openingAt = Infinity;
+            for (const dataCentre of registry.dataCentresOf(job.service)) {
+                for (const target of registry.targetsIn(job.service, dataCentre)) {
+                    if (target.pausedUntil <= now) {
+                        return now;
+                    }
+                    openingAt = Math.min(openingAt, target.pausedUntil);
+                }
+            }
+            return openingAt === Infinity && !registry.isServiceLeaving(job.service) ? now : openingAt;
+        },
         minWorkMs: job => {
             if (isRemoteObject(job)) {
                 return workTimes.warmMs(job.route) + options.remoteRoundTripMs;
--- a/packages/harness/src/steering/sharedTarget.ts
+++ b/packages/harness/src/steering/sharedTarget.ts
@@ -4,7 +4,7 @@
  */
 import type { Random } from "@pimentospring/core/random/random";
 import type { ResponseHead } from "@pimentospring/core/steering/job";
-import type { TargetRecord } from "@pimentospring/core/steering/targetRecord";
+import { noNotice, type TargetRecord } from "@pimentospring/core/steering/targetRecord";
 import type { Timer } from "@pimentospring/core/time/timer";
 
 /** Performance model of a service's targets. */
@@ -83,6 +83,7 @@
             isSigned: true,
             load: { running: running.size, waiting: queue.length, slots: traits.slots, slowness: currentSlowness() },
             coldMs: undefined,
+            notice: noNotice,
             bodyBytes: answerBodyBytes,
         });
     };
--- a/packages/steer/src/mesh/__tests__/digestRelay.test.ts
+++ b/packages/steer/src/mesh/__tests__/digestRelay.test.ts
@@ -82,6 +82,7 @@
             members,
             ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [] }),
             revision: () => 1,
+            leavingTargets: () => [],
             isWatching: () => true,
             onUnknownHeartbeat: () => {},
             takeDigest: () => digestOf(self.id, targetsPerEntry).digest,
--- a/packages/steer/src/mesh/__tests__/heartbeat.test.ts
+++ b/packages/steer/src/mesh/__tests__/heartbeat.test.ts
@@ -30,6 +30,7 @@
     }],
     requestsRecord: false,
     record: undefined,
+    leavingTargets: [],
 };
 
 test("heartbeats round-trip; one without poison reports takes less than 110 bytes, a poison report at most 60 more", () => {
--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -43,6 +43,8 @@
     readonly requestsRecord: boolean;
     /** The sender's record, for a receiver that asked for it. */
     readonly record: MemberRecord | undefined;
+    /** Target incarnations that the sender has recently learned to be leaving. */
+    readonly leavingTargets: readonly TargetIncarnationId[];
 }
 
 type LoadsRow = readonly [
@@ -56,8 +58,9 @@
     revision: number,
     loads: readonly LoadsRow[],
     poison: readonly (readonly [fingerprint: string, deaths: number, targetIncarnation: string])[],
-    /** Encoded as in the store; left out if there is none. */
+    /** Encoded as in the store; empty if there is none. Older versions send neither this nor what follows. */
     record?: Uint8Array,
+    leavingTargets?: readonly string[],
 ];
 
 const flags = { leaving: 1, following: 2, requestsRecord: 4 } as const;
@@ -80,9 +83,15 @@
         loads,
         poison,
     ];
-    return packr.pack(heartbeat.record === undefined ? row : [...row, encodeMember(heartbeat.record)]);
+    if (heartbeat.leavingTargets.length > 0) {
+        return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets]);
+    }
+    return packr.pack(heartbeat.record === undefined ? row : [...row, encodeRecord(heartbeat.record)]);
 }
 
+const encodeRecord = (record: MemberRecord | undefined): Uint8Array =>
+    record === undefined ? new Uint8Array() : encodeMember(record);
+
 const encodeFlags = ({ isLeaving, isWatching, requestsRecord }: Heartbeat): number =>
     (isLeaving ? flags.leaving : 0) + (isWatching ? flags.following : 0) + (requestsRecord ? flags.requestsRecord : 0);
 
@@ -102,7 +111,8 @@
     return Array.isArray(row) && row.length >= 5 && typeof row[0] === "string" && Number.isInteger(row[1])
         && Number.isSafeInteger(row[2]) && row[2] >= 0
         && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow)
-        && (row[5] === undefined || row[5] instanceof Uint8Array);
+        && (row[5] === undefined || row[5] instanceof Uint8Array)
+        && (row[6] === undefined || Array.isArray(row[6]) && row[6].every(id => typeof id === "string"));
 }
 
 function isLoadsRow(row: unknown): row is LoadsRow {
@@ -120,7 +130,8 @@
         isLeaving: (row[1] & flags.leaving) !== 0,
         isWatching: (row[1] & flags.following) !== 0,
         requestsRecord: (row[1] & flags.requestsRecord) !== 0,
-        record: row[5] === undefined ? undefined : toRecord(row[0], row[5]),
+        record: row[5] === undefined || row[5].length === 0 ? undefined : toRecord(row[0], row[5]),
+        leavingTargets: (row[6] ?? []).map(toTargetIncarnationId),
         revision: row[2],
         loads: row[3].map(([dataCentre, entry, loads]) => ({
             dataCentre: toDataCentreId(dataCentre),
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -4,7 +4,7 @@
  * centres. Several times a second each entry tells those of its data centre of its attempts at targets, through the relay.
  * Poison reports, store revisions and shutdown are announced without waiting for the next heartbeat.
  */
-import type { DataCentreId, InstanceId, ServiceId } from "@pimentospring/core/ids";
+import type { DataCentreId, InstanceId, ServiceId, TargetIncarnationId } from "@pimentospring/core/ids";
 import type { AttemptDigest } from "@pimentospring/core/steering/attemptDigest";
 import type { Member, MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { Timer } from "@pimentospring/core/time/timer";
@@ -24,6 +24,8 @@
     /** Load currently offered by this entry's callers. */
     readonly ownLoads: () => EntryLoads;
     readonly revision: () => number;
+    /** Target incarnations that this entry has recently learned to be leaving. */
+    readonly leavingTargets: () => readonly TargetIncarnationId[];
     readonly isWatching: () => boolean;
     readonly onHeartbeat: (heartbeat: Heartbeat, member: Member) => void;
     /** Takes the heartbeat of an entry that is not a known member. */
@@ -129,6 +131,7 @@
         poison,
         requestsRecord: false,
         record: undefined,
+        leavingTargets: options.leavingTargets(),
     });
     const unexpired = (received: ReadonlyMap<string, ReceivedLoads>): EntryLoads[] =>
         [...received.values()].filter(({ receivedAt }) => timer.now() - receivedAt < loadExpiryMs).map(({ loads }) => loads);
--- a/packages/steer/src/observe/gauges.ts
+++ b/packages/steer/src/observe/gauges.ts
@@ -10,6 +10,9 @@
     readonly inFlightRequests: () => number;
     readonly liveEntries: () => number;
     readonly targetConnections: () => number;
+    /** Targets that want no requests at the moment, and targets that have said that they leave. */
+    readonly pausedTargets: () => number;
+    readonly leavingTargets: () => number;
     readonly meshSentBytes: () => number;
     readonly isStoreConnected: () => boolean;
     readonly freshness: () => Freshness;
@@ -26,6 +29,8 @@
     metrics.registerGauge("pimento_in_flight", "Requests in progress, without a final response yet", sources.inFlightRequests);
     metrics.registerGauge("pimento_entries_live", "Other entries that are considered live", sources.liveEntries);
     metrics.registerGauge("pimento_target_connections", "Open connections to targets", sources.targetConnections);
+    metrics.registerGauge("pimento_targets_paused", "Targets that want no requests at the moment", sources.pausedTargets);
+    metrics.registerGauge("pimento_targets_leaving", "Known targets that have said that they leave", sources.leavingTargets);
     metrics.registerGauge("pimento_mesh_sent_bytes", "Bytes of heartbeat datagrams sent to other entries", sources.meshSentBytes);
     metrics.registerGauge(
         "pimento_store_connected",
--- a/packages/steer/src/observe/statusRoutes.ts
+++ b/packages/steer/src/observe/statusRoutes.ts
@@ -37,6 +37,9 @@
         if (target.ejectedUntil > timer.now()) {
             return "ejected";
         }
+        if (target.pausedUntil > timer.now()) {
+            return "paused";
+        }
         return isCold(target, timer.now()) ? "cold" : "serving";
     };
     const targetsIn = (service: ServiceId, dataCentre: DataCentreId): TargetStatus[] =>
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -215,6 +215,7 @@
         heartbeat.poison.forEach(report =>
             poisonList.recordReportedDeaths(report.fingerprint, report.deaths, report.targetIncarnation)
         );
+        heartbeat.leavingTargets.forEach(registry.markLeaving);
         replication.onHeartbeat(heartbeat, sender.record);
     };
     const mesh = createMesh({
@@ -229,6 +230,7 @@
             loads: [...services.keys()].map(service => ({ service, slots: offeredLoad.requiredSlots(service) })),
         }),
         revision: replica.revision,
+        leavingTargets: registry.recentlyLeaving,
         isWatching: replica.isWatching,
         onHeartbeat,
         onUnknownHeartbeat: replication.onUnknownHeartbeat,
@@ -259,6 +261,8 @@
         inFlightRequests: dispatcher.inFlightCount,
         liveEntries: () => members.liveMembers().length,
         targetConnections: connections.openCount,
+        pausedTargets: () => [...registry.all()].filter(({ pausedUntil }) => pausedUntil > timer.now()).length,
+        leavingTargets: () => [...registry.all()].filter(({ isLeaving }) => isLeaving).length,
         meshSentBytes: mesh.sentBytes,
         isStoreConnected: replica.isConnected,
         freshness: replication.freshness,
--- a/packages/steer/src/store/__tests__/storeDeployment.ts
+++ b/packages/steer/src/store/__tests__/storeDeployment.ts
@@ -231,6 +231,7 @@
                 members,
                 ownLoads: () => ({ dataCentre: self.dataCentre, entry: id, loads: [] }),
                 revision: replication.replica.revision,
+                leavingTargets: () => [],
                 isWatching: replication.replica.isWatching,
                 onHeartbeat: (heartbeat, member) => {
                     members.recordDataCentreAlive(member.record.dataCentre);
--- a/packages/steer/src/targets/healthChecks.ts
+++ b/packages/steer/src/targets/healthChecks.ts
@@ -2,6 +2,7 @@
 import type { DataCentreId } from "@pimentospring/core/ids";
 import type { Target } from "@pimentospring/core/steering/target";
 import type { HealthCheckResult } from "@pimentospring/core/steering/targetHealth";
+import { noNotice } from "@pimentospring/core/steering/targetRecord";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { HeaderCodec } from "../wire/headerCodec.js";
 import { headerReader } from "./headers.js";
@@ -28,6 +29,7 @@
     isHealthy: false,
     coldMs: undefined,
     load: undefined,
+    notice: noNotice,
 };
 
 export function createHealthChecks(options: HealthChecksOptions): HealthChecks {
