--- a/packages/standin/src/direct/targetStandin.ts
+++ b/packages/standin/src/direct/targetStandin.ts
@@ -32,6 +32,12 @@
     /** Sets the service time. */
     setWorkMs(workMs: number): void;
     setFault(fault: TargetFault): void;
+    /** Makes all further responses say that the target leaves. */
+    leave(): void;
+    /** Refuses requests with the time for which the target wants none. */
+    pauseFor(durationMs: number): void;
+    /** Times at which requests and health checks arrived, monotonic, in milliseconds. */
+    readonly arrivals: readonly number[];
     close(): void;
 }
 
@@ -58,6 +64,9 @@
     let workMs = defaultWorkMs;
     let running = 0;
     let fault: TargetFault = "none";
+    let isLeaving = false;
+    let pausedUntil = -Infinity;
+    const arrivals: number[] = [];
 
     const formatLoad = (): string => `${running},${queue.length},${slots},100`;
     const reply = (request: IncomingMessage, response: ServerResponse, requestId: string): void => {
@@ -107,6 +116,10 @@
     };
     const server = createServer((request, response) => {
         const requestId = String(request.headers["x-request-id"] ?? "");
+        arrivals.push(performance.now());
+        if (isLeaving) {
+            response.setHeader("Server-Leaving", "1");
+        }
         request.resume();
         if (request.url === "/health") {
             response.writeHead(200, { "X-Instance-Id": id, "X-Server-Load": formatLoad() }).end();
@@ -114,6 +127,10 @@
         else if (request.headers["x-expect-instance"] !== id) {
             refuse(response, 421, requestId);
         }
+        else if (performance.now() < pausedUntil) {
+            response.setHeader("Retry-After", String((pausedUntil - performance.now()) / 1_000));
+            refuse(response, 503, requestId);
+        }
         else if (fault === "shed" || queue.length >= maxQueuedPerSlot * slots) {
             refuse(response, 503, requestId);
         }
@@ -136,6 +153,13 @@
         setFault: next => {
             fault = next;
         },
+        leave: () => {
+            isLeaving = true;
+        },
+        pauseFor: durationMs => {
+            pausedUntil = performance.now() + durationMs;
+        },
+        arrivals,
         close: () => {
             server.close();
             server.closeAllConnections();
