fix(steer): entries' calls for changes end at different times, sooner in the mean

Cause: calls that were answered together waited the same eight seconds and 1.5 s more, so that they also ended together. Why this helps: each call waits 4 to 11 s and is given up 0.7 s after that; the first that is made anew brings the change, and the others are told. The reserve watcher pauses 1.25 s instead of 1 s, which pays for the shorter mean.

--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -60,7 +60,7 @@
 }
 
 /** Pause between two watch calls of a data centre's first watcher, and of its reserve. */
-const watchPausesMs = { first: 400, reserve: 1_000 } as const;
+const watchPausesMs = { first: 400, reserve: 1_250 } as const;
 
 /**
  * Mean time between calls of a watcher that the store does not answer. Other entries that call the store because they hear
--- a/packages/steer/src/store/storeCalls.ts
+++ b/packages/steer/src/store/storeCalls.ts
@@ -24,7 +24,7 @@
 
 const callTimeoutMs = 1_500;
 /** A watch that exceeds its waiting time by this much has lost its connection. */
-const watchTimeoutMarginMs = 1_500;
+const watchTimeoutMarginMs = 700;
 
 export function createStoreCalls(timer: Timer, store: Store): StoreCalls {
     let responseAt = -Infinity;
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -60,8 +60,8 @@
     readonly isUnsettled: boolean;
 };
 
-/** Longest time that a watch call waits for changes. */
-const watchWaitMs = 8_000;
+/** Time that a watch call waits for changes; it differs so that not all entries' calls end together. */
+const watchWaitMs = { min: 4_000, max: 11_000 } as const;
 /** A call to a store that may not respond. */
 const probeTimeoutMs = 700;
 /** Time that a response may take after a peer has announced a newer revision. */
@@ -102,6 +102,7 @@
     let peerRestarts = 0;
     let isBehindPeer = false;
 
+    const nextWaitMs = (): number => Math.round(watchWaitMs.min + random.next() * (watchWaitMs.max - watchWaitMs.min));
     const isDoubtful = (): boolean => doubtAt > responseAt;
     const readSnapshot = async (limits: CallLimits): StoreResult<ItemsSnapshot> => {
         const readItems: StoreItem[] = [];
@@ -128,7 +129,7 @@
             const snapshot = await readSnapshot(limits);
             return snapshot.map(items.applySnapshot);
         }
-        const changes = await store.watch(prefix, items.revision(), isProbe ? 0 : watchWaitMs, limits);
+        const changes = await store.watch(prefix, items.revision(), isProbe ? 0 : nextWaitMs(), limits);
         if (changes.isErr && changes.error.kind === "compacted") {
             const snapshot = await readSnapshot(limits);
             return snapshot.map(items.applySnapshot);
