test(soak): targets that say they leave or ask for a pause, two promises

Change: faults targetSaysLeaving and targetPauses, drawn on their own so that every seed's other faults stay what they were; promises 'told' (a process that passed on that a target leaves sends it nothing 0.5 s later, whatever disturbs it) and 'pauseKept' (at most two requests of a process at a target in its pause). A target's records keep one start time, as on the platform; each announcement had looked like a new start.

--- a/packages/soak/src/cluster/cluster.ts
+++ b/packages/soak/src/cluster/cluster.ts
@@ -1,11 +1,17 @@
 /** A complete deployment on loopback addresses: store, targets, proxies between them, and daemons as processes. */
 import { createOperator, type Operator } from "@pimentospring/standin/direct/operatorStandin";
 import { startStoreStandin, type StoreStandin } from "@pimentospring/standin/direct/storeStandin";
-import type { RequestRun } from "@pimentospring/standin/direct/targetStandin";
+import type { RequestRun, TurnedAway } from "@pimentospring/standin/direct/targetStandin";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Proxy, startProxy } from "../faults/proxy.js";
 import { retainedVersionCount, versionProbePath } from "../promises/promises.js";
-import { type ConfigurationVersion, prefixOf, type SoakRecord, type TargetDeparture } from "../promises/records.js";
+import {
+    type ConfigurationVersion,
+    prefixOf,
+    type SoakRecord,
+    type TargetDeparture,
+    type TargetNoticeSpan,
+} from "../promises/records.js";
 import { createDaemon, type Daemon } from "./daemons.js";
 import { regionByDataCentre } from "./daemonSettings.js";
 import { createTargetHost, type TargetHost } from "./targetHosts.js";
@@ -29,7 +35,7 @@
     /** Runs `act` on the target host, unless it or half of all target hosts are in use by other acts. */
     withTargetHost(which: number, act: (targetHost: TargetHost) => Promise<void>): Promise<void>;
     otherService(targetHost: TargetHost): string;
-    observations(): Pick<SoakRecord, "runs" | "versions" | "leavings" | "stops">;
+    observations(): Pick<SoakRecord, "runs" | "versions" | "leavings" | "notices" | "turnedAway" | "stops">;
     close(): Promise<void>;
 }
 
@@ -67,7 +73,9 @@
     const versions: ConfigurationVersion[] = [];
     const leavings: TargetDeparture[] = [];
     const stops: { readonly daemon: string; readonly run: number; readonly at: number; }[] = [];
+    const notices: TargetNoticeSpan[] = [];
     const allRuns: (readonly RequestRun[])[] = [];
+    const allTurnedAway: (readonly TurnedAway[])[] = [];
     const busyTargetHosts = new Set<TargetHost>();
     let targetCount = 0;
     let isClosing = false;
@@ -96,7 +104,9 @@
                     service: services[index % services.length]!,
                     operator,
                     departures: leavings,
+                    notices,
                     collectRuns: runs => allRuns.push(runs),
+                    collectTurnedAway: turnedAway => allTurnedAway.push(turnedAway),
                     nextId: () => `t${++targetCount}`,
                     sleep,
                 }),
@@ -152,7 +162,14 @@
             busyTargetHosts.delete(targetHost);
         },
         otherService: targetHost => services.find(service => service !== targetHost.service())!,
-        observations: () => ({ runs: allRuns.flat(), versions, leavings, stops }),
+        observations: () => ({
+            runs: allRuns.flat(),
+            versions,
+            leavings,
+            stops,
+            notices,
+            turnedAway: allTurnedAway.flat(),
+        }),
         close: async () => {
             isClosing = true;
             daemons.forEach(daemon => daemon.signal("SIGKILL"));
--- a/packages/soak/src/cluster/targetHosts.ts
+++ b/packages/soak/src/cluster/targetHosts.ts
@@ -1,8 +1,13 @@
 /** Targets behind proxies: they are announced, drain, crash, and are replaced by new targets at the same address. */
 import type { Operator } from "@pimentospring/standin/direct/operatorStandin";
-import { type RequestRun, startTargetStandin, type TargetStandin } from "@pimentospring/standin/direct/targetStandin";
+import {
+    type RequestRun,
+    startTargetStandin,
+    type TargetStandin,
+    type TurnedAway,
+} from "@pimentospring/standin/direct/targetStandin";
 import { type Proxy, startProxy } from "../faults/proxy.js";
-import type { TargetDeparture } from "../promises/records.js";
+import type { TargetDeparture, TargetNoticeSpan } from "../promises/records.js";
 
 /** An address at which targets run one after the other. */
 export interface TargetHost {
@@ -12,6 +17,10 @@
     service(): string;
     /** Announces that the target drains, ends it after `graceMs`, and starts a new target at the same address. */
     replace(service: string, graceMs: number): Promise<void>;
+    /** Makes the target say in its responses that it leaves; the store lists it as ready until it ends after `graceMs`. */
+    sayLeaving(graceMs: number): Promise<void>;
+    /** Makes the target turn requests away with the time that is left of the pause. */
+    pauseFor(durationMs: number): void;
     /** Ends the target without notice; the store lists it for another `lapseMs`, then a new target starts. */
     crash(lapseMs: number): Promise<void>;
 }
@@ -22,8 +31,10 @@
     readonly service: string;
     readonly operator: Operator;
     readonly departures: TargetDeparture[];
+    readonly notices: TargetNoticeSpan[];
     /** Called with the list of runs of each target that starts; the list grows as the target runs requests. */
     readonly collectRuns: (runs: readonly RequestRun[]) => void;
+    readonly collectTurnedAway: (turnedAway: readonly TurnedAway[]) => void;
     readonly nextId: () => string;
     readonly sleep: (ms: number) => Promise<void>;
 }
@@ -35,10 +46,14 @@
 
 export async function createTargetHost(options: TargetHostOptions): Promise<TargetHost> {
     const { operator, sleep } = options;
+    /** Start of the current target, in Unix milliseconds; part of each of its records. */
+    let startedAt = 0;
     const start = async (service: string): Promise<TargetStandin> => {
         const started = await startTargetStandin({ host: options.host, id: options.nextId(), service, slots: slotsPerTarget });
         started.setWorkMs(targetWorkMs);
         options.collectRuns(started.runs);
+        options.collectTurnedAway(started.turnedAway);
+        startedAt = Date.now();
         return started;
     };
     let service = options.service;
@@ -52,7 +67,7 @@
             dataCentre: options.dataCentre,
             slots: slotsPerTarget,
             isDraining,
-            startedAt: Date.now(),
+            startedAt,
         });
     const recordDeparture = (): void => {
         options.departures.push({ target: target.id, at: performance.now() });
@@ -78,6 +93,18 @@
             operator.withdraw(target.id);
             await startSuccessor(next);
         },
+        sayLeaving: async graceMs => {
+            options.notices.push({ kind: "leaving", target: target.id, at: performance.now(), until: Infinity });
+            target.leave();
+            await sleep(graceMs);
+            operator.withdraw(target.id);
+            await startSuccessor(service);
+        },
+        pauseFor: durationMs => {
+            const at = performance.now();
+            options.notices.push({ kind: "pause", target: target.id, at, until: at + durationMs });
+            target.pauseFor(durationMs);
+        },
         crash: async lapseMs => {
             target.close();
             await sleep(lapseMs);
--- a/packages/soak/src/faults/faultInjectors.ts
+++ b/packages/soak/src/faults/faultInjectors.ts
@@ -128,6 +128,11 @@
     targetSheds: targetFault("shed"),
     targetExtraAnswers: targetFault("extraAnswer"),
     targetCutsAnswers: targetFault("cutAnswer"),
+    targetSaysLeaving: onTargetHost((targetHost, _cluster, fault) => targetHost.sayLeaving(fault.forMs)),
+    targetPauses: onTargetHost(async (targetHost, cluster, fault) => {
+        targetHost.pauseFor(fault.forMs);
+        await cluster.sleep(fault.forMs);
+    }),
     configuration: async cluster => {
         cluster.writeNextConfiguration();
         await cluster.sleep(0);
@@ -147,5 +152,8 @@
     if (fault.kind.startsWith("storeLink")) {
         return pick(cluster.daemons, fault).placement.name;
     }
+    if (fault.kind === "targetSaysLeaving" || fault.kind === "targetPauses") {
+        return undefined;
+    }
     return fault.kind.startsWith("store") || fault.kind.startsWith("target") ? "*" : undefined;
 }
--- a/packages/soak/src/faults/schedule.ts
+++ b/packages/soak/src/faults/schedule.ts
@@ -33,7 +33,10 @@
     "evacuation",
 ] as const;
 
-export type FaultKind = typeof faultKinds[number];
+/** What targets say in their responses. Drawn on their own, so that a seed's other faults stay what they were. */
+export const noticeKinds = ["targetSaysLeaving", "targetPauses"] as const;
+
+export type FaultKind = typeof faultKinds[number] | typeof noticeKinds[number];
 
 export interface Fault {
     readonly kind: FaultKind;
@@ -48,12 +51,17 @@
 const minFaultMs = 300;
 
 /** Faults overlap: the gaps between their starts are far shorter than most of their durations. */
-export function createFaultSchedule(random: Random, faultPhaseMs: number, meanGapMs: number): readonly Fault[] {
+export function createFaultSchedule(
+    random: Random,
+    faultPhaseMs: number,
+    meanGapMs: number,
+    kinds: readonly FaultKind[] = faultKinds,
+): readonly Fault[] {
     const faults: Fault[] = [];
     let at = meanGapMs;
     while (at < faultPhaseMs) {
         const forMs = Math.min(minFaultMs + random.below(maxFaultMs - minFaultMs), faultPhaseMs - at);
-        faults.push({ kind: faultKinds[random.below(faultKinds.length)]!, at, forMs, which: random.below(1_000) });
+        faults.push({ kind: kinds[random.below(kinds.length)]!, at, forMs, which: random.below(1_000) });
         at += random.below(2 * meanGapMs);
     }
     return faults;
--- a/packages/soak/src/promises/__tests__/promises.test.ts
+++ b/packages/soak/src/promises/__tests__/promises.test.ts
@@ -36,6 +36,8 @@
     runs: [],
     versions: [{ version: 5, writtenAt: 0, services }],
     leavings: [],
+    notices: [],
+    turnedAway: [],
     disturbances: [],
     stops: [],
     calmFrom: 20_000,
@@ -104,3 +106,26 @@
         assert.deepEqual(findBrokenPromises(fields), [name]);
     });
 }
+
+test("a daemon that uses a target after passing on that it leaves breaks its promise, another daemon or an earlier request does not", () => {
+    const notices = [{ kind: "leaving" as const, target: "t9", at: 9_000, until: Infinity }];
+    const first = outcome("a", { text: answerText("t9", "a") });
+    const later = outcome("b", { sentAt: 10_700, endedAt: 10_750, text: answerText("t9", "b") });
+    const runs = [run("a", { target: "t9" }), run("b", { target: "t9", at: 10_710 })];
+    const findWith = (second: AttemptOutcome): string[] => findBrokenPromises({ notices, runs, outcomes: [first, second] });
+    assert.deepEqual(findWith(later), ["told"]);
+    assert.deepEqual(findWith({ ...later, daemon: "two" }), []);
+    assert.deepEqual(findWith({ ...later, daemonRun: 1 }), []);
+    assert.deepEqual(findWith({ ...later, sentAt: 10_400 }), []);
+});
+
+test("a daemon that comes back three times in a target's pause breaks its promise", () => {
+    const notices = [{ kind: "pause" as const, target: "t1", at: 9_000, until: 12_000 }];
+    const ids = ["a", "b", "c", "d"];
+    const outcomes = ids.map(id => outcome(id));
+    const turnedAway = ids.map((request, index) => ({ request, target: "t1", at: 9_100 + index * 700 }));
+    const runs = ids.map(id => run(id, { target: "t2" }));
+    const served = outcomes.map(({ request }) => outcome(request, { text: answerText("t2", request) }));
+    assert.deepEqual(findBrokenPromises({ notices, turnedAway, runs, outcomes: served }), ["pauseKept"]);
+    assert.deepEqual(findBrokenPromises({ notices, turnedAway: turnedAway.slice(0, 3), runs, outcomes: served }), []);
+});
--- a/packages/soak/src/promises/promises.ts
+++ b/packages/soak/src/promises/promises.ts
@@ -6,20 +6,24 @@
 
 const violation = (promise: string, text: string): Violation => ({ promise, text });
 
-function groupRunsByRequest(record: SoakRecord): ReadonlyMap<string, readonly RequestRun[]> {
-    const runs = new Map<string, RequestRun[]>();
-    for (const run of record.runs) {
-        const list = runs.get(run.request);
-        if (list === undefined) {
-            runs.set(run.request, [run]);
+function groupBy<Item>(items: readonly Item[], keyOf: (item: Item) => string): ReadonlyMap<string, readonly Item[]> {
+    const groups = new Map<string, Item[]>();
+    for (const item of items) {
+        const key = keyOf(item);
+        const group = groups.get(key);
+        if (group === undefined) {
+            groups.set(key, [item]);
         }
         else {
-            list.push(run);
+            group.push(item);
         }
     }
-    return runs;
+    return groups;
 }
 
+const groupRunsByRequest = (record: SoakRecord): ReadonlyMap<string, readonly RequestRun[]> =>
+    groupBy(record.runs, run => run.request);
+
 /** A request that is not idempotent runs at most once. */
 export const checkAtMostOnce: PromiseCheck = record => {
     const runs = groupRunsByRequest(record);
@@ -89,6 +93,47 @@
     );
 };
 
+const toldSettlingMs = 500;
+
+/** A daemon that has passed on an answer of a target that says it leaves sends it nothing more. */
+export const checkToldDaemonsKeepAway: PromiseCheck = record => {
+    const sent = new Map(record.outcomes.map(outcome => [outcome.request, outcome]));
+    const runsOf = (target: string): readonly (RequestRun & { readonly outcome: AttemptOutcome; })[] =>
+        record.runs.filter(run => run.target === target && sent.has(run.request))
+            .map(run => ({ ...run, outcome: sent.get(run.request)! }));
+    return record.notices.filter(({ kind }) => kind === "leaving").flatMap(({ target, at }) => {
+        const runs = runsOf(target);
+        const told = runs.filter(run => run.at > at && run.outcome.status === 200);
+        return runs.filter(run =>
+            told.some(({ outcome }) =>
+                isSameProcess(outcome, run.outcome) && run.outcome.sentAt > outcome.endedAt + toldSettlingMs
+            )
+        ).map(run =>
+            violation("told", `${target} ran ${run.request} from ${run.outcome.daemon} after it had said that it leaves`)
+        );
+    });
+};
+
+const isSameProcess = (a: AttemptOutcome, b: AttemptOutcome): boolean => a.daemon === b.daemon && a.daemonRun === b.daemonRun;
+
+const pauseSettlingMs = 500;
+const maxArrivalsInPause = 2;
+
+/** A target that has turned a daemon away with a time gets at most two requests of it until then. */
+export const checkPausesKept: PromiseCheck = record => {
+    const sent = new Map(record.outcomes.map(outcome => [outcome.request, outcome]));
+    return record.notices.filter(({ kind }) => kind === "pause").flatMap(({ target, at, until }) => {
+        const arrivals = record.turnedAway.filter(turned => turned.target === target && turned.at >= at && turned.at < until);
+        const processes = groupBy(arrivals, ({ request }) => {
+            const outcome = sent.get(request);
+            return outcome === undefined ? "unknown" : `${outcome.daemon} ${outcome.daemonRun}`;
+        });
+        return [...processes].filter(([, list]) =>
+            list.filter(turned => turned.at > list[0]!.at + pauseSettlingMs).length > maxArrivalsInPause
+        ).map(([process, list]) => violation("pauseKept", `${target} turned ${process} away ${list.length} times in one pause`));
+    });
+};
+
 const maxApplyMs = 2_500;
 
 /** An undisturbed daemon serves a new route within the time limit. */
@@ -231,6 +276,8 @@
     asked: checkOnlySentRequestsRun,
     routed: checkRunsFollowRoutes,
     drained: checkLeavingTargetsDrain,
+    told: checkToldDaemonsKeepAway,
+    pauseKept: checkPausesKept,
     applied: checkNewRoutesApplied,
     forward: checkConfigurationNeverReverts,
     answeredInTime: checkAnsweredInTime,
--- a/packages/soak/src/promises/records.ts
+++ b/packages/soak/src/promises/records.ts
@@ -1,5 +1,5 @@
 /** Record of a soak run, the input of the promise checks. Times are monotonic, in milliseconds. */
-import type { RequestRun } from "@pimentospring/standin/direct/targetStandin";
+import type { RequestRun, TurnedAway } from "@pimentospring/standin/direct/targetStandin";
 
 /** Result of one attempt of a caller. */
 export interface AttemptOutcome {
@@ -36,6 +36,14 @@
     readonly at: number;
 }
 
+/** A target that says in its responses that it leaves, or asks for a pause up to `until`. */
+export interface TargetNoticeSpan {
+    readonly kind: "leaving" | "pause";
+    readonly target: string;
+    readonly at: number;
+    readonly until: number;
+}
+
 /** A time span in which a fault disturbed one daemon, or all of them if `daemon` is `"*"`. */
 export interface FaultSpan {
     readonly daemon: string;
@@ -49,6 +57,9 @@
     readonly runs: readonly RequestRun[];
     readonly versions: readonly ConfigurationVersion[];
     readonly leavings: readonly TargetDeparture[];
+    readonly notices: readonly TargetNoticeSpan[];
+    /** Requests that targets turned away with the time of a pause. */
+    readonly turnedAway: readonly TurnedAway[];
     readonly disturbances: readonly FaultSpan[];
     /** Times at which SIGTERM was sent, with the daemon and the incarnation of its process. */
     readonly stops: readonly { readonly daemon: string; readonly run: number; readonly at: number; }[];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -6,7 +6,7 @@
 import { request } from "undici";
 import { type Cluster, startCluster } from "./cluster/cluster.js";
 import { affectedDaemon, faultInjectors } from "./faults/faultInjectors.js";
-import { createFaultSchedule, type Fault } from "./faults/schedule.js";
+import { createFaultSchedule, type Fault, noticeKinds } from "./faults/schedule.js";
 import { createCallers } from "./load/callers.js";
 import { createPromiseChecks, versionProbePath } from "./promises/promises.js";
 import type { AttemptOutcome, FaultSpan, SoakRecord, Violation } from "./promises/records.js";
@@ -32,6 +32,9 @@
     readonly faults: number;
 }
 
+const noticeSeedOffset = 1_000_000;
+/** Notices are this much rarer than other faults. */
+const noticeGapFactor = 3;
 const calmPhaseMs = 8_000;
 const readinessTimeoutMs = 15_000;
 const probeTimeoutMs = 1_000;
@@ -40,7 +43,10 @@
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const { seed, faultPhaseMs: lengthMs, folder } = options;
-    const faults = createFaultSchedule(createRandom(seed), lengthMs, options.meanGapMs);
+    const faults = [
+        ...createFaultSchedule(createRandom(seed), lengthMs, options.meanGapMs),
+        ...createFaultSchedule(createRandom(seed + noticeSeedOffset), lengthMs, noticeGapFactor * options.meanGapMs, noticeKinds),
+    ];
     const cluster = await startCluster({ loopbackSubnet: options.loopbackSubnet, folder });
     const outcomes: AttemptOutcome[] = [];
     const disturbances: FaultSpan[] = [];
--- a/packages/standin/src/direct/targetStandin.ts
+++ b/packages/standin/src/direct/targetStandin.ts
@@ -23,6 +23,13 @@
     readonly at: number;
 }
 
+/** A request that a target turned away with the time of a pause. Times are monotonic, in milliseconds. */
+export interface TurnedAway {
+    readonly request: string;
+    readonly target: string;
+    readonly at: number;
+}
+
 export interface TargetStandin {
     readonly id: string;
     readonly address: string;
@@ -38,6 +45,8 @@
     pauseFor(durationMs: number): void;
     /** Times at which requests and health checks arrived, monotonic, in milliseconds. */
     readonly arrivals: readonly number[];
+    /** Requests that it turned away with the time of a pause. */
+    readonly turnedAway: readonly TurnedAway[];
     close(): void;
 }
 
@@ -67,6 +76,7 @@
     let isLeaving = false;
     let pausedUntil = -Infinity;
     const arrivals: number[] = [];
+    const turnedAway: TurnedAway[] = [];
 
     const formatLoad = (): string => `${running},${queue.length},${slots},100`;
     const reply = (request: IncomingMessage, response: ServerResponse, requestId: string): void => {
@@ -128,6 +138,7 @@
             refuse(response, 421, requestId);
         }
         else if (performance.now() < pausedUntil) {
+            turnedAway.push({ request: requestId, target: id, at: performance.now() });
             response.setHeader("Retry-After", String((pausedUntil - performance.now()) / 1_000));
             refuse(response, 503, requestId);
         }
@@ -160,6 +171,7 @@
             pausedUntil = performance.now() + durationMs;
         },
         arrivals,
+        turnedAway,
         close: () => {
             server.close();
             server.closeAllConnections();
