--- a/packages/harness/src/steering/sharedTarget.ts
+++ b/packages/harness/src/steering/sharedTarget.ts
@@ -4,7 +4,7 @@
  */
 import type { Random } from "@pimentospring/core/random/random";
 import type { ResponseHead } from "@pimentospring/core/steering/job";
-import { noNotice, type TargetRecord } from "@pimentospring/core/steering/targetRecord";
+import type { TargetRecord } from "@pimentospring/core/steering/targetRecord";
 import type { Timer } from "@pimentospring/core/time/timer";
 
 /** Performance model of a service's targets. */
@@ -37,6 +37,10 @@
     queued(): number;
     /** From now on refuses this fraction of the requests as not run, although it has free slots. */
     setShedFraction(fraction: number): void;
+    /** Turns all requests away until this time, and says so. */
+    pauseUntil(time: number): void;
+    /** From now on says in each response that it leaves; it goes on serving. */
+    leave(): void;
     /** Crashes the target: its requests are never answered. */
     crash(): void;
 }
@@ -57,6 +61,8 @@
     const queue: SharedTargetRequest[] = [];
     let hasCrashed = false;
     let shedFraction = 0;
+    let pausedUntil = -Infinity;
+    let isLeaving = false;
     let slowness = 1;
     let slownessUntil = -Infinity;
 
@@ -83,7 +89,7 @@
             isSigned: true,
             load: { running: running.size, waiting: queue.length, slots: traits.slots, slowness: currentSlowness() },
             coldMs: undefined,
-            notice: noNotice,
+            notice: { isLeaving, pauseMs: isNotRun && timer.now() < pausedUntil ? pausedUntil - timer.now() : undefined },
             bodyBytes: answerBodyBytes,
         });
     };
@@ -118,7 +124,7 @@
             if (hasCrashed) {
                 return () => {};
             }
-            if (shedFraction > 0 && random.next() < shedFraction) {
+            if (timer.now() < pausedUntil || (shedFraction > 0 && random.next() < shedFraction)) {
                 reply(work, 503, true);
             }
             else if (running.size < traits.slots) {
@@ -144,6 +150,12 @@
         setShedFraction: fraction => {
             shedFraction = fraction;
         },
+        pauseUntil: time => {
+            pausedUntil = time;
+        },
+        leave: () => {
+            isLeaving = true;
+        },
         crash: () => {
             hasCrashed = true;
         },
--- a/packages/harness/src/steering/simulationOptions.ts
+++ b/packages/harness/src/steering/simulationOptions.ts
@@ -31,6 +31,8 @@
     readonly entryCounts: Readonly<Record<string, number>>;
     readonly services: readonly SimulatedService[];
     readonly classes: readonly TrafficClass[];
+    /** Whether entries read what targets say of their own availability; by default they do. */
+    readonly areNoticesRead?: boolean;
     /** Outcomes are counted for requests sent from this time on; by default for all. */
     readonly countedFromMs?: number;
 }
@@ -50,6 +52,10 @@
     sent: number;
     /** Requests that arrived at a target whose slots were all taken. */
     sentToFullTargets: number;
+    /** Requests that arrived at a paused target over half a second after it had turned their entry away. */
+    sentToPausedTargets: number;
+    /** Requests that arrived at a leaving target longer than the drain time after it had told their entry. */
+    sentToLeavingTargets: number;
     /** Mean number of requests that were queued, and that were running, in all targets of the service. */
     meanQueued: number;
     meanRunning: number;
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -16,7 +16,7 @@
 import { createRouteTable } from "@pimentospring/core/steering/routeTable";
 import { createSteering, type Steering, type SteeringBounds } from "@pimentospring/core/steering/steering";
 import type { Route, Service } from "@pimentospring/core/steering/steeringDocument";
-import type { TargetRecord } from "@pimentospring/core/steering/targetRecord";
+import { noNotice, type TargetNotice, type TargetRecord } from "@pimentospring/core/steering/targetRecord";
 import { createVirtualTimer, type VirtualTimer } from "@pimentospring/core/time/virtualTimer";
 import { oneWayDelayMs, regionOf } from "./network.js";
 import { createSharedTarget, type SharedTarget } from "./sharedTarget.js";
@@ -38,6 +38,10 @@
     crashTargets(service: string, dataCentre: string, count: number): void;
     /** From now on all targets of the service refuse this fraction of the requests, although they have free slots. */
     setShedFraction(service: string, fraction: number): void;
+    /** The service's targets with the given indices, modulo their number, turn all requests away for this long. */
+    pauseTargets(service: string, indices: readonly number[], durationMs: number): void;
+    /** The target says that it leaves; its record says so only after `newsDelayMs`. */
+    leaveTarget(service: string, index: number, newsDelayMs: number): void;
     classOutcome(name: string): ClassOutcome;
     /** Of the requests of a region's callers. */
     regionOutcome(region: string): ClassOutcome;
@@ -55,6 +59,8 @@
 const peerUpdateIntervalMs = 1_000;
 const digestIntervalMs = 250;
 const sampleIntervalMs = 20;
+const pauseSettlingMs = 500;
+const drainMs = 2_500;
 const bounds: Omit<SteeringBounds, "regions"> = {
     regionShift: 0.15,
     repeats: { ratio: 0.2, slack: 56, windowMs: 10_000 },
@@ -84,9 +90,37 @@
     });
     const targets = new Map<string, SharedTarget>();
     const abandonByAttempt = new Map<Attempt<string>, () => void>();
-    const counts = new Map(options.services.map(({ name }) => [name, { sent: 0, sentToFull: 0, waiting: 0, running: 0 }]));
+    const counts = new Map(
+        options.services.map((
+            { name },
+        ) => [name, { sent: 0, sentToFull: 0, sentPaused: 0, sentLeaving: 0, waiting: 0, running: 0 }]),
+    );
+    /** Pauses that a target has told an entry of, by target and entry. */
+    const toldOfPause = new Map<string, { readonly at: number; readonly until: number; }>();
+    /** Time at which a target told an entry that it leaves, by target and entry. */
+    const toldOfLeaving = new Map<string, number>();
     let sampleCount = 0;
 
+    const targetsOf = (service: string): SharedTarget[] =>
+        [...targets.values()].filter(({ record }) => record.service === service);
+    const recordTold = (entry: Entry, { record }: SharedTarget, { isLeaving, pauseMs }: TargetNotice): void => {
+        const key = `${record.id} ${entry.id}`;
+        const knownUntil = toldOfPause.get(key)?.until ?? -Infinity;
+        if (pauseMs !== undefined && timer.now() > knownUntil) {
+            toldOfPause.set(key, { at: timer.now(), until: timer.now() + pauseMs });
+        }
+        if (isLeaving && !toldOfLeaving.has(key)) {
+            toldOfLeaving.set(key, timer.now());
+        }
+    };
+    const countNoticesIgnored = (entry: Entry, { record }: SharedTarget): void => {
+        const key = `${record.id} ${entry.id}`;
+        const count = counts.get(record.service)!;
+        const pause = toldOfPause.get(key);
+        const isInPause = pause !== undefined && timer.now() > pause.at + pauseSettlingMs && timer.now() < pause.until;
+        count.sentPaused += isInPause ? 1 : 0;
+        count.sentLeaving += timer.now() > (toldOfLeaving.get(key) ?? Infinity) + drainMs ? 1 : 0;
+    };
     const sendToTarget = (entry: Entry, attempt: Attempt<string>): void => {
         const { record } = attempt.target;
         const target = targets.get(record.id);
@@ -98,17 +132,21 @@
             }
             const count = counts.get(record.service)!;
             count.sent++;
+            countNoticesIgnored(entry, target);
             count.sentToFull += target.running() >= record.slots ? 1 : 0;
             const { request, route } = attempt.job;
             const abandon = target.accept({
                 object: `${route.prefix}${request.objectId}`,
                 workMs: callers.workMsOf(request.id),
                 deadlineAt: request.deadlineAt,
-                respond: head =>
+                respond: head => {
+                    recordTold(entry, target, head.notice);
+                    const notice = options.areNoticesRead === false ? noNotice : head.notice;
                     timer.after(delayMs, () => {
                         abandonByAttempt.delete(attempt);
-                        entry.steering.dispatcher.handleResponse(attempt, head, "");
-                    }),
+                        entry.steering.dispatcher.handleResponse(attempt, { ...head, notice }, "");
+                    });
+                },
             });
             abandonByAttempt.set(attempt, abandon);
         });
@@ -190,6 +228,17 @@
         targets.set(record.id, createSharedTarget({ timer, random, record, model: service.targetModel }));
         registerTarget(record);
     };
+    const shareLeavingTargets = (): void => {
+        for (const entry of entries) {
+            const leaving = entry.steering.registry.recentlyLeaving();
+            if (leaving.length === 0) {
+                continue;
+            }
+            for (const other of entries.filter(peer => peer.dataCentre === entry.dataCentre)) {
+                leaving.forEach(other.steering.registry.markLeaving);
+            }
+        }
+    };
     const broadcastLoads = (): void => {
         for (const entry of entries) {
             const loads = services.map(({ id }) => ({ service: id, slots: entry.steering.offeredLoad.requiredSlots(id) }));
@@ -240,6 +289,7 @@
         }
     }
     timer.subscribe(peerUpdateIntervalMs, broadcastLoads);
+    timer.subscribe(peerUpdateIntervalMs, shareLeavingTargets);
     timer.subscribe(digestIntervalMs, shareDigests);
     timer.subscribe(sampleIntervalMs, sample);
     callers.start();
@@ -261,16 +311,32 @@
                 entries.forEach(({ steering }) => steering.registry.remove(target.record.id));
             }
         },
-        setShedFraction: (service, fraction) =>
-            [...targets.values()].filter(({ record }) => record.service === service).forEach(target =>
-                target.setShedFraction(fraction)
-            ),
+        setShedFraction: (service, fraction) => targetsOf(service).forEach(target => target.setShedFraction(fraction)),
+        pauseTargets: (service, indices, durationMs) => {
+            const list = targetsOf(service);
+            for (const index of indices) {
+                list[index % list.length]!.pauseUntil(timer.now() + durationMs);
+            }
+        },
+        leaveTarget: (service, index, newsDelayMs) => {
+            const list = targetsOf(service);
+            const target = list[index % list.length]!;
+            target.leave();
+            timer.after(newsDelayMs, () => registerTarget({ ...target.record, isDraining: true }));
+        },
         classOutcome: callers.classOutcome,
         regionOutcome: region => callers.regionOutcome(toRegionId(region)),
         earnedValueRatio: name => valueRatio(callers.classOutcome(name)),
         serviceOutcome: name => {
-            const { sent, sentToFull, waiting, running } = counts.get(name)!;
-            return { sent, sentToFullTargets: sentToFull, meanQueued: waiting / sampleCount, meanRunning: running / sampleCount };
+            const { sent, sentToFull, sentPaused, sentLeaving, waiting, running } = counts.get(name)!;
+            return {
+                sent,
+                sentToFullTargets: sentToFull,
+                sentToPausedTargets: sentPaused,
+                sentToLeavingTargets: sentLeaving,
+                meanQueued: waiting / sampleCount,
+                meanRunning: running / sampleCount,
+            };
         },
     };
 }
