test(soak): a change is known soon after the store's return, whatever daemons waited for while it was away

Change: 'appliedAfterReturn' counts from the store's return; only faults of the daemon itself excuse it.

--- a/packages/soak/src/promises/__tests__/promises.test.ts
+++ b/packages/soak/src/promises/__tests__/promises.test.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createPromiseChecks, versionProbePath } from "../promises.js";
-import type { AttemptOutcome, SoakRecord } from "../records.js";
+import type { AttemptOutcome, FaultSpan, SoakRecord } from "../records.js";
 
 const slack = 5;
 const outcome = (request: string, fields: Partial<AttemptOutcome> = {}): AttemptOutcome => ({
@@ -129,3 +129,16 @@
     assert.deepEqual(findBrokenPromises({ notices, turnedAway, runs, outcomes: served }), ["pauseKept"]);
     assert.deepEqual(findBrokenPromises({ notices, turnedAway: turnedAway.slice(0, 3), runs, outcomes: served }), []);
 });
+
+test("a daemon that lacks a version 2.5 s after the store's return breaks its promise; during the outage, or with a fault of its own, not", () => {
+    const probe = outcome("p", { path: versionProbePath(5), isIdempotent: true, status: 404, sentAt: 13_000, endedAt: 13_020 });
+    const outage = { daemon: "*", kind: "storeSilent", from: 8_000, to: 10_000 };
+    const versions = [{ version: 5, writtenAt: 9_900, services }];
+    const findWith = (...disturbances: readonly FaultSpan[]): string[] =>
+        findBrokenPromises({ outcomes: [probe], versions, disturbances });
+    assert.deepEqual(findWith(outage), ["appliedAfterReturn"]);
+    assert.deepEqual(findWith({ ...outage, to: 10_600 }), []);
+    assert.deepEqual(findWith({ ...outage, to: 13_500 }), []);
+    assert.deepEqual(findWith(outage, { daemon: "one", kind: "daemonPause", from: 7_000, to: 8_000 }), []);
+    assert.deepEqual(findWith(outage, { daemon: "two", kind: "daemonPause", from: 7_000, to: 8_000 }), ["appliedAfterReturn"]);
+});
--- a/packages/soak/src/promises/promises.ts
+++ b/packages/soak/src/promises/promises.ts
@@ -1,6 +1,14 @@
 /** Checks of the product's guarantees ("promises") against the record of what callers and targets observed. */
 import { answerText, type RequestRun } from "@pimentospring/standin/direct/targetStandin";
-import { type AttemptOutcome, isUndisturbed, prefixOf, type SoakRecord, type Violation } from "./records.js";
+import {
+    type AttemptOutcome,
+    type FaultSpan,
+    isItselfUndisturbed,
+    isUndisturbed,
+    prefixOf,
+    type SoakRecord,
+    type Violation,
+} from "./records.js";
 
 export type PromiseCheck = (record: SoakRecord) => readonly Violation[];
 
@@ -151,6 +159,33 @@
         )
     );
 
+const isStoreFault = ({ kind }: FaultSpan): boolean => kind.startsWith("store") && !kind.startsWith("storeLink");
+
+/** A daemon serves a new route soon after the store is back, whatever it waited for while the store was away. */
+export const checkAppliedAfterReturn: PromiseCheck = record => {
+    const outages = record.disturbances.filter(isStoreFault);
+    return record.versions.flatMap(version =>
+        record.outcomes.filter(outcome => {
+            const isLost = outcome.path === versionProbePath(version.version) && outcome.status === 404
+                && isStillConfigured(record, version.version, outcome);
+            // What the store's outages do not excuse is checked as "applied".
+            const isCalm = isUndisturbed(record, outcome.daemon, version.writtenAt, outcome.endedAt);
+            if (!isLost || isCalm || outages.some(({ from, to }) => from <= outcome.sentAt && to >= outcome.sentAt)) {
+                return false;
+            }
+            const ends = outages.filter(({ to }) => to < outcome.sentAt).map(({ to }) => to);
+            const availableFrom = Math.max(version.writtenAt, ...ends);
+            return outcome.sentAt > availableFrom + maxApplyMs
+                && isItselfUndisturbed(record, outcome.daemon, availableFrom, outcome.endedAt);
+        }).map(outcome =>
+            violation(
+                "appliedAfterReturn",
+                `${outcome.daemon} has no route of version ${version.version} after ${formatElapsed(version.writtenAt, outcome)}`,
+            )
+        )
+    );
+};
+
 const revertCheckDelayMs = 250;
 
 /** A daemon process never returns to an older configuration. */
@@ -279,6 +314,7 @@
     told: checkToldDaemonsKeepAway,
     pauseKept: checkPausesKept,
     applied: checkNewRoutesApplied,
+    appliedAfterReturn: checkAppliedAfterReturn,
     forward: checkConfigurationNeverReverts,
     answeredInTime: checkAnsweredInTime,
     withinBudget: createRetryBudgetCheck(retrySlack),
--- a/packages/soak/src/promises/records.ts
+++ b/packages/soak/src/promises/records.ts
@@ -83,4 +83,8 @@
     );
 }
 
+/** Whether no fault of the daemon itself or of its connections disturbed it, whatever happened to others. */
+export const isItselfUndisturbed = (record: SoakRecord, daemon: string, from: number, to: number): boolean =>
+    !record.disturbances.some(span => span.daemon === daemon && span.from <= to && span.to >= from - settlingMs);
+
 const settlingMs = 4_000;
