--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -3,11 +3,20 @@
 import { test } from "node:test";
 import { type Fingerprint, toDataCentreId, toRegionId } from "../../ids.js";
 import type { FinalResponse } from "../job.js";
+import type { HealthCheckResult } from "../targetHealth.js";
 import { noNotice } from "../targetRecord.js";
 import { createTestBench, record, route, type TestBench } from "./fixture.js";
 
 const codeOf = (response: FinalResponse<string> | undefined): number | string | undefined =>
     response?.kind === "refusal" ? response.result.code : response?.answer;
+const noHealthResponse: HealthCheckResult = {
+    isReached: false,
+    isExpectedTarget: false,
+    isHealthy: false,
+    coldMs: undefined,
+    load: undefined,
+    notice: noNotice,
+};
 const atMostOnceRoute = route({ isIdempotent: false });
 
 test("a response is delivered and frees the slot", () => {
@@ -125,16 +134,8 @@
 });
 
 test("work that runs at a target goes on, and is started nowhere else, while the target is silent, leaving or gone", () => {
-    const silent = {
-        isReached: false,
-        isExpectedTarget: false,
-        isHealthy: false,
-        coldMs: undefined,
-        load: undefined,
-        notice: noNotice,
-    };
     const changes: readonly ((bench: TestBench) => void)[] = [
-        bench => bench.targetHealth.recordHealthCheck(bench.sent[0]!.target, silent),
+        bench => bench.targetHealth.recordHealthCheck(bench.sent[0]!.target, noHealthResponse),
         bench => bench.registry.put(record("one", { isDraining: true })),
         bench => bench.registry.remove(bench.sent[0]!.target.record.id),
     ];
@@ -178,15 +179,7 @@
         bench.dispatcher.recordWritten(attempt);
         bench.dispatcher.handleConnectionFailure(attempt, "reset");
         bench.sent.at(-1)!.job.cancelTimeout();
-        const dead = {
-            isReached: false,
-            isExpectedTarget: false,
-            isHealthy: false,
-            coldMs: undefined,
-            load: undefined,
-            notice: noNotice,
-        };
-        bench.targetHealth.recordHealthCheck(attempt.target, dead);
+        bench.targetHealth.recordHealthCheck(attempt.target, noHealthResponse);
     }
     const before = bench.sent.length;
     bench.submit("c", { fingerprint: () => "same" as Fingerprint });
@@ -217,15 +210,7 @@
     assert.deepEqual(bench.checks.map(target => target.record.id), ["one"]);
     bench.submit("next");
     assert.equal(bench.sent.length, 2);
-    const unreached = {
-        isReached: false,
-        isExpectedTarget: false,
-        isHealthy: false,
-        coldMs: undefined,
-        load: undefined,
-        notice: noNotice,
-    };
-    bench.targetHealth.recordHealthCheck(bench.checks[0]!, unreached);
+    bench.targetHealth.recordHealthCheck(bench.checks[0]!, noHealthResponse);
     bench.submit("later");
     assert.equal(bench.sent.length, 2);
 });
@@ -241,14 +226,6 @@
     assert.equal([...bench.finalResponses.values()].filter(response => response.kind === "answer").length, 12);
 });
 
-const unreachedAnswer = {
-    isReached: false,
-    isExpectedTarget: false,
-    isHealthy: false,
-    coldMs: undefined,
-    load: undefined,
-    notice: noNotice,
-};
 /** Sends `copies` of the same request at once and makes the target die while running them. */
 function crashWhileRunning(bench: TestBench, target: string, copies: number): void {
     for (let copy = 0; copy < copies; copy++) {
@@ -259,7 +236,7 @@
         bench.dispatcher.recordWritten(attempt);
         bench.dispatcher.handleConnectionFailure(attempt, "reset");
     });
-    bench.targetHealth.recordHealthCheck(attempts[0]!.target, unreachedAnswer);
+    bench.targetHealth.recordHealthCheck(attempts[0]!.target, noHealthResponse);
 }
 
 test("the death of a target counts once for a request, however many copies of it were running", () => {
@@ -284,7 +261,7 @@
     assert.notEqual(codeOf(bench.finalResponses.get("later")), 2011);
     bench.dispatcher.recordWritten(bench.sent.at(-1)!);
     bench.dispatcher.handleConnectionFailure(bench.sent.at(-1)!, "reset");
-    bench.targetHealth.recordHealthCheck(bench.sent.at(-1)!.target, unreachedAnswer);
+    bench.targetHealth.recordHealthCheck(bench.sent.at(-1)!.target, noHealthResponse);
     submitAgain("third");
     assert.equal(codeOf(bench.finalResponses.get("third")), 2011);
 });
--- a/packages/steer/src/mesh/__tests__/mesh.test.ts
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -1,13 +1,13 @@
 /** Load of a data centre as received by entries of other data centres. */
 import { toDataCentreId, toInstanceId, toRegionId, toServiceId } from "@pimentospring/core/ids";
 import { createMembers, type MemberRecord } from "@pimentospring/core/steering/members";
-import { createVirtualTimer } from "@pimentospring/core/time/virtualTimer";
+import { createVirtualTimer, type VirtualTimer } from "@pimentospring/core/time/virtualTimer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
 import { test } from "node:test";
 import { createUdpSocket } from "../datagramSocket.js";
-import { createMesh, type Mesh } from "../mesh.js";
+import { createMesh, type Mesh, type MeshOptions } from "../mesh.js";
 
 const service = toServiceId("tokens");
 const silentLog = { write: () => {} } as unknown as Log;
@@ -35,27 +35,43 @@
     };
 }
 
+type MeshParts = Pick<MeshOptions, "ownLoads" | "revision" | "onHeartbeat">;
+
+/** Starts the mesh of an entry that knows all of `records`. */
+async function startMesh(
+    timer: VirtualTimer,
+    self: MemberRecord,
+    records: readonly MemberRecord[],
+    parts: MeshParts,
+): Promise<Mesh> {
+    const members = createMembers(timer, self);
+    members.replaceAll(records.filter(record => record !== self));
+    const mesh = createMesh({
+        timer,
+        log: silentLog,
+        socket: createUdpSocket(),
+        self,
+        members,
+        leavingTargets: () => [],
+        isWatching: () => true,
+        onUnknownHeartbeat: () => {},
+        takeDigest: () => undefined,
+        onDigest: () => {},
+        ...parts,
+    });
+    await mesh.start();
+    return mesh;
+}
+
 test("other data centres receive the total load of a data centre's entries", { timeout: 10_000 }, async () => {
     const timer = createVirtualTimer();
     const records = [await recordOf("a1", "cpt-a"), await recordOf("a2", "cpt-a"), await recordOf("b1", "jhb-a")];
     const slots = new Map([["a1", 5], ["a2", 7], ["b1", 1]]);
     const receivedSlots = new Map<string, number>();
-    const start = async (self: MemberRecord): Promise<Mesh> => {
-        const members = createMembers(timer, self);
-        members.replaceAll(records.filter(record => record !== self));
-        const mesh = createMesh({
-            timer,
-            log: silentLog,
-            socket: createUdpSocket(),
-            self,
-            members,
+    const start = (self: MemberRecord): Promise<Mesh> =>
+        startMesh(timer, self, records, {
             ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [{ service, slots: slots.get(self.id)! }] }),
             revision: () => 1,
-            leavingTargets: () => [],
-            isWatching: () => true,
-            onUnknownHeartbeat: () => {},
-            takeDigest: () => undefined,
-            onDigest: () => {},
             onHeartbeat: heartbeat => {
                 const cptLoads = heartbeat.loads.filter(({ dataCentre }) => dataCentre === "cpt-a");
                 if (self.id === "b1") {
@@ -63,9 +79,6 @@
                 }
             },
         });
-        await mesh.start();
-        return mesh;
-    };
     const meshes = await Promise.all(records.map(start));
     for (let round = 0; round < 3; round++) {
         timer.advance(1_000);
@@ -82,27 +95,12 @@
         const timer = createVirtualTimer();
         const records = [await recordOf("a1", "cpt-a"), await recordOf("b1", "jhb-a"), await recordOf("b2", "jhb-a")];
         const heard = new Map<string, number[]>(records.map(({ id }) => [id, []]));
-        const start = async (self: MemberRecord): Promise<Mesh> => {
-            const members = createMembers(timer, self);
-            members.replaceAll(records.filter(record => record !== self));
-            const mesh = createMesh({
-                timer,
-                log: silentLog,
-                socket: createUdpSocket(),
-                self,
-                members,
+        const start = (self: MemberRecord): Promise<Mesh> =>
+            startMesh(timer, self, records, {
                 ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [] }),
                 revision: () => 7,
-                leavingTargets: () => [],
-                isWatching: () => true,
-                onUnknownHeartbeat: () => {},
-                takeDigest: () => undefined,
-                onDigest: () => {},
                 onHeartbeat: heartbeat => heard.get(self.id)!.push(heartbeat.revision),
             });
-            await mesh.start();
-            return mesh;
-        };
         const meshes = await Promise.all(records.map(start));
         meshes[0]!.announceRevision("dataCentre");
         timer.advance(100);
