feat(entry): targets' own notices on the own interface

Change: x-leaving: 1 in any response, and retry-after in a 503, reach the pool of the service: nothing new goes there, capacity told to peers shrinks with it. A leaving target is in use again when the document orders it anew, when its health has failed and works again, or after ten minutes; there is no incarnation to tell processes apart. The entry of a look-up moved to entryStatus.ts.

--- a/packages/core/src/admission/targetPool.ts
+++ b/packages/core/src/admission/targetPool.ts
@@ -6,6 +6,7 @@
 import type { Candidate, TargetPicker } from "../policy/pick.js";
 import type { Random } from "../random/random.js";
 import type { PeerTargetSummary } from "../routing/grants.js";
+import type { TargetNotice } from "../steering/targetRecord.js";
 import type { Timer } from "../time/timer.js";
 import {
     applyTargetEvent,
@@ -67,6 +68,8 @@
     /** Acquires a slot at a target; returns undefined if none is available. */
     acquire(lane: Lane, options: AcquireOptions): AcquiredSlot | undefined;
     release(target: TargetId, lane: Lane, release: ReleaseOutcome): void;
+    /** Records what a target says of its availability; it gets nothing new while it leaves or is paused. */
+    recordNotice(target: TargetId, notice: TargetNotice): void;
     /** Records the result of an active probe of a dead target. */
     recordProbeResult(target: TargetId, isHealthy: boolean): void;
     /** Number of free slots for a lane. */
@@ -109,10 +112,22 @@
     longInFlight: number;
     drainStartedAt: number | undefined;
     drainMs: number | undefined;
+    /** Until this time it counts as leaving, unless its process is found to have ended or it is put into service again. */
+    leavingUntil: number;
+    /** Whether a leaving target was found dead or unhealthy: what is healthy at its address later is another process. */
+    hasEnded: boolean;
+    /** Time until which it wants no requests. */
+    pausedUntil: number;
 }
 
 /** Ratio of its slots that a target may use at the start of its warm-up. */
 const warmUpStartRatio = 0.25;
+/** Longest pause that a target may ask for, so that a wrong time does not take it out of use for good. */
+const maxPauseMs = 60_000;
+/** A target that has said that it leaves is used again after this time at the latest. */
+const maxLeavingMs = 600_000;
+/** Interval at which a leaving target's health is checked, to see whether its process has ended. */
+const leavingProbeIntervalMs = 1_000;
 /** Smoothing factor of the moving average of the service time. */
 const meanSmoothingFactor = 0.05;
 
@@ -138,7 +153,10 @@
         }
         return Math.min(1, warmUpStartRatio + (1 - warmUpStartRatio) * ((timer.now() - target.health.warmingSince) / warmUpMs));
     };
-    const isUsable = (target: PoolTarget): boolean => target.health.state === "serving" || target.health.state === "warming";
+    const isLeaving = (target: PoolTarget): boolean => target.leavingUntil > timer.now();
+    const isOpen = (target: PoolTarget): boolean => Math.max(target.leavingUntil, target.pausedUntil) <= timer.now();
+    const isUsable = (target: PoolTarget): boolean =>
+        isOpen(target) && (target.health.state === "serving" || target.health.state === "warming");
     const isEjectedAsSlow = (target: PoolTarget): boolean => target.health.state === "ejected" && !target.health.isDead;
     const ownedTargets = (): PoolTarget[] => targets.filter(target => options.ownsTarget(target.id));
     const allowanceOf = (target: PoolTarget): number => {
@@ -164,7 +182,7 @@
     };
     const acquireProbe = (lane: Lane, excludedTargets: readonly TargetId[]): AcquiredSlot | undefined => {
         const probe = targets.find(target =>
-            isProbeDue(target.health, timer.now()) && !target.health.isDead && target.inFlight === 0
+            isOpen(target) && isProbeDue(target.health, timer.now()) && !target.health.isDead && target.inFlight === 0
             && !excludedTargets.includes(target.id) && options.allowance(target.id, target.slots) > 0
         );
         if (probe === undefined) {
@@ -181,7 +199,8 @@
         if (probe !== undefined) {
             return probe;
         }
-        const isEligible = (target: PoolTarget): boolean => isUsable(target) || (isLastResort && isEjectedAsSlow(target));
+        const isEligible = (target: PoolTarget): boolean =>
+            isUsable(target) || (isLastResort && isOpen(target) && isEjectedAsSlow(target));
         const freeTargets = targets.filter(target =>
             isEligible(target) && !excludedTargets.includes(target.id) && freeSlotsAt(target, lane) > 0
         );
@@ -263,12 +282,16 @@
             recordLatency(target, outcome.latencyMs);
         }
         if (outcome.kind === "died") {
+            target.hasEnded = true;
             target.health.isDead = true;
             applyEvent(target, "died");
         }
     };
     const applyConfiguredState = (target: PoolTarget, state: Target["state"]): void => {
         const event = state === "serving" ? "serveOrdered" : state === "draining" ? "drainOrdered" : "stopOrdered";
+        if (state !== "serving") {
+            target.leavingUntil = -Infinity;
+        }
         const wasDraining = target.health.state === "draining" || target.health.state === "drained";
         applyEvent(target, event);
         if (target.health.state === "draining" && !wasDraining) {
@@ -301,7 +324,8 @@
             if (target.health.state === "warming" && warmUpRatio(target) >= 1) {
                 applyEvent(target, "warmedUp");
             }
-            if (target.health.isDead && isProbeDue(target.health, timer.now())) {
+            const isLeavingProbeDue = isLeaving(target) && timer.now() >= target.health.lastProbeAt + leavingProbeIntervalMs;
+            if (isLeavingProbeDue || (target.health.isDead && isProbeDue(target.health, timer.now()))) {
                 target.health.lastProbeAt = timer.now();
                 options.sendProbe(target.id, target.address);
             }
@@ -312,8 +336,30 @@
         configure,
         acquire,
         release,
+        recordNotice: (id, notice) => {
+            const { pauseMs } = notice;
+            const target = find(id);
+            if (target === undefined) {
+                return;
+            }
+            if (notice.isLeaving && !isLeaving(target)) {
+                target.leavingUntil = timer.now() + maxLeavingMs;
+                target.hasEnded = false;
+                options.onStateChange(id, target.health.state, "leaving", "the target's own notice");
+            }
+            if (pauseMs !== undefined && isOpen(target)) {
+                options.onStateChange(id, target.health.state, "paused", "the target's own notice");
+            }
+            if (pauseMs !== undefined) {
+                target.pausedUntil = Math.max(target.pausedUntil, timer.now() + Math.min(pauseMs, maxPauseMs));
+            }
+        },
         recordProbeResult: (id, isHealthy) => {
             const target = find(id);
+            if (target !== undefined && isLeaving(target)) {
+                target.leavingUntil = isHealthy && target.hasEnded ? -Infinity : target.leavingUntil;
+                target.hasEnded ||= !isHealthy;
+            }
             if (target?.health.isDead) {
                 applyEvent(target, isHealthy ? "probeGood" : "probeBad");
             }
@@ -347,6 +393,9 @@
         longInFlight: existing?.longInFlight ?? 0,
         drainStartedAt: undefined,
         drainMs: undefined,
+        leavingUntil: -Infinity,
+        hasEnded: false,
+        pausedUntil: -Infinity,
     };
 }
 
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -6,7 +6,7 @@
 import { createConfiguration } from "./configuration/configuration.js";
 import { grantIntervalMs, heartbeatIntervalMs, leavingGraceMs } from "./constants.js";
 import type { DocumentIndex } from "./document/documentIndex.js";
-import { type EntryStatus, toPeerStatus, toServiceStatus } from "./entryStatus.js";
+import { type EntryStatus, toLookupEntry, toPeerStatus, toServiceStatus } from "./entryStatus.js";
 import {
     type Address,
     addressOf,
@@ -385,6 +385,9 @@
             case "attemptEnded":
                 dispatcher.handleAttemptEnded(event.attempt, event.end);
                 break;
+            case "targetNoticed":
+                runtimes.forEach(runtime => runtime.pool.recordNotice(event.target, event.notice));
+                break;
             case "targetProbed":
                 runtimes.forEach(runtime => runtime.pool.recordProbeResult(event.target, event.isHealthy));
                 break;
@@ -428,13 +431,7 @@
     const currentLookup = (): ((caller: number) => LookupAnswer) | undefined => {
         const documentIndex = index();
         if (lookup === undefined && documentIndex !== undefined) {
-            const entries = peers.all().filter(peer => peer.state !== "gone").map(peer => ({
-                instance: peer.instance,
-                dataCentre: peer.dataCentre,
-                url: peer.url,
-                isAnswering: peer.state === "alive",
-                isLeaving: peer.state === "leaving",
-            }));
+            const entries = peers.all().filter(peer => peer.state !== "gone").map(toLookupEntry);
             const ownEntry = { ...self, isAnswering: true, isLeaving };
             lookup = createLookup({ index: documentIndex, ownDataCentre, entries: [ownEntry, ...entries] });
         }
--- a/packages/core/src/entryStatus.ts
+++ b/packages/core/src/entryStatus.ts
@@ -1,6 +1,7 @@
 /** Status of an entry for operators, served as JSON by `GET /v1/status`. */
 import type { TargetStatus } from "./admission/targetPool.js";
 import type { DataCentreId, InstanceId, ServiceId } from "./ids.js";
+import type { LookupEntry } from "./lookup/lookup.js";
 import type { Peer } from "./membership/peers.js";
 import type { ServiceRuntime } from "./requests/serviceRuntime.js";
 
@@ -36,6 +37,14 @@
     readonly targets: readonly TargetStatus[];
 }
 
+export const toLookupEntry = ({ instance, dataCentre, url, state }: Peer): LookupEntry => ({
+    instance,
+    dataCentre,
+    url,
+    isAnswering: state === "alive",
+    isLeaving: state === "leaving",
+});
+
 export function toPeerStatus(peer: Peer): PeerStatus {
     return {
         instance: peer.instance,
--- a/packages/core/src/requests/events.ts
+++ b/packages/core/src/requests/events.ts
@@ -12,6 +12,7 @@
 } from "../ids.js";
 import type { MemberInfo, PeerMessage } from "../membership/messages.js";
 import type { Result } from "../results/resultCode.js";
+import type { TargetNotice } from "../steering/targetRecord.js";
 import type { CachedResponse } from "../tickets/ticketRegistry.js";
 
 /** Purpose of a forwarded request: `redeem` asks the ticket's issuer to admit it, `run` just runs it at a target. */
@@ -68,6 +69,8 @@
     /** The head of a response arrived; the core delivers at most one attempt's response per request. */
     | { readonly kind: "attemptAnswered"; readonly attempt: AttemptId; }
     | { readonly kind: "attemptEnded"; readonly attempt: AttemptId; readonly end: AttemptEnd; }
+    /** A response of the target said something of its availability. */
+    | { readonly kind: "targetNoticed"; readonly target: TargetId; readonly notice: TargetNotice; }
     | { readonly kind: "targetProbed"; readonly target: TargetId; readonly isHealthy: boolean; }
     | { readonly kind: "peerMet"; readonly peer: MemberInfo; }
     | { readonly kind: "peerRefused"; readonly address: Address; }
--- a/packages/entry/src/exchange/exchange.ts
+++ b/packages/entry/src/exchange/exchange.ts
@@ -3,6 +3,7 @@
  * attempts at targets and peers. The request executor connects them as the core decides.
  */
 import type { Result } from "@pimentospring/core/results/resultCode";
+import type { TargetNotice } from "@pimentospring/core/steering/targetRecord";
 import type { CachedResponse } from "@pimentospring/core/tickets/ticketRegistry";
 import type { Readable } from "node:stream";
 
@@ -47,6 +48,8 @@
     | { readonly kind: "broken"; readonly reason: string; };
 
 export interface AttemptListener {
+    /** A target says something of its availability, in a response that may also go to the caller. */
+    onNotice(notice: TargetNotice): void;
     onHead(head: ResponseHead): void;
     /** Returns false to pause the response until `resume` is called. */
     onData(chunk: Uint8Array): boolean;
--- a/packages/entry/src/exchange/requestExecutor.ts
+++ b/packages/entry/src/exchange/requestExecutor.ts
@@ -3,7 +3,7 @@
  * attempt to the response writer.
  */
 import { hashBytes } from "@pimentospring/core/hash/hash";
-import { type AttemptId, type RequestId, toFingerprint, toRequestId } from "@pimentospring/core/ids";
+import { type AttemptId, type RequestId, type TargetId, toFingerprint, toRequestId } from "@pimentospring/core/ids";
 import type { CoreAction, CoreEvent, IncomingRequest } from "@pimentospring/core/requests/events";
 import { type Result, results } from "@pimentospring/core/results/resultCode";
 import type { CachedResponse } from "@pimentospring/core/tickets/ticketRegistry";
@@ -123,7 +123,8 @@
         exchangeByAttempt.set(attempt, exchange);
         return active;
     };
-    const createAttemptListener = (exchange: Exchange, active: ActiveAttempt): AttemptListener => ({
+    const createAttemptListener = (exchange: Exchange, active: ActiveAttempt, target?: TargetId): AttemptListener => ({
+        onNotice: notice => target === undefined || handle({ kind: "targetNoticed", target, notice }),
         onHead: head => {
             active.head = head;
             handle({ kind: "attemptAnswered", attempt: active.id });
@@ -172,7 +173,7 @@
             action.address,
             request,
             action.remainingMs,
-            createAttemptListener(exchange, active),
+            createAttemptListener(exchange, active, action.target),
         );
     };
     const sendToPeer = (action: CoreAction & { kind: "sendToPeer"; }): void => {
--- a/packages/entry/src/targets/targetClient.ts
+++ b/packages/entry/src/targets/targetClient.ts
@@ -1,5 +1,6 @@
 /** Sends requests to targets with undici and classifies failures by whether any byte may have been written. */
 import { results } from "@pimentospring/core/results/resultCode";
+import type { TargetNotice } from "@pimentospring/core/steering/targetRecord";
 import { type Dispatcher, Pool } from "undici";
 import { probeTimeoutMs, targetConnectTimeoutMs, targetIdleTimeoutMs } from "../constants.js";
 import { type AttemptHandle, type AttemptListener, endToEndHeaders, type OutgoingRequest } from "../exchange/exchange.js";
@@ -7,6 +8,10 @@
 /** Header with which a target that responds with status 503 declares that it did not start the request. */
 const notStartedHeader = "x-not-started";
 
+/** Header with the value 1 in each response of a target that leaves. */
+const leavingHeader = "x-leaving";
+const msPerSecond = 1_000;
+
 export interface TargetClient {
     send(address: string, request: OutgoingRequest, remainingMs: number, listener: AttemptListener): AttemptHandle;
     /** Checks the target's health over a separate connection. */
@@ -83,6 +88,10 @@
             }
         },
         onResponseStart: (_controller, status, headers) => {
+            const notice = readNotice(status, headers);
+            if (notice.isLeaving || notice.pauseMs !== undefined) {
+                listener.onNotice(notice);
+            }
             if (status === 503 && headers[notStartedHeader] !== undefined) {
                 settle(() => listener.onFailure({ kind: "refused", result: results.refusedByTarget }));
                 return;
@@ -111,3 +120,16 @@
         resume: () => controller?.resume(),
     };
 }
+
+/** A `retry-after` that is no positive number of seconds counts as absent. */
+export function readNotice(
+    status: number,
+    headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+): TargetNotice {
+    const retryAfter = status === 503 ? headers["retry-after"] : undefined;
+    const seconds = typeof retryAfter === "string" && retryAfter.trim() !== "" ? Number(retryAfter) : Number.NaN;
+    return {
+        isLeaving: headers[leavingHeader] === "1",
+        pauseMs: seconds > 0 && Number.isFinite(seconds) ? seconds * msPerSecond : undefined,
+    };
+}
