feat(demo): a target asks for a pause, and later says that it leaves

Change: the own interface's target stand-in does both by its control route; the demo checks that it gets nothing. The load lasts 15 s instead of 12, as the demo does more.

--- a/packages/standin/src/target/target.ts
+++ b/packages/standin/src/target/target.ts
@@ -20,6 +20,10 @@
     coldFactor: v.optional(v.number()),
     /** Refuses every request as not started. */
     shedAll: v.optional(v.boolean()),
+    /** Time for which refusals ask for a pause; 0 for none. */
+    pauseMs: v.optional(v.number()),
+    /** Says in every response that the target leaves. */
+    leaving: v.optional(v.boolean()),
     /** Delay of the load report. */
     reportLagMs: v.optional(v.number()),
     /** Multiplies the reported load; 0 reports an idle target. */
@@ -69,6 +73,9 @@
 /** Header of a refusal which states that the request was not started. */
 export const notStartedHeader = "x-not-started";
 
+/** Header with the value 1 in each response of a target that leaves. */
+const leavingHeader = "x-leaving";
+
 const maxBodyBytes = 64 * 1024 * 1024;
 const chunkBytes = 64 * 1024;
 
@@ -83,6 +90,8 @@
         coldMs: 0,
         coldFactor: 5,
         shedAll: false,
+        pauseMs: 0,
+        leaving: false,
         reportLagMs: 0,
         reportFactor: 1,
         silenceOpen: false,
@@ -116,13 +125,17 @@
     };
     const shed = (response: ServerResponse): void => {
         counts.shed++;
-        response.writeHead(503, { [notStartedHeader]: "1", "content-length": 0 });
+        const pauseHeader = behaviour.pauseMs > 0 ? { "retry-after": String(behaviour.pauseMs / 1_000) } : {};
+        response.writeHead(503, { [notStartedHeader]: "1", "content-length": 0, ...pauseHeader });
         response.end();
     };
     const run = async (request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> => {
         if (silencedSockets.has(request.socket)) {
             return;
         }
+        if (behaviour.leaving) {
+            response.setHeader(leavingHeader, "1");
+        }
         if (inFlight >= options.slots) {
             counts.overSlots++;
         }
--- a/scripts/src/demo.ts
+++ b/scripts/src/demo.ts
@@ -1,10 +1,10 @@
 /**
  * `npm run demo -- [small|karoo|sikasem] [--trace]`: runs a deployment as separate processes under load, drains a
- * target, stops one entry gracefully and kills another; prints the outcome and exits with 1 if a check failed.
+ * target, lets another speak of itself, stops one entry gracefully and kills another; prints the outcome and exits with 1 if a check failed.
  */
 import { type Caller, createCaller } from "@pimentospring/standin/load/caller";
 import { type ClassReport, startLoad } from "@pimentospring/standin/load/load";
-import type { TargetCounts } from "@pimentospring/standin/target/target";
+import type { TargetBehaviour, TargetCounts } from "@pimentospring/standin/target/target";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { printTrace } from "./demoTrace.js";
@@ -16,7 +16,7 @@
     readonly detail: string;
 }
 
-const loadDurationMs = 12_000;
+const loadDurationMs = 15_000;
 const requestsPerSecondPerSlot = 12;
 /** All callers share one process, and the machine with the deployment; a higher rate would measure that process. */
 const maxRequestsPerSecond = 1_200;
@@ -24,6 +24,10 @@
 /** Fraction of requests that must succeed although one entry is stopped and another killed. */
 const minAnsweredRatio = 0.99;
 
+const noticePauseMs = 1_000;
+/** Requests of an entry that may reach a target half a second after it has asked for a pause. */
+const maxRequestsInPause = 2;
+
 const printLine = (text: string): void => void process.stdout.write(`${text}\n`);
 
 async function main(): Promise<number> {
@@ -106,6 +110,7 @@
     const before = await readTargetCounts(drainedTarget.address);
     await sleep(1_000);
     const after = await readTargetCounts(drainedTarget.address);
+    const noticeChecks = await showNotices(document.targets[1]!.address, file.entries.length);
     const stoppedEntry = file.entries[0]!;
     printLine(`SIGTERM to the entry ${stoppedEntry.mesh}`);
     const stoppedProgram = deployment.entry(stoppedEntry.mesh);
@@ -121,10 +126,46 @@
             hasPassed: drainResult.code === 0 && after.started === before.started,
             detail: `${after.started - before.started} requests started in the next second`,
         },
+        ...noticeChecks,
         { text: "a stopped entry finishes its requests and exits with 0", hasPassed: code === 0, detail: `exit ${code}` },
     ];
 }
 
+/** Lets a target ask for a pause, and later say that it leaves; the document says nothing of either. */
+async function showNotices(address: string, entryCount: number): Promise<Check[]> {
+    await controlTarget(address, { shedAll: true, pauseMs: noticePauseMs });
+    await sleep(noticePauseMs / 2);
+    const inPause = await readTargetCounts(address);
+    await sleep(noticePauseMs / 4);
+    const laterInPause = await readTargetCounts(address);
+    await controlTarget(address, { shedAll: false, pauseMs: 0 });
+    await sleep(noticePauseMs);
+    await controlTarget(address, { leaving: true });
+    await sleep(noticePauseMs);
+    const told = await readTargetCounts(address);
+    await sleep(noticePauseMs);
+    const later = await readTargetCounts(address);
+    const refused = laterInPause.shed - inPause.shed;
+    printLine(`${address} asked for a pause, then said that it leaves`);
+    return [
+        {
+            text: "a target that asks for a pause is left alone by each entry that it has told",
+            hasPassed: refused <= maxRequestsInPause * entryCount,
+            detail: `${refused} requests in a quarter of the pause`,
+        },
+        {
+            text: "a target that says it leaves receives no new requests",
+            hasPassed: later.started === told.started,
+            detail: `${later.started - told.started} requests started in the next second`,
+        },
+    ];
+}
+
+async function controlTarget(address: string, behaviour: TargetBehaviour): Promise<void> {
+    const response = await request(`http://${address}/control`, { method: "POST", body: JSON.stringify(behaviour) });
+    await response.body.dump();
+}
+
 async function readTargetCounts(address: string): Promise<TargetCounts> {
     const response = await request(`http://${address}/counts`);
     return await response.body.json() as TargetCounts;
