--- a/packages/core/src/admission/__tests__/targetPool.test.ts
+++ b/packages/core/src/admission/__tests__/targetPool.test.ts
@@ -6,7 +6,7 @@
 import { pickLeastInFlight } from "../../policy/pick.js";
 import { createRandom } from "../../random/random.js";
 import { createVirtualTimer, type VirtualTimer } from "../../time/virtualTimer.js";
-import { createTargetPool, type TargetPool } from "../targetPool.js";
+import { createTargetPool, type TargetPool, type TargetPoolOptions } from "../targetPool.js";
 
 const service: Service = { id: "tokens", classes: [], regions: [], shortShare: 0, warmUpMs: 0 };
 const target = (id: string): Target => ({
@@ -18,20 +18,25 @@
     state: "serving",
 });
 
-/** States of the local targets after each answered slowly while the targets of peers were fast. */
-function statesAfterSlowness(ids: readonly string[]): string[] {
-    const timer = createVirtualTimer();
-    const pool = createTargetPool({
+function createPool(timer: VirtualTimer, options: Partial<TargetPoolOptions>): TargetPool {
+    return createTargetPool({
         timer,
         random: createRandom(1),
         pick: pickLeastInFlight,
         isEjectionEnabled: true,
         allowance: (_id, slots) => slots,
         ownsTarget: () => true,
-        peerTargetSummary: () => ({ mediansMs: [10, 10, 10], owned: 10, ejected: 0 }),
+        peerTargetSummary: () => ({ mediansMs: [], owned: 0, ejected: 0 }),
         sendProbe: () => {},
         onStateChange: () => {},
+        ...options,
     });
+}
+
+/** States of the local targets after each answered slowly while the targets of peers were fast. */
+function statesAfterSlowness(ids: readonly string[]): string[] {
+    const timer = createVirtualTimer();
+    const pool = createPool(timer, { peerTargetSummary: () => ({ mediansMs: [10, 10, 10], owned: 10, ejected: 0 }) });
     pool.configure(service, ids.map(target), true);
     for (let round = 0; round < 40; round++) {
         const acquiredSlots = ids.map(() => pool.acquire("short", { excludedTargets: [], mayProbe: false, isLastResort: false }));
@@ -63,17 +68,7 @@
 function createNoticedPool(): NoticedPool {
     const timer = createVirtualTimer();
     const probed: string[] = [];
-    const pool = createTargetPool({
-        timer,
-        random: createRandom(1),
-        pick: pickLeastInFlight,
-        isEjectionEnabled: true,
-        allowance: (_id, slots) => slots,
-        ownsTarget: () => true,
-        peerTargetSummary: () => ({ mediansMs: [], owned: 0, ejected: 0 }),
-        sendProbe: id => probed.push(id),
-        onStateChange: () => {},
-    });
+    const pool = createPool(timer, { sendProbe: id => probed.push(id) });
     pool.configure(service, [target("a")], true);
     return { timer, pool, probed };
 }
--- a/packages/core/src/admission/targetPool.ts
+++ b/packages/core/src/admission/targetPool.ts
@@ -8,6 +8,14 @@
 import type { PeerTargetSummary } from "../routing/grants.js";
 import type { TargetNotice } from "../steering/targetRecord.js";
 import type { Timer } from "../time/timer.js";
+import {
+    applyNotice,
+    createTargetAvailability,
+    isLeaving,
+    isOpen,
+    recordLeavingHealth,
+    type TargetAvailability,
+} from "./targetAvailability.js";
 import {
     applyTargetEvent,
     createTargetHealth,
@@ -112,20 +120,11 @@
     longInFlight: number;
     drainStartedAt: number | undefined;
     drainMs: number | undefined;
-    /** Until this time it counts as leaving, unless its process is found to have ended or it is put into service again. */
-    leavingUntil: number;
-    /** Whether a leaving target was found dead or unhealthy: what is healthy at its address later is another process. */
-    hasEnded: boolean;
-    /** Time until which it wants no requests. */
-    pausedUntil: number;
+    readonly availability: TargetAvailability;
 }
 
 /** Ratio of its slots that a target may use at the start of its warm-up. */
 const warmUpStartRatio = 0.25;
-/** Longest pause that a target may ask for, so that a wrong time does not take it out of use for good. */
-const maxPauseMs = 60_000;
-/** A target that has said that it leaves is used again after this time at the latest. */
-const maxLeavingMs = 600_000;
 /** Interval at which a leaving target's health is checked, to see whether its process has ended. */
 const leavingProbeIntervalMs = 1_000;
 /** Smoothing factor of the moving average of the service time. */
@@ -153,10 +152,9 @@
         }
         return Math.min(1, warmUpStartRatio + (1 - warmUpStartRatio) * ((timer.now() - target.health.warmingSince) / warmUpMs));
     };
-    const isLeaving = (target: PoolTarget): boolean => target.leavingUntil > timer.now();
-    const isOpen = (target: PoolTarget): boolean => Math.max(target.leavingUntil, target.pausedUntil) <= timer.now();
+    const isAvailable = (target: PoolTarget): boolean => isOpen(target.availability, timer.now());
     const isUsable = (target: PoolTarget): boolean =>
-        isOpen(target) && (target.health.state === "serving" || target.health.state === "warming");
+        isAvailable(target) && (target.health.state === "serving" || target.health.state === "warming");
     const isEjectedAsSlow = (target: PoolTarget): boolean => target.health.state === "ejected" && !target.health.isDead;
     const ownedTargets = (): PoolTarget[] => targets.filter(target => options.ownsTarget(target.id));
     const allowanceOf = (target: PoolTarget): number => {
@@ -182,7 +180,7 @@
     };
     const acquireProbe = (lane: Lane, excludedTargets: readonly TargetId[]): AcquiredSlot | undefined => {
         const probe = targets.find(target =>
-            isOpen(target) && isProbeDue(target.health, timer.now()) && !target.health.isDead && target.inFlight === 0
+            isAvailable(target) && isProbeDue(target.health, timer.now()) && !target.health.isDead && target.inFlight === 0
             && !excludedTargets.includes(target.id) && options.allowance(target.id, target.slots) > 0
         );
         if (probe === undefined) {
@@ -200,7 +198,7 @@
             return probe;
         }
         const isEligible = (target: PoolTarget): boolean =>
-            isUsable(target) || (isLastResort && isOpen(target) && isEjectedAsSlow(target));
+            isUsable(target) || (isLastResort && isAvailable(target) && isEjectedAsSlow(target));
         const freeTargets = targets.filter(target =>
             isEligible(target) && !excludedTargets.includes(target.id) && freeSlotsAt(target, lane) > 0
         );
@@ -282,7 +280,7 @@
             recordLatency(target, outcome.latencyMs);
         }
         if (outcome.kind === "died") {
-            target.hasEnded = true;
+            target.availability.hasEnded = true;
             target.health.isDead = true;
             applyEvent(target, "died");
         }
@@ -290,7 +288,7 @@
     const applyConfiguredState = (target: PoolTarget, state: Target["state"]): void => {
         const event = state === "serving" ? "serveOrdered" : state === "draining" ? "drainOrdered" : "stopOrdered";
         if (state !== "serving") {
-            target.leavingUntil = -Infinity;
+            target.availability.leavingUntil = -Infinity;
         }
         const wasDraining = target.health.state === "draining" || target.health.state === "drained";
         applyEvent(target, event);
@@ -324,7 +322,8 @@
             if (target.health.state === "warming" && warmUpRatio(target) >= 1) {
                 applyEvent(target, "warmedUp");
             }
-            const isLeavingProbeDue = isLeaving(target) && timer.now() >= target.health.lastProbeAt + leavingProbeIntervalMs;
+            const isLeavingProbeDue = isLeaving(target.availability, timer.now())
+                && timer.now() >= target.health.lastProbeAt + leavingProbeIntervalMs;
             if (isLeavingProbeDue || (target.health.isDead && isProbeDue(target.health, timer.now()))) {
                 target.health.lastProbeAt = timer.now();
                 options.sendProbe(target.id, target.address);
@@ -337,28 +336,16 @@
         acquire,
         release,
         recordNotice: (id, notice) => {
-            const { pauseMs } = notice;
             const target = find(id);
-            if (target === undefined) {
-                return;
-            }
-            if (notice.isLeaving && !isLeaving(target)) {
-                target.leavingUntil = timer.now() + maxLeavingMs;
-                target.hasEnded = false;
-                options.onStateChange(id, target.health.state, "leaving", "the target's own notice");
-            }
-            if (pauseMs !== undefined && isOpen(target)) {
-                options.onStateChange(id, target.health.state, "paused", "the target's own notice");
-            }
-            if (pauseMs !== undefined) {
-                target.pausedUntil = Math.max(target.pausedUntil, timer.now() + Math.min(pauseMs, maxPauseMs));
+            const state = target === undefined ? undefined : applyNotice(target.availability, notice, timer.now());
+            if (target !== undefined && state !== undefined) {
+                options.onStateChange(id, target.health.state, state, "the target's own notice");
             }
         },
         recordProbeResult: (id, isHealthy) => {
             const target = find(id);
-            if (target !== undefined && isLeaving(target)) {
-                target.leavingUntil = isHealthy && target.hasEnded ? -Infinity : target.leavingUntil;
-                target.hasEnded ||= !isHealthy;
+            if (target !== undefined && isLeaving(target.availability, timer.now())) {
+                recordLeavingHealth(target.availability, isHealthy);
             }
             if (target?.health.isDead) {
                 applyEvent(target, isHealthy ? "probeGood" : "probeBad");
@@ -393,9 +380,7 @@
         longInFlight: existing?.longInFlight ?? 0,
         drainStartedAt: undefined,
         drainMs: undefined,
-        leavingUntil: -Infinity,
-        hasEnded: false,
-        pausedUntil: -Infinity,
+        availability: createTargetAvailability(),
     };
 }
 
