test(review): case 5, requests reach a server after `drain`, long after an outage of the store

After a failure of the store a removed entry is put off by 2.3 s for 4 s. Updates between machines carry the mark of a recent failure, and taking one renews it, so that two machines of a zone keep it alive for as long as changes come. A server whose entry is removed then gets requests for longer than `drain`.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
