fix(steer): no two attempts of a request share a connection to a target

Cause: an id tells requests apart, not attempts. A target that refused with free slots was tried again over the connection that had just come back to the pool, and sent a late copy of its refusal where the second attempt's response was due. The copy carries the right id and ended the second attempt, while the target ran the request.

Change: a connection remembers the ids that it has carried and carries no request twice; it is closed after 256 requests. A copy can only come over the connection of its first answer, where no further attempt of its request waits.

--- a/packages/soak/src/faults/faultInjectors.ts
+++ b/packages/soak/src/faults/faultInjectors.ts
@@ -1,4 +1,5 @@
 /** Fault injectors: each applies one kind of fault to a cluster and reverts it. */
+import type { TargetFault } from "@pimentospring/standin/direct/targetStandin";
 import type { Cluster } from "../cluster/cluster.js";
 import type { Daemon } from "../cluster/daemons.js";
 import type { TargetHost } from "../cluster/targetHosts.js";
@@ -77,7 +78,7 @@
         targetHost.proxy.setFault(noFault);
     });
 
-const targetFault = (targetFaultKind: "loseAnswer" | "shed" | "extraAnswer" | "cutAnswer"): FaultInjector =>
+const targetFault = (targetFaultKind: TargetFault): FaultInjector =>
     onTargetHost(async (targetHost, cluster, fault) => {
         const target = targetHost.currentTarget();
         target.setFault(targetFaultKind);
@@ -128,6 +129,7 @@
     targetSheds: targetFault("shed"),
     targetExtraAnswers: targetFault("extraAnswer"),
     targetCutsAnswers: targetFault("cutAnswer"),
+    targetRepeatsRefusals: targetFault("repeatRefusal"),
     targetSaysLeaving: onTargetHost((targetHost, _cluster, fault) => targetHost.sayLeaving(fault.forMs)),
     targetPauses: onTargetHost(async (targetHost, cluster, fault) => {
         targetHost.pauseFor(fault.forMs);
--- a/packages/soak/src/faults/schedule.ts
+++ b/packages/soak/src/faults/schedule.ts
@@ -36,7 +36,10 @@
 /** What targets say in their responses. Drawn on their own, so that a seed's other faults stay what they were. */
 export const noticeKinds = ["targetSaysLeaving", "targetPauses"] as const;
 
-export type FaultKind = typeof faultKinds[number] | typeof noticeKinds[number];
+/** Responses that break the protocol in ways that only later requests or a parser show. Drawn on their own too. */
+export const responseKinds = ["targetRepeatsRefusals"] as const;
+
+export type FaultKind = typeof faultKinds[number] | typeof noticeKinds[number] | typeof responseKinds[number];
 
 export interface Fault {
     readonly kind: FaultKind;
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -16,4 +16,10 @@
         cause:
             "popular requests were refused as poison after targets crashed for other reasons: each copy was counted, at each entry",
     },
+    {
+        seed: 101,
+        faultPhaseMs: 12_000,
+        meanGapMs: 300,
+        cause: "a late copy of a refusal was taken for the answer to the next attempt of the same request, which then ran",
+    },
 ];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -6,7 +6,7 @@
 import { request } from "undici";
 import { type Cluster, startCluster } from "./cluster/cluster.js";
 import { affectedDaemon, faultInjectors } from "./faults/faultInjectors.js";
-import { createFaultSchedule, type Fault, noticeKinds } from "./faults/schedule.js";
+import { createFaultSchedule, type Fault, noticeKinds, responseKinds } from "./faults/schedule.js";
 import { createCallers } from "./load/callers.js";
 import { createPromiseChecks, versionProbePath } from "./promises/promises.js";
 import type { AttemptOutcome, FaultSpan, SoakRecord, Violation } from "./promises/records.js";
@@ -35,8 +35,9 @@
 }
 
 const noticeSeedOffset = 1_000_000;
-/** Notices are this much rarer than other faults. */
-const noticeGapFactor = 3;
+const responseSeedOffset = 2_000_000;
+/** Faults that are drawn on their own are this much rarer than other faults. */
+const rareGapFactor = 3;
 const calmPhaseMs = 8_000;
 /** Part of the fault phase after which copies of a request that crashes targets begin. */
 const crashingFromFraction = 0.25;
@@ -49,7 +50,13 @@
     const { seed, faultPhaseMs: lengthMs, folder } = options;
     const faults = [
         ...createFaultSchedule(createRandom(seed), lengthMs, options.meanGapMs),
-        ...createFaultSchedule(createRandom(seed + noticeSeedOffset), lengthMs, noticeGapFactor * options.meanGapMs, noticeKinds),
+        ...createFaultSchedule(createRandom(seed + noticeSeedOffset), lengthMs, rareGapFactor * options.meanGapMs, noticeKinds),
+        ...createFaultSchedule(
+            createRandom(seed + responseSeedOffset),
+            lengthMs,
+            rareGapFactor * options.meanGapMs,
+            responseKinds,
+        ),
     ];
     const cluster = await startCluster({ loopbackSubnet: options.loopbackSubnet, folder });
     const outcomes: AttemptOutcome[] = [];
--- a/packages/standin/src/direct/targetStandin.ts
+++ b/packages/standin/src/direct/targetStandin.ts
@@ -1,6 +1,7 @@
 /** Stand-in for a target on the users' platform: checks the expected instance id, reports its load, queues and answers. */
 import { listen } from "@pimentospring/runtime/http/jsonServer";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 /** Fault of a target that applies to every request while it is set. */
 export type TargetFault =
@@ -12,7 +13,9 @@
     /** Sends a second answer right after the first. */
     | "extraAnswer"
     /** Closes the connection in the middle of the response. */
-    | "cutAnswer";
+    | "cutAnswer"
+    /** Refuses every second request as not run, and sends each refusal once more before the connection's next response. */
+    | "repeatRefusal";
 
 /** A request that the target started to run. Times are monotonic, in milliseconds. */
 export interface RequestRun {
@@ -80,8 +83,11 @@
     let fault: TargetFault = "none";
     let isLeaving = false;
     let pausedUntil = -Infinity;
+    let refusalCount = 0;
     const arrivals: number[] = [];
     const turnedAway: TurnedAway[] = [];
+    /** Responses to be sent once more, by connection. */
+    const repeats = new WeakMap<Socket, string>();
 
     const formatLoad = (): string => `${running},${queue.length},${slots},100`;
     const reply = (request: IncomingMessage, response: ServerResponse, requestId: string): void => {
@@ -135,8 +141,22 @@
         });
         response.end();
     };
+    /** Refuses the request, and remembers the refusal for the connection's next response. */
+    const refuseTwice = (request: IncomingMessage, response: ServerResponse, requestId: string): void => {
+        refuse(response, 503, requestId);
+        repeats.set(
+            request.socket,
+            `HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Request-Id: ${requestId}\r\n`
+                + `X-Server-Load: ${formatLoad()}\r\nContent-Length: 0\r\n\r\n`,
+        );
+    };
     const server = createServer((request, response) => {
         const requestId = String(request.headers["x-request-id"] ?? "");
+        const repeat = repeats.get(request.socket);
+        if (repeat !== undefined) {
+            repeats.delete(request.socket);
+            request.socket.write(repeat);
+        }
         arrivals.push(performance.now());
         if (isLeaving) {
             response.setHeader("Server-Leaving", "1");
@@ -153,6 +173,9 @@
             response.setHeader("Retry-After", String((pausedUntil - performance.now()) / 1_000));
             refuse(response, 503, requestId);
         }
+        else if (fault === "repeatRefusal" && ++refusalCount % 2 === 0) {
+            refuseTwice(request, response, requestId);
+        }
         else if (fault === "shed" || queue.length >= maxQueuedPerSlot * slots) {
             refuse(response, 503, requestId);
         }
--- a/packages/steer/src/targets/__tests__/foreignResponses.test.ts
+++ b/packages/steer/src/targets/__tests__/foreignResponses.test.ts
@@ -8,7 +8,7 @@
 import { test, type TestContext } from "node:test";
 import type { CallerRequest } from "../../callers/callerServer.js";
 import type { HeaderCodec } from "../../wire/headerCodec.js";
-import { createTargetConnections } from "../targetConnections.js";
+import { createTargetConnections, maxRequestsPerConnection } from "../targetConnections.js";
 import type { TargetResponse } from "../targetResponse.js";
 import { createTargetSender } from "../targetSender.js";
 
@@ -24,13 +24,22 @@
 interface Answers {
     /** Sends one request over the connections and resolves to what its caller would get. */
     readonly ask: (id: string) => Promise<string>;
+    /** Connections that the target has accepted. */
+    readonly connectionCount: () => number;
 }
 
-async function startTarget(context: TestContext, script: (socket: Socket, turn: number) => void): Promise<Answers> {
+/** `turn` counts all requests, `socketTurn` those of a connection. */
+async function startTarget(
+    context: TestContext,
+    script: (socket: Socket, turn: number, socketTurn: number) => void,
+): Promise<Answers> {
     const timer = createClockTimer();
     let turn = 0;
+    let connectionCount = 0;
     const server = createServer(socket => {
-        socket.on("data", () => script(socket, turn++));
+        let socketTurn = 0;
+        connectionCount++;
+        socket.on("data", () => script(socket, turn++, socketTurn++));
         socket.on("error", () => {
             // The sender closes connections after invalid responses.
         });
@@ -70,7 +79,7 @@
         connections.close();
         server.close();
     });
-    return { ask };
+    return { ask, connectionCount: () => connectionCount };
 }
 
 const answer = (id: string | undefined, body: string): string =>
@@ -106,3 +115,42 @@
     await new Promise(resolve => setTimeout(resolve, 150));
     assert.equal(await target.ask("two"), "second");
 });
+
+const firstAnswers = {
+    "a rejection": "503 Service Unavailable",
+    "a rejection for too many requests": "429 Too Many Requests",
+    "an answer for another target": "421 Misdirected Request",
+    "a failure": "500 Internal Server Error",
+};
+
+for (const [what, statusLine] of Object.entries(firstAnswers)) {
+    // Guards against REFUSED: the copy ended the second attempt as "not run" while the target ran the request.
+    test(`a late copy of ${what} is not the answer to the next attempt of the same request`, async context => {
+        const first = `HTTP/1.1 ${statusLine}\r\nX-Request-Id: one\r\nContent-Length: 5\r\n\r\nfirst`;
+        const target = await startTarget(context, (socket, turn, socketTurn) => {
+            const current = turn === 0 ? first : answer("one", "second");
+            socket.write(socketTurn === 0 ? current : first + current);
+        });
+        assert.equal(await target.ask("one"), "first");
+        assert.equal(await target.ask("one"), "second");
+    });
+}
+
+// Guards against REFUSED: requests of others between the two attempts change nothing.
+test("a late copy is not the answer to a later attempt of the same request after requests of others", async context => {
+    const target = await startTarget(context, (socket, turn, socketTurn) => {
+        const current = turn === 2 ? answer("one", "second") : answer(turn === 0 ? "one" : "two", "first");
+        socket.write(socketTurn === 2 ? answer("one", "first") + current : current);
+    });
+    assert.equal(await target.ask("one"), "first");
+    assert.equal(await target.ask("two"), "first");
+    assert.equal(await target.ask("one"), "second");
+});
+
+test("requests of others reuse a connection, which is closed after a bounded number of them", async context => {
+    const target = await startTarget(context, (socket, turn) => void socket.write(answer(`r${turn}`, "ok")));
+    for (let index = 0; index < 2 * maxRequestsPerConnection; index++) {
+        assert.equal(await target.ask(`r${index}`), "ok");
+    }
+    assert.equal(target.connectionCount(), 2);
+});
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -28,12 +28,18 @@
 
 function get(connections: TargetConnections, address: string): Promise<Outcome> {
     return new Promise(resolve => {
-        connections.send(address, { method: "GET", path: "/", headers: ["Host", "a"], body: undefined }, false, 500, {
-            onWriteStart: () => {},
-            isExpected: () => true,
-            onResponse: response => resolve({ kind: "response", response }),
-            onFailure: reason => resolve({ kind: "failure", reason }),
-        });
+        connections.send(
+            address,
+            { id: undefined, method: "GET", path: "/", headers: ["Host", "a"], body: undefined },
+            false,
+            500,
+            {
+                onWriteStart: () => {},
+                isExpected: () => true,
+                onResponse: response => resolve({ kind: "response", response }),
+                onFailure: reason => resolve({ kind: "failure", reason }),
+            },
+        );
     });
 }
 
@@ -99,14 +105,20 @@
     const connections = createTargetConnections({ timer: createClockTimer(), maxResponseBytes: 1_000, maxBufferedBytes: 3_000 });
     let isWritten = false;
     const reason = await new Promise<string>(resolve =>
-        connections.send("127.0.0.1:1", { method: "GET", path: "/", headers: ["Host", "a"], body: undefined }, false, 500, {
-            onWriteStart: () => {
-                isWritten = true;
+        connections.send(
+            "127.0.0.1:1",
+            { id: undefined, method: "GET", path: "/", headers: ["Host", "a"], body: undefined },
+            false,
+            500,
+            {
+                onWriteStart: () => {
+                    isWritten = true;
+                },
+                isExpected: () => true,
+                onResponse: () => {},
+                onFailure: resolve,
             },
-            isExpected: () => true,
-            onResponse: () => {},
-            onFailure: resolve,
-        })
+        )
     );
     assert.match(reason, /ECONNREFUSED/);
     assert.equal(isWritten, false);
--- a/packages/steer/src/targets/healthChecks.ts
+++ b/packages/steer/src/targets/healthChecks.ts
@@ -46,7 +46,13 @@
                     onResult(target, result);
                 }
             };
-            const outgoing = { method: "GET", path: options.healthPathOf(target), headers: ["Host", address], body: undefined };
+            const outgoing = {
+                id: undefined,
+                method: "GET",
+                path: options.healthPathOf(target),
+                headers: ["Host", address],
+                body: undefined,
+            };
             const cancel = connections.send(address, outgoing, true, timeoutMs, {
                 onWriteStart: () => {},
                 isExpected: () => true,
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -9,6 +9,8 @@
 import type { TargetResponse } from "./targetResponse.js";
 
 export interface OutgoingRequest {
+    /** The id that the response repeats; `undefined` if the request carries none. */
+    readonly id: string | undefined;
     readonly method: string;
     readonly path: string;
     /** Alternating names and values. */
@@ -29,8 +31,8 @@
 
 export interface TargetConnections {
     /**
-     * Sends over an idle connection, or over a new one if none is idle or `needsNewConnection` is set. Returns a
-     * function that cancels the request.
+     * Sends over an idle connection that has not carried this request before. Opens a new one if there is none or
+     * `needsNewConnection` is set. Returns a function that cancels the request.
      */
     send(
         address: string,
@@ -64,10 +66,18 @@
 const maxInterimResponses = 16;
 /** Largest response head. */
 const maxHeadBytes = 16 * 1_024;
+/** Requests that a connection carries before it is closed, which bounds the ids that it remembers. */
+export const maxRequestsPerConnection = 256;
 
 interface Connection {
     readonly client: Client;
     readonly address: string;
+    /**
+     * Ids of the requests that it has carried. A late copy of the response to one attempt can't be told from the response to
+     * another attempt of the same request, so that no two share a connection.
+     */
+    readonly carried: Set<string>;
+    requestCount: number;
     /** `undefined` until the connection is established. */
     socket: net.Socket | undefined;
     /** Whether the socket failed; a response that ends with its connection is then incomplete. */
@@ -105,7 +115,14 @@
                     done(...outcome);
                 }),
         });
-        const connection: Connection = { client, address, socket: undefined, hasFailed: false };
+        const connection: Connection = {
+            client,
+            address,
+            carried: new Set(),
+            requestCount: 0,
+            socket: undefined,
+            hasFailed: false,
+        };
         const watch = (socket: net.Socket | null): void => {
             connection.socket = socket ?? undefined;
             socket?.once("error", (error: NodeJS.ErrnoException) => {
@@ -118,14 +135,26 @@
         client.on("connectionError", () => discard(connection));
         return connection;
     };
-    const takeIdle = (address: string): Connection | undefined => {
-        const list = idle.get(address);
-        return list?.pop();
+    /** Takes the idle connection used last that has not carried the request. */
+    const takeIdle = (address: string, id: string | undefined): Connection | undefined => {
+        const list = idle.get(address) ?? [];
+        const at = list.findLastIndex(({ carried }) => id === undefined || !carried.has(id));
+        return at === -1 ? undefined : list.splice(at, 1)[0];
+    };
+    const recordCarried = (connection: Connection, id: string | undefined): void => {
+        connection.requestCount++;
+        if (id !== undefined) {
+            connection.carried.add(id);
+        }
     };
     const addIdle = (connection: Connection): void => {
         if (!all.has(connection)) {
             return;
         }
+        if (connection.requestCount >= maxRequestsPerConnection) {
+            discard(connection);
+            return;
+        }
         const list = idle.get(connection.address);
         if (list === undefined) {
             idle.set(connection.address, [connection]);
@@ -136,7 +165,9 @@
     };
     return {
         send: (address, outgoing, needsNewConnection, connectTimeoutMs, responseHandler) => {
-            const connection = (needsNewConnection ? undefined : takeIdle(address)) ?? connect(address, connectTimeoutMs);
+            const connection = (needsNewConnection ? undefined : takeIdle(address, outgoing.id))
+                ?? connect(address, connectTimeoutMs);
+            recordCarried(connection, outgoing.id);
             let isSettled = false;
             const settle = (isReusable: boolean, report: () => void): void => {
                 if (isSettled) {
--- a/packages/steer/src/targets/targetSender.ts
+++ b/packages/steer/src/targets/targetSender.ts
@@ -64,6 +64,7 @@
             const cancel = connections.send(
                 target.record.address,
                 {
+                    id: job.request.id,
                     method: caller.method,
                     path: caller.path,
                     headers: headersFor(job, registeredRequest, target.record.id),
