--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -12,7 +12,8 @@
 import { createCallerRetryTracker, retryAfterMs } from "./callerRetries.js";
 import { learnFromWork } from "./completedWork.js";
 import { createInFlightCounts } from "./inFlightCounts.js";
-import { type Attempt, createJob, type FinalResponse, type Job, type ResponseHead, type SteeringRequest } from "./job.js";
+import { type Attempt, type FinalResponse, type Job, type ResponseHead, type SteeringRequest } from "./job.js";
+import { createJobIntake, poisonRetryAfterMs } from "./jobIntake.js";
 import type { ObjectAffinity } from "./objectAffinity.js";
 import type { OfferedLoad } from "./offeredLoad.js";
 import { createPoisonGate } from "./poisonGate.js";
@@ -80,10 +81,6 @@
 const minWorkTimeFraction = 0.8;
 /** Interval at which a job that is held as a possible cause of crashes is looked at again. */
 const holdReviewMs = 100;
-/** Callers return this long after they were refused for lack of a configuration. */
-const notReadyRetryAfterMs = 200;
-/** A request that crashes targets is not tried again sooner. */
-const poisonRetryAfterMs = 30_000;
 const poisonReason = "targets died while they ran the same request";
 /** Maximum number of connections that may fail before anything is sent. */
 const maxFailedConnections = 3;
@@ -92,6 +89,7 @@
     const { timer, random, targetSelector, pressure, retryBudget, workTimes, events, targetHealth, poisonList } = options;
     const queue = createRequestQueue<Answer>();
     const callerRetries = createCallerRetryTracker(timer);
+    const takeIn = createJobIntake<Answer>({ ...options, callerRetries });
     const rates = createServiceRates(timer, options.offeredLoad);
     const finishers = new Map<Job<Answer>, (response: FinalResponse<Answer>) => void>();
     const poisonGate = createPoisonGate<Answer>({
@@ -341,48 +339,16 @@
         dispatchService(job.service);
     };
 
-    const createJobFor = (
-        request: SteeringRequest,
-        finish: (response: FinalResponse<Answer>) => void,
-    ): Job<Answer> | undefined => {
-        const table = options.routeTable();
-        const refuse = (result: Result, retryAfterMs?: number): undefined => {
-            finish({ kind: "refusal", result, retryAfterMs });
-            return undefined;
-        };
-        if (table === undefined) {
-            return refuse(results.noConfiguration, notReadyRetryAfterMs);
-        }
-        const route = table.find(request.host, request.path);
-        if (route === undefined) {
-            return table.isUnreadable(request.host, request.path)
-                ? refuse(results.unreadableRoute, notReadyRetryAfterMs)
-                : refuse(results.unknownRoute);
-        }
-        if (poisonList.isRefused(request.fingerprint)) {
-            events.onPoisonRefused(request);
-            return refuse(results.poisonRequest, poisonRetryAfterMs);
-        }
-        const service = options.roundRobin.nextService(route);
-        retryBudget.deposit(service);
-        const isCallerRetry = callerRetries.consumeRefusal(request);
-        const job = createJob<Answer>({ request, route, service, isCallerRetry });
-        if (route.isSticky && request.objectId !== undefined) {
-            options.objectAffinity.recordUse(service, objectKey(route, request.objectId));
-        }
-        if (!job.isCallerRetry) {
-            options.offeredLoad.recordArrival(service, workTimes.coldObjectMs(route));
-        }
-        finishers.set(job, finish);
-        job.cancelTimeout = timer.after(job.responseDueAt - timer.now(), () => handleTimeout(job));
-        return job;
-    };
     return {
         submit: (request, finish) => {
-            const job = createJobFor(request, finish);
-            if (job === undefined) {
+            const taken = takeIn(request);
+            if (taken.kind === "refused") {
+                finish({ kind: "refusal", result: taken.result, retryAfterMs: taken.retryAfterMs });
                 return () => {};
             }
+            const { job } = taken;
+            finishers.set(job, finish);
+            job.cancelTimeout = timer.after(job.responseDueAt - timer.now(), () => handleTimeout(job));
             enqueue(job);
             return () => {
                 const attempt = job.attempt;
