fix(steer,core,runtime,entry): whatever throws on its way, a request gets a response

Cause: the job was over before its response was. Its timeout was cancelled and its callback removed when writeHead threw on the phrase, and nothing was left to answer. Anything else that throws between the end of a job and that of its response did the same: a log or metric of the end, an error while a response is handled (which later ended as "not run"), a handler of the own interface or of the control address.

Change: a status line with control characters is no response; a phrase that can't be written gives way to the usual one; what can't be written is answered 500 (3007) and logged with its request (501); responses go out before their logs and metrics; an error while an attempt's end is handled ends the request at once, outcome unknown, and frees the slot.

--- a/packages/core/src/results/resultCode.ts
+++ b/packages/core/src/results/resultCode.ts
@@ -107,6 +107,13 @@
         502,
         "The entry was stopped while a target was processing the request; it may have run.",
     ),
+    unexpectedError: result(
+        3007,
+        "unexpectedError",
+        "unknown",
+        500,
+        "An error in this entry kept the request from getting its response; it may have run. The log names the error.",
+    ),
     unknownService: result(4001, "unknownService", "notRun", 404, "The configuration has no such service; check the path."),
     unknownClass: result(4002, "unknownClass", "notRun", 404, "No request class of the service accepts this method and path."),
     ticketMissing: result(
--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -16,6 +16,7 @@
 import { createSlotPressure } from "../slotPressure.js";
 import { createSpillover } from "../spillover.js";
 import type { Route, SteeringDocument } from "../steeringDocument.js";
+import type { SteeringEvents } from "../steeringEvents.js";
 import type { Target } from "../target.js";
 import { createTargetHealth, type HealthCheckResult, type TargetHealth } from "../targetHealth.js";
 import { noNotice, targetIncarnationOf, type TargetRecord } from "../targetRecord.js";
@@ -122,6 +123,7 @@
     readonly retrySlack?: number;
     readonly coldRateLimit?: number;
     readonly remoteFraction?: number;
+    readonly events?: Partial<SteeringEvents<string>>;
 }
 
 export function createTestBench(options: TestBenchOptions = {}): TestBench {
@@ -227,6 +229,7 @@
             onPoisonCleared: () => {},
             onPoisonRefused: () => {},
             onEnded: () => {},
+            ...options.events,
         },
     });
     return {
--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -278,3 +278,32 @@
     }
     assert.equal(bench.sent.length, 1);
 });
+
+const fail = (): never => {
+    throw new Error("the log is broken");
+};
+
+// Guards against CONFIG: the job was over before its response, so that an error on the way left its caller without any.
+test("an error in the log of a request that has ended does not keep the response from its caller", () => {
+    const bench = createTestBench({ events: { onEnded: fail } });
+    bench.submit("a");
+    assert.throws(() => bench.respond(bench.sent[0]!), /the log is broken/);
+    assert.equal(codeOf(bench.finalResponses.get("a")), "answer to a");
+    bench.submit("b", { path: "/other/1" });
+    assert.equal(codeOf(bench.finalResponses.get("b")), 4014);
+});
+
+// Guards against CONFIG and REFUSED: the request was unanswered until its timeout, and then answered as not run.
+test("an error while a response is handled ends the request at once, with an unknown outcome, and frees the slot", () => {
+    for (const name of ["onWorkCompleted", "onRetry"] as const) {
+        const bench = createTestBench({ routes: [atMostOnceRoute], events: { [name]: fail } });
+        bench.submit("a");
+        const attempt = bench.sent[0]!;
+        const fields = name === "onRetry" ? { status: 503, isNotRun: true } : {};
+        assert.throws(() => bench.respond(attempt, fields), /the log is broken/);
+        assert.equal(codeOf(bench.finalResponses.get("a")), 3007);
+        assert.equal(attempt.target.inFlight, 0);
+        bench.timer.advance(5_000);
+        assert.equal(bench.sent.length, 1);
+    }
+});
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -117,8 +117,9 @@
         job.cancelTimeout();
         const finish = finishers.get(job)!;
         finishers.delete(job);
-        events.onEnded(job, response, why);
+        // First, so that no error in a log or metric keeps the response from the caller.
         finish(response);
+        events.onEnded(job, response, why);
     };
     /** Ends a job that will not be sent to a target again. The result says "not run" only where that is proved. */
     const rejectJob = (job: Job<Answer>, result: Result, why: string, notBefore = -Infinity): void => {
@@ -332,6 +333,65 @@
         }
     };
 
+    /** An error while the end of an attempt is handled leaves neither its caller without a response nor its slot taken. */
+    const handleEnd = (attempt: Attempt<Answer>, handle: () => void): void => {
+        const { job } = attempt;
+        try {
+            handle();
+        }
+        catch (error) {
+            if (job.attempt === attempt) {
+                releaseSlot(attempt);
+            }
+            if (job.state === "sent" && job.attempt === undefined) {
+                endUnanswered(job, results.unexpectedError, "an error while the response was handled");
+            }
+            throw error;
+        }
+    };
+    const receive = (attempt: Attempt<Answer>, head: ResponseHead, answer: Answer): void => {
+        const { job, target } = attempt;
+        const now = timer.now();
+        if (head.load !== undefined) {
+            recordLoadReport(target, head.load, now);
+        }
+        releaseSlot(attempt);
+        job.wasRefusedWithFreeSlots = isRefusedWithFreeSlots(head) && head.notice.pauseMs === undefined;
+        if (job.wasRefusedWithFreeSlots) {
+            // It may accept the request next time, and elsewhere the object is probably not cached.
+            job.triedTargets.delete(target.record.id);
+        }
+        const action = classifyResponse(job, head, answer);
+        targetHealth.recordResponse(target, head, action.kind === "deliver");
+        if (action.kind === "deliver" && head.status < 300) {
+            // Other responses prove nothing: the target may have ended the run before it crashed.
+            poisonGate.recordSuccess(job);
+            const tookMs = now - attempt.sentAt - options.roundTripMs(target.record.dataCentre);
+            options.offeredLoad.recordWork(job.service, tookMs);
+            events.onWorkCompleted(attempt, learnFromWork(workTimes, { attempt, head, tookMs }));
+        }
+        applyAction(job, target, action);
+        dispatchService(job.service);
+    };
+    const recoverFromFailure = (attempt: Attempt<Answer>, reason: string): void => {
+        const { job, target } = attempt;
+        releaseSlot(attempt);
+        recordRequestOutcome(target, true);
+        targetHealth.recordConnectionFailure(target, attempt.isWritten ? job.request : undefined);
+        if (!attempt.isWritten) {
+            if (!retry(job, reason, target, false)) {
+                rejectJob(job, results.notReached, reason);
+            }
+        }
+        else if (job.route.isIdempotent) {
+            applyAction(job, target, { kind: "retry", reason, failureResponse: undefined, mayHaveRun: true });
+        }
+        else {
+            applyAction(job, target, { kind: "unknown", reason });
+        }
+        dispatchService(job.service);
+    };
+
     const stopAttempt = (job: Job<Answer>, attempt: Attempt<Answer>): void => {
         abort(attempt);
         job.mayHaveRun ||= attempt.isWritten;
@@ -369,55 +429,17 @@
             }
         },
         handleResponse: (attempt, head, answer) => {
-            const { job, target } = attempt;
             if (!head.isMisdirected) {
-                targetHealth.recordNotice(target, head.notice);
-            }
-            if (job.attempt !== attempt) {
-                return;
+                targetHealth.recordNotice(attempt.target, head.notice);
             }
-            const now = timer.now();
-            if (head.load !== undefined) {
-                recordLoadReport(target, head.load, now);
+            if (attempt.job.attempt === attempt) {
+                handleEnd(attempt, () => receive(attempt, head, answer));
             }
-            releaseSlot(attempt);
-            job.wasRefusedWithFreeSlots = isRefusedWithFreeSlots(head) && head.notice.pauseMs === undefined;
-            if (job.wasRefusedWithFreeSlots) {
-                // It may accept the request next time, and elsewhere the object is probably not cached.
-                job.triedTargets.delete(target.record.id);
-            }
-            const action = classifyResponse(job, head, answer);
-            targetHealth.recordResponse(target, head, action.kind === "deliver");
-            if (action.kind === "deliver" && head.status < 300) {
-                // Other responses prove nothing: the target may have ended the run before it crashed.
-                poisonGate.recordSuccess(job);
-                const tookMs = now - attempt.sentAt - options.roundTripMs(target.record.dataCentre);
-                options.offeredLoad.recordWork(job.service, tookMs);
-                events.onWorkCompleted(attempt, learnFromWork(workTimes, { attempt, head, tookMs }));
-            }
-            applyAction(job, target, action);
-            dispatchService(job.service);
         },
         handleConnectionFailure: (attempt, reason) => {
-            const { job, target } = attempt;
-            if (job.attempt !== attempt) {
-                return;
-            }
-            releaseSlot(attempt);
-            recordRequestOutcome(target, true);
-            targetHealth.recordConnectionFailure(target, attempt.isWritten ? job.request : undefined);
-            if (!attempt.isWritten) {
-                if (!retry(job, reason, target, false)) {
-                    rejectJob(job, results.notReached, reason);
-                }
-            }
-            else if (job.route.isIdempotent) {
-                applyAction(job, target, { kind: "retry", reason, failureResponse: undefined, mayHaveRun: true });
-            }
-            else {
-                applyAction(job, target, { kind: "unknown", reason });
+            if (attempt.job.attempt === attempt) {
+                handleEnd(attempt, () => recoverFromFailure(attempt, reason));
             }
-            dispatchService(job.service);
         },
         stopPoisonRequests: () => {
             for (const job of poisonGate.refusedRuns()) {
--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -104,7 +104,8 @@
         }
         sendJson(response, 200, { tickets: issueTickets(count) });
     };
-    const handlers: Record<string, (request: IncomingMessage, response: ServerResponse, query: URLSearchParams) => void> = {
+    type Handler = (request: IncomingMessage, response: ServerResponse, query: URLSearchParams) => void | Promise<void>;
+    const handlers: Record<string, Handler> = {
         "/v1/lookup": lookup,
         "/v1/tickets": (_request, response, query) => sendTickets(response, query),
         "/v1/status": (_request, response) => sendJson(response, 200, core.status()),
@@ -114,11 +115,10 @@
             const isReady = core.index() !== undefined && !core.isLeaving();
             sendJson(response, isReady ? 200 : 503, { ready: isReady });
         },
-        "/metrics": (_request, response) => {
-            void metrics.text().then(text => {
-                response.writeHead(200, { "content-type": metrics.contentType });
-                response.end(text);
-            });
+        "/metrics": async (_request, response) => {
+            const text = await metrics.text();
+            response.writeHead(200, { "content-type": metrics.contentType });
+            response.end(text);
         },
     };
     const server = createServer({
@@ -126,7 +126,7 @@
         headersTimeout: callerHeadersTimeoutMs,
         requestTimeout: callerRequestTimeoutMs,
     });
-    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+    const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const requestTarget = request.url ?? "/";
         if (requestTarget.startsWith(servicePrefix)) {
             handleServiceRequest(options, request, response, requestTarget);
@@ -142,7 +142,18 @@
             sendRefusal(response, results.unknownPath);
             return;
         }
-        handler(request, response, new URLSearchParams(queryStart < 0 ? "" : requestTarget.slice(queryStart)));
+        await handler(request, response, new URLSearchParams(queryStart < 0 ? "" : requestTarget.slice(queryStart)));
+    };
+    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+        handle(request, response).catch((error: Error) => {
+            options.log.write(logEvents.fault, { reason: error.stack });
+            if (response.headersSent) {
+                response.destroy();
+            }
+            else {
+                sendRefusal(response, results.unexpectedError);
+            }
+        });
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => refuseMalformed(options.log, error, socket));
     return server;
--- a/packages/entry/src/exchange/requestExecutor.ts
+++ b/packages/entry/src/exchange/requestExecutor.ts
@@ -204,29 +204,30 @@
         }
         active.isDelivered = true;
         if (!exchange.isClosed) {
+            // First, as in all that follows, so that no error in a metric or span keeps the response from the caller.
+            exchange.received.responseWriter.writeHead(active.head);
             metrics.recordResponse(exchange.received.service, active.head.code, (timer.now() - exchange.arrivedAt) / 1000);
             exchange.received.span.setAttribute("code", active.head.code);
-            exchange.received.responseWriter.writeHead(active.head);
         }
     };
     const refuse = (request: RequestId, result: Result): void => {
         const exchange = exchanges.get(request);
         if (exchange !== undefined && !exchange.isClosed) {
+            exchange.received.responseWriter.refuse(result);
             metrics.countRefusal(exchange.received.service, result);
             exchange.received.span.setAttribute("code", result.code);
-            exchange.received.responseWriter.refuse(result);
             closeExchange(exchange);
         }
     };
     const replay = (request: RequestId, answer: CachedResponse): void => {
         const exchange = exchanges.get(request);
         if (exchange !== undefined && !exchange.isClosed) {
+            exchange.received.responseWriter.replay(answer);
             metrics.recordResponse(
                 exchange.received.service,
                 results.answeredAgain.code,
                 (timer.now() - exchange.arrivedAt) / 1000,
             );
-            exchange.received.responseWriter.replay(answer);
             closeExchange(exchange);
         }
     };
--- a/packages/runtime/src/http/__tests__/jsonServer.test.ts
+++ b/packages/runtime/src/http/__tests__/jsonServer.test.ts
@@ -37,3 +37,19 @@
         await closeServer(server);
     }
 });
+
+// Guards against CONFIG on the control and console addresses: a response that had begun stayed open for good.
+test("a handler that fails after it has begun its response closes the connection", async context => {
+    const server = createRouter({
+        "GET /begins": (_request, response) => {
+            response.writeHead(200, { "content-length": 10 });
+            response.write("part");
+            throw new Error("handler failed");
+        },
+    }, () => {});
+    const { port } = await listen(server, "127.0.0.1", 0);
+    context.after(() => closeServer(server));
+    const startedAt = performance.now();
+    await exchange(port, "GET /begins HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert.ok(performance.now() - startedAt < 250);
+});
--- a/packages/runtime/src/http/jsonServer.ts
+++ b/packages/runtime/src/http/jsonServer.ts
@@ -35,7 +35,11 @@
         }
         handle(handler, request, response, url).catch((error: Error) => {
             onError(error);
-            if (!response.headersSent) {
+            if (response.headersSent) {
+                // What has been sent must not look complete, and the caller must not wait for the rest.
+                response.destroy();
+            }
+            else {
                 sendJson(response, 500, { error: error.message });
             }
         });
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -94,6 +94,12 @@
         "A request was refused on arrival, as targets died while they ran it; at most five lines a second.",
     ),
     callerError: defineEvent(500, "callerError", "debug", "A caller sent bytes that are not a valid request."),
+    responseNotWritten: defineEvent(
+        501,
+        "responseNotWritten",
+        "error",
+        "A response could not be written to its caller, who got a refusal in its place; the line names the request and the error.",
+    ),
     changeSubmitted: defineEvent(600, "changeSubmitted", "info", "An operator submitted a change; the line is the audit record."),
     operatorRefused: defineEvent(601, "operatorRefused", "warn", "A request without a valid operator token was refused."),
     requestEnded: defineEvent(
--- a/packages/runtime/src/time/__tests__/clockTimer.test.ts
+++ b/packages/runtime/src/time/__tests__/clockTimer.test.ts
@@ -1,5 +1,6 @@
 /** The timer on the machine's clock, at the limits of what it is built on. */
 import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
 import { test } from "node:test";
 import { createClockTimer } from "../clockTimer.js";
 import { createCountedTimer } from "../countedTimer.js";
@@ -18,3 +19,21 @@
 test("a delay that is no number is refused", () => {
     assert.throws(() => createClockTimer().after(Number.NaN, () => {}), RangeError);
 });
+
+// Runs in a process of its own, as the error is caught by the process's handler.
+test("a call that throws keeps no other call of the same moment, nor its own next one, from running", () => {
+    const program = `
+        import { createClockTimer } from ${JSON.stringify(new URL("../clockTimer.js", import.meta.url))};
+        process.on("uncaughtException", () => {});
+        const timer = createClockTimer();
+        const ran = [];
+        for (const name of ["a", "b", "c"]) {
+            timer.after(20, () => { ran.push(name); throw new Error(name); });
+        }
+        let rounds = 0;
+        const cancel = timer.subscribe(10, () => { rounds++; throw new Error("round"); });
+        timer.after(100, () => { cancel(); console.log(ran.join(""), rounds > 2); });
+    `;
+    const { stdout } = spawnSync(process.execPath, ["--input-type=module", "--eval", program], { encoding: "utf8" });
+    assert.equal(stdout.trim(), "abc true");
+});
--- a/packages/soak/src/faults/faultInjectors.ts
+++ b/packages/soak/src/faults/faultInjectors.ts
@@ -130,6 +130,7 @@
     targetExtraAnswers: targetFault("extraAnswer"),
     targetCutsAnswers: targetFault("cutAnswer"),
     targetRepeatsRefusals: targetFault("repeatRefusal"),
+    targetSpoilsStatusLines: targetFault("spoilStatusLine"),
     targetSaysLeaving: onTargetHost((targetHost, _cluster, fault) => targetHost.sayLeaving(fault.forMs)),
     targetPauses: onTargetHost(async (targetHost, cluster, fault) => {
         targetHost.pauseFor(fault.forMs);
--- a/packages/soak/src/faults/schedule.ts
+++ b/packages/soak/src/faults/schedule.ts
@@ -37,7 +37,7 @@
 export const noticeKinds = ["targetSaysLeaving", "targetPauses"] as const;
 
 /** Responses that break the protocol in ways that only later requests or a parser show. Drawn on their own too. */
-export const responseKinds = ["targetRepeatsRefusals"] as const;
+export const responseKinds = ["targetRepeatsRefusals", "targetSpoilsStatusLines"] as const;
 
 export type FaultKind = typeof faultKinds[number] | typeof noticeKinds[number] | typeof responseKinds[number];
 
--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -110,7 +110,8 @@
         }
         catch (error) {
             const ended = { ...common, endedAt: performance.now(), text: String((error as Error).message), isSigned: false };
-            return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned: abortSignal.aborted };
+            const isAbandoned = plan.abandonAfterMs !== undefined && abortSignal.aborted;
+            return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned };
         }
     };
     const planRequest = (): RequestPlan => {
--- a/packages/soak/src/promises/__tests__/promises.test.ts
+++ b/packages/soak/src/promises/__tests__/promises.test.ts
@@ -81,6 +81,7 @@
     answeredInTime: {
         outcomes: createOutcomes(9, index => outcome(`a${index}`, { status: 504, endedAt: 12_000 })),
     },
+    answered: { outcomes: [outcome("a", { status: undefined, endedAt: 12_000 })] },
     withinBudget: {
         outcomes: [outcome("a", { isIdempotent: true })],
         runs: Array.from({ length: 8 }, (_, index) => run("a", { at: 10_010 + index })),
@@ -108,6 +109,13 @@
     });
 }
 
+test("a request that a disturbed daemon leaves unanswered, or whose connection breaks, breaks no promise", () => {
+    const silent = outcome("a", { status: undefined, endedAt: 12_000 });
+    const disturbances = [{ daemon: "one", kind: "daemonPause", from: 11_000, to: 13_000 }];
+    assert.deepEqual(findBrokenPromises({ outcomes: [silent], disturbances }), []);
+    assert.deepEqual(findBrokenPromises({ outcomes: [{ ...silent, endedAt: 11_200 }] }), []);
+});
+
 test("a daemon that uses a target after passing on that it leaves breaks its promise, another daemon or an earlier request does not", () => {
     const notices = [{ kind: "leaving" as const, target: "t9", at: 9_000, until: Infinity }];
     const first = outcome("a", { text: answerText("t9", "a") });
--- a/packages/soak/src/promises/promises.ts
+++ b/packages/soak/src/promises/promises.ts
@@ -230,6 +230,19 @@
         : [];
 };
 
+const isProcessDisturbed = ({ disturbances }: SoakRecord, { daemon, sentAt, endedAt }: AttemptOutcome): boolean =>
+    disturbances.some(span =>
+        span.daemon === daemon && span.kind.startsWith("daemon") && span.from <= endedAt && span.to >= sentAt
+    );
+
+/** A daemon whose process runs on answers each request, whatever its targets, its connections and the store do. */
+export const checkEachAnswered: PromiseCheck = record =>
+    record.outcomes.filter(outcome =>
+        outcome.status === undefined && !outcome.isAbandoned
+        && outcome.endedAt - outcome.sentAt > outcome.timeoutMs + maxTimeoutOverrunMs
+        && !isProcessDisturbed(record, outcome)
+    ).map(outcome => violation("answered", `${outcome.request} got no answer from ${outcome.daemon}`));
+
 const budgetWindowMs = 10_000;
 const budgetRatio = 0.2;
 
@@ -340,6 +353,7 @@
     appliedAfterReturn: checkAppliedAfterReturn,
     forward: checkConfigurationNeverReverts,
     answeredInTime: checkAnsweredInTime,
+    answered: checkEachAnswered,
     withinBudget: createRetryBudgetCheck(retrySlack),
     stoppedCleanly: checkStopsCleanly,
     forgotten: checkAbandonedNotSent,
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -22,4 +22,10 @@
         meanGapMs: 300,
         cause: "a late copy of a refusal was taken for the answer to the next attempt of the same request, which then ran",
     },
+    {
+        seed: 200,
+        faultPhaseMs: 12_000,
+        meanGapMs: 300,
+        cause: "a response with a control character in its status line left its request without an answer",
+    },
 ];
--- a/packages/standin/src/direct/targetStandin.ts
+++ b/packages/standin/src/direct/targetStandin.ts
@@ -15,7 +15,9 @@
     /** Closes the connection in the middle of the response. */
     | "cutAnswer"
     /** Refuses every second request as not run, and sends each refusal once more before the connection's next response. */
-    | "repeatRefusal";
+    | "repeatRefusal"
+    /** Sends every fourth response with a control character in its status line. */
+    | "spoilStatusLine";
 
 /** A request that the target started to run. Times are monotonic, in milliseconds. */
 export interface RequestRun {
@@ -84,6 +86,7 @@
     let isLeaving = false;
     let pausedUntil = -Infinity;
     let refusalCount = 0;
+    let responseCount = 0;
     const arrivals: number[] = [];
     const turnedAway: TurnedAway[] = [];
     /** Responses to be sent once more, by connection. */
@@ -96,6 +99,14 @@
             request.socket.destroy();
             return;
         }
+        if (fault === "spoilStatusLine" && ++responseCount % 4 === 0) {
+            request.socket.write(
+                `HTTP/1.1 200 O\x0b\r\nX-Server-Stamp: stamp\r\nX-Request-Id: ${requestId}\r\n`
+                    + `Content-Length: ${text.length}\r\n\r\n${text}`,
+                () => request.socket.destroy(),
+            );
+            return;
+        }
         const headers = { "X-Server-Stamp": "stamp", "X-Request-Id": requestId, "X-Server-Load": formatLoad() };
         response.writeHead(200, { ...headers, "Content-Length": text.length });
         if (fault === "cutAnswer") {
--- a/packages/steer/src/callers/__tests__/callerServer.test.ts
+++ b/packages/steer/src/callers/__tests__/callerServer.test.ts
@@ -115,3 +115,39 @@
     callers.server.close();
     assert.equal(isHandled, false);
 });
+
+// Guards against CONFIG: a reason phrase that Node's server can't write left the request without a response.
+test("a response with any status and reason phrase that a target may send reaches the caller whole", async () => {
+    const rawHeaders = ["X-Server-Stamp", "s", "Content-Length", "5"];
+    for (
+        const [status, statusText, expected] of [
+            [200, "", "200 "],
+            [200, "Fine\tby me", "200 Fine\tby me"],
+            [200, "\u00f3\u0142", "200 OK"],
+            [200, "O\x0b", "200 OK"],
+            [600, "\u0142", "600 "],
+            [999, "Odd", "999 Odd"],
+        ] as const
+    ) {
+        const received = await exchange(request, responder => responder.respond({ status, statusText, rawHeaders, body }));
+        assert.equal(received.split("\r\n")[0], `HTTP/1.1 ${expected}`);
+        assert.match(received, /\r\n\r\nbytes$/);
+    }
+});
+
+test("a refusal reaches the caller after a response that could not be written", async () => {
+    const rawHeaders = ["X-Odd", "a\x0b", "Content-Length", "5"];
+    const received = await exchange(request, responder => {
+        assert.throws(() => responder.respond({ status: 200, statusText: "Odd", rawHeaders, body }));
+        responder.refuse(results.unexpectedError, undefined);
+    });
+    assert.match(received, /^HTTP\/1\.1 500 Internal Server Error\r\n/);
+    assert.match(received, /"code":3007/);
+});
+
+test("an error while a request is taken in is answered", async () => {
+    const received = await exchange(request, () => {
+        throw new Error("no route table");
+    });
+    assert.match(received, /^HTTP\/1\.1 500 /);
+});
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -7,7 +7,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import { endToEndHeaders } from "../targets/hopHeaders.js";
 import { hasDeclaredLength, type TargetResponse } from "../targets/targetResponse.js";
 import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
@@ -23,9 +23,11 @@
     readonly callerAddress: string;
 }
 
-/** Sends the final response to a request. Calls after the first have no effect. */
+/** Sends the final response to a request. Calls have no effect once one has been sent. */
 export interface CallerResponder {
+    /** Throws if the response can't be written to the caller, who then has to be refused. */
     respond(targetResponse: TargetResponse): void;
+    /** A response that has been sent in part is cut, so that its caller does not take it for complete. */
     refuse(result: Result, retryAfterMs: number | undefined): void;
 }
 
@@ -78,6 +80,16 @@
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
 
+    const submit = (request: CallerRequest, responder: CallerResponder): () => void => {
+        try {
+            return onRequest(request, responder);
+        }
+        catch (error) {
+            log.write(logEvents.fault, { reason: (error as Error).stack });
+            responder.refuse(results.unexpectedError, undefined);
+            return () => {};
+        }
+    };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
         openRequests++;
@@ -112,7 +124,7 @@
                 if (request.socket.destroyed || request.socket.readableEnded) {
                     return;
                 }
-                const onCallerLeft = onRequest(toCallerRequest(request, outcome), responder);
+                const onCallerLeft = submit(toCallerRequest(request, outcome), responder);
                 response.once("close", () => {
                     if (!response.writableEnded) {
                         onCallerLeft();
@@ -279,13 +291,17 @@
             if (isKeepAliveDisabled()) {
                 response.shouldKeepAlive = false;
             }
-            response.writeHead(targetResponse.status, targetResponse.statusText, headers);
+            response.writeHead(targetResponse.status, reasonPhraseOf(targetResponse), headers);
             response.end(targetResponse.body);
         },
         refuse: (result, retryAfterMs) => {
             if (isFinished()) {
                 return;
             }
+            if (response.headersSent) {
+                response.destroy();
+                return;
+            }
             const body = JSON.stringify({ error: result.name, code: result.code, text: result.text });
             const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(body))];
             headers.push("X-Pimento-Result", String(result.code));
@@ -295,12 +311,19 @@
             if (isKeepAliveDisabled()) {
                 response.shouldKeepAlive = false;
             }
-            response.writeHead(result.status, headers);
+            // Named, as a response that could not be written may have left its own reason phrase.
+            response.writeHead(result.status, STATUS_CODES[result.status], headers);
             endRefusal(body);
         },
     };
 }
 
+const printablePattern = /^[\t\x20-\x7e]*$/;
+
+/** The target's reason phrase, or the status's usual one in place of a phrase with letters that the server can't write. */
+const reasonPhraseOf = ({ status, statusText }: TargetResponse): string =>
+    printablePattern.test(statusText) ? statusText : STATUS_CODES[status] ?? "";
+
 function declaredLength(targetResponse: TargetResponse): string[] {
     const at = targetResponse.rawHeaders.findIndex((text, index) => index % 2 === 0 && text.toLowerCase() === "content-length");
     return at === -1 ? [] : ["Content-Length", targetResponse.rawHeaders[at + 1]!];
--- a/packages/steer/src/callers/requestHandler.ts
+++ b/packages/steer/src/callers/requestHandler.ts
@@ -4,6 +4,8 @@
 import type { SteeringRequest } from "@pimentospring/core/steering/job";
 import type { RequestDispatcher } from "@pimentospring/core/steering/requestDispatcher";
 import type { Timer } from "@pimentospring/core/time/timer";
+import type { Log } from "@pimentospring/runtime/logs/log";
+import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { TargetResponse } from "../targets/targetResponse.js";
 import type { HeaderCodec } from "../wire/headerCodec.js";
 import type { CallerRequest, CallerResponder } from "./callerServer.js";
@@ -11,6 +13,7 @@
 
 export interface RequestHandlerOptions {
     readonly timer: Timer;
+    readonly log: Log;
     readonly headerCodec: HeaderCodec;
     readonly dispatcher: () => RequestDispatcher<TargetResponse>;
     /** Stores the caller's request until the returned function is called. */
@@ -33,7 +36,18 @@
 const responseMarginMs = 150;
 
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
-    const { timer, headerCodec, dispatcher } = options;
+    const { timer, log, headerCodec, dispatcher } = options;
+    /** The job has ended by now, so that nothing else would answer the caller if the response can't be written. */
+    const respond = (request: SteeringRequest, targetResponse: TargetResponse, responder: CallerResponder): void => {
+        try {
+            responder.respond(targetResponse);
+        }
+        catch (error) {
+            const { status } = targetResponse;
+            log.write(logEvents.responseNotWritten, { request: request.id, status, reason: (error as Error).message });
+            responder.refuse(results.unexpectedError, undefined);
+        }
+    };
     return {
         handle: (caller, responder) => {
             if (!options.isAccepting()) {
@@ -60,7 +74,7 @@
             return dispatcher().submit(request, finalResponse => {
                 unregister();
                 if (finalResponse.kind === "answer") {
-                    responder.respond(finalResponse.answer);
+                    respond(request, finalResponse.answer, responder);
                 }
                 else {
                     responder.refuse(finalResponse.result, finalResponse.retryAfterMs);
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -181,6 +181,7 @@
     });
     const requestHandler = createRequestHandler({
         timer,
+        log,
         headerCodec,
         dispatcher: () => dispatcher,
         register: targetSender.register,
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -199,3 +199,23 @@
         );
     },
 );
+
+const invalidStatusLines = {
+    "a control character in the reason phrase": "HTTP/1.1 200 O\x0b",
+    "a zero byte in the reason phrase": "HTTP/1.1 200 O\x00K",
+    "a status under 100": "HTTP/1.1 099 OK",
+    "a switch of protocols that nobody asked for": "HTTP/1.1 101 OK",
+    "a status of two digits": "HTTP/1.1 20 OK",
+};
+
+for (const [what, line] of Object.entries(invalidStatusLines)) {
+    // Guards against CONFIG: such a line was passed on, and the caller's server could not write it.
+    test(`a response whose status line has ${what} fails and closes its connection`, () =>
+        withTarget(
+            socket => socket.write(Buffer.from(`${line}\r\nContent-Length: 2\r\n\r\nok`, "latin1")),
+            async (connections, address) => {
+                assert.equal((await get(connections, address)).kind, "failure");
+                assert.equal(connections.openCount(), 0);
+            },
+        ));
+}
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -69,6 +69,9 @@
 /** Requests that a connection carries before it is closed, which bounds the ids that it remembers. */
 export const maxRequestsPerConnection = 256;
 
+/** Bytes that HTTP allows in no reason phrase, so that what has them is not a response. The parser lets them through. */
+const controlCharacterPattern = /[\x00-\x08\x0a-\x1f\x7f]/;
+
 interface Connection {
     readonly client: Client;
     readonly address: string;
@@ -262,7 +265,10 @@
             options.onWriteStart();
         },
         onResponseStart: (requestController, statusCode, _headers, statusMessage) => {
-            if (statusCode >= 200) {
+            if (controlCharacterPattern.test(statusMessage ?? "")) {
+                requestController.abort(new Error("the status line has control characters"));
+            }
+            else if (statusCode >= 200) {
                 status = statusCode;
                 statusText = statusMessage ?? "";
                 rawHeaders = ((requestController.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item =>
