fix(steer): a failure of the store is dated by when it happened, also where it is passed on

Cause: for 4 s after a failure of the store removals are put off, as records may merely have expired. An update for a peer told of the failure without its age, and the receiver counted anew, so that entries kept each other's mark alive. Beside that a call into a silent store counted when it timed out, up to 1.5 s after the store's return. What is passed on had no age.

Change: updates carry the failure's age, counted back from when the receiver asked. One place dates all calls: without a response at their start, refused or reset at that moment; a 429 and a watch that a peer has overtaken are no failures of the store. Targets that had said that they leave don't make a batch of removals an expiry, and such a batch waits 1.9 s, which stays under 2.5 s with the time to read it. After a failure 2.6 s, as a record back after 1.9 s was read too late. Event 713 tells of removals that are put off and why.

"a renewal that the store does not serve" asks the new place for the same; the malformed flag in malformedPeers gave way to three malformed ages.

--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -128,6 +128,13 @@
         "A target was taken out of use or put back, because of the outcome of its requests.",
     ),
     evacuation: defineEvent(712, "evacuation", "info", "An operator started or ended the evacuation of a data centre."),
+    removalDeferred: defineEvent(
+        713,
+        "removalDeferred",
+        "info",
+        "Removals of targets are put off, as their records may have expired in a failure of the store; the line gives its age. "
+            + "Without an age: the records vanished together.",
+    ),
     itemRefused: defineEvent(720, "itemRefused", "warn", "An item in the store is invalid; what is in force stays."),
     registered: defineEvent(721, "registered", "info", "This entry is registered in the store."),
     registrationLost: defineEvent(
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -169,7 +169,7 @@
         registry,
         members,
         self: instance,
-        hasStoreFailedRecently: () => replication.hasStoreFailedRecently(),
+        storeFailureAgeMs: () => replication.storeFailureAgeMs(),
         onRegistrationLost: () => replication.markRegistrationLost(),
         onDocumentAccepted: next => {
             document = next;
--- a/packages/steer/src/store/__tests__/malformedPeers.test.ts
+++ b/packages/steer/src/store/__tests__/malformedPeers.test.ts
@@ -33,10 +33,10 @@
 const item = { key: "a", value: Buffer.from("1"), revision: 7 };
 
 test("a peer's update is taken whole or not at all", () => {
-    const state = { kind: "state", isUnsettled: false, revision: 7, items: [item] };
+    const state = { kind: "state", failureAgeMs: 1_000, revision: 7, items: [item] };
     const changes = {
         kind: "changes",
-        isUnsettled: false,
+        failureAgeMs: 1_000,
         revision: 9,
         events: [{ kind: "written", item }, { kind: "removed", key: "b", revision: 9 }],
     };
@@ -49,7 +49,9 @@
         { ...state, items: [{ ...item, value: "text" }] },
         { ...changes, events: [{ kind: "moved", key: "b", revision: 9 }] },
         { ...changes, kind: "newer" },
-        { ...state, isUnsettled: undefined },
+        { ...state, failureAgeMs: -1 },
+        { ...state, failureAgeMs: Infinity },
+        { ...state, failureAgeMs: "1" },
     ];
     malformed.forEach(update => assert.equal(decodeStoreUpdate(packr.pack(update)), undefined, JSON.stringify(update)));
 });
--- a/packages/steer/src/store/__tests__/storeDeployment.ts
+++ b/packages/steer/src/store/__tests__/storeDeployment.ts
@@ -113,7 +113,7 @@
                 registry,
                 members,
                 self: id,
-                hasStoreFailedRecently: () => replication.hasStoreFailedRecently(),
+                storeFailureAgeMs: () => replication.storeFailureAgeMs(),
                 onRegistrationLost: () => replication.markRegistrationLost(),
                 onDocumentAccepted: document => {
                     version = document.version;
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -8,9 +8,11 @@
 import { silentLog } from "@pimentospring/runtime/logs/log";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createDeferredRemovals, removalDelayMs } from "../deferredRemovals.js";
+import { batchRemovalDelayMs, createDeferredRemovals, removalDelayMs } from "../deferredRemovals.js";
 import { createRegistration, type Registration } from "../registration.js";
-import type { StoreEvent } from "../store.js";
+import type { Store, StoreEvent } from "../store.js";
+import { createStoreCalls, type StoreCalls } from "../storeCalls.js";
+import { createStoreFailures } from "../storeFailures.js";
 import { decodeMember, encodeMember, memberKey, type StoreItemDecoder } from "../storeItems.js";
 import { createStoreProjection } from "../storeProjection.js";
 import { createStoreReplica, type StoreReplica } from "../storeReplica.js";
@@ -57,7 +59,7 @@
     return { timer, replica, events };
 }
 
-function startRegistration(store: FakeStore, timer: VirtualTimer, key: string, value: Buffer): Registration {
+function startRegistration(store: StoreCalls, timer: VirtualTimer, key: string, value: Buffer): Registration {
     const registration = createRegistration({
         store,
         timer,
@@ -132,10 +134,10 @@
     const { timer, replica } = startReplica(store);
     await advance(timer, 200);
     const knownRevision = replica.revision();
-    assert.equal(replica.applyUpdate({ kind: "state", isUnsettled: false, revision: knownRevision, items: [] }), false);
+    assert.equal(replica.applyUpdate({ kind: "state", revision: knownRevision, items: [] }), false);
     assert.deepEqual(keysOf(replica), ["a"]);
     const item = { key: "b", value: Buffer.from("1"), revision: knownRevision + 1 };
-    assert.equal(replica.applyUpdate({ kind: "state", isUnsettled: false, revision: knownRevision + 2, items: [item] }), true);
+    assert.equal(replica.applyUpdate({ kind: "state", revision: knownRevision + 2, items: [item] }), true);
     assert.deepEqual(keysOf(replica), ["b"]);
 });
 
@@ -219,14 +221,15 @@
     const timer = createVirtualTimer();
     const value = Buffer.from("{}");
     const key = memberKey(toInstanceId("me"));
-    const registration = startRegistration(store, timer, key, value);
+    const failures = createStoreFailures(timer);
+    startRegistration(createStoreCalls(timer, store as unknown as Store, failures), timer, key, value);
     await advance(timer, 2_000);
     store.expireLeases();
     await advance(timer, 4_000);
-    assert.equal(registration.lastFailureAt(), -Infinity);
+    assert.equal(failures.ageMs(), undefined);
     store.failure = { kind: "unknown", reason: "no response" };
     await advance(timer, 3_000);
-    assert.ok(registration.lastFailureAt() > 6_000);
+    assert.ok(failures.ageMs()! < 3_000);
 });
 
 test("an entry's record is written again after its lease expires or its key is removed", async () => {
@@ -252,8 +255,10 @@
     const removedIds: string[] = [];
     const removals = createDeferredRemovals({
         timer,
-        hasStoreFailedRecently: () => true,
+        storeFailureAgeMs: () => 1_000,
         targetCount: () => 30,
+        isDraining: () => false,
+        onDeferred: () => {},
         remove: id => removedIds.push(id),
     });
     removals.schedule(toTargetId("live"));
@@ -269,8 +274,10 @@
     const removedIds: string[] = [];
     const removals = createDeferredRemovals({
         timer: createVirtualTimer(),
-        hasStoreFailedRecently: () => false,
+        storeFailureAgeMs: () => undefined,
         targetCount: () => 30,
+        isDraining: () => false,
+        onDeferred: () => {},
         remove: id => removedIds.push(id),
     });
     removals.schedule(toTargetId("one"));
@@ -284,8 +291,10 @@
         const removedIds: string[] = [];
         const removals = createDeferredRemovals({
             timer: createVirtualTimer(),
-            hasStoreFailedRecently: () => false,
+            storeFailureAgeMs: () => undefined,
             targetCount: () => targetCount,
+            isDraining: () => false,
+            onDeferred: () => {},
             remove: id => removedIds.push(id),
         });
         leaving.forEach(removals.schedule);
@@ -299,18 +308,88 @@
     const removedIds: string[] = [];
     const removals = createDeferredRemovals({
         timer,
-        hasStoreFailedRecently: () => false,
+        storeFailureAgeMs: () => undefined,
         targetCount: () => 32,
+        isDraining: () => false,
+        onDeferred: () => {},
         remove: id => removedIds.push(id),
     });
     const ids = Array.from({ length: 32 }, (_, index) => toTargetId(`t${index}`));
     ids.forEach(removals.schedule);
     removals.decide();
     assert.equal(removedIds.length, 0);
-    timer.advance(removalDelayMs);
+    timer.advance(batchRemovalDelayMs);
     assert.equal(removedIds.length, ids.length);
 });
 
+// Guards against DRAIN: targets that had said that they leave made a release look like an outage.
+test("removals of targets that drain do not make a batch of removals an expiry", () => {
+    const removedIds: string[] = [];
+    const removals = createDeferredRemovals({
+        timer: createVirtualTimer(),
+        storeFailureAgeMs: () => undefined,
+        targetCount: () => 32,
+        isDraining: id => id !== "t0",
+        remove: id => removedIds.push(id),
+        onDeferred: () => {},
+    });
+    const ids = Array.from({ length: 12 }, (_, index) => toTargetId(`t${index}`));
+    ids.forEach(removals.schedule);
+    removals.decide();
+    assert.deepEqual(removedIds, ids);
+});
+
+// Guards against DRAIN: the rate limit of one entry put removals off at all that it told.
+test("a call beyond the rate limit is no failure of the store, one that it refuses is", async () => {
+    const store = createFakeStore();
+    const timer = createVirtualTimer();
+    const failures = createStoreFailures(timer);
+    startRegistration(
+        createStoreCalls(timer, store as unknown as Store, failures),
+        timer,
+        memberKey(toInstanceId("me")),
+        Buffer.from("{}"),
+    );
+    store.failure = { kind: "rateLimited", reason: "status 429" };
+    await advance(timer, 4_000);
+    assert.equal(failures.ageMs(), undefined);
+    store.failure = { kind: "refused", reason: "status 503" };
+    await advance(timer, 4_000);
+    assert.ok(failures.ageMs()! < 3_000);
+});
+
+// Guards against DRAIN: a call into a silent store ended after the store's return, and counted as a failure of that moment.
+test("a call that the store leaves without a response counts from its start, one that it refuses from the refusal", async () => {
+    const timer = createVirtualTimer();
+    const failures = createStoreFailures(timer);
+    const store = createFakeStore();
+    const silentStore = { ...store, renewLease: () => new Promise(() => {}) };
+    const calls = createStoreCalls(timer, silentStore as unknown as Store, failures);
+    void calls.renewLease(1);
+    await advance(timer, 1_500);
+    assert.equal(failures.ageMs(), 1_500);
+    store.failure = { kind: "refused", reason: "status 503" };
+    await createStoreCalls(timer, store as unknown as Store, failures).grantLease(6_000);
+    assert.equal(failures.ageMs(), 0);
+});
+
+test("a failure that entries tell each other of is never younger than it was", () => {
+    const timer = createVirtualTimer();
+    const entries = [createStoreFailures(timer), createStoreFailures(timer)];
+    entries[0]!.record(timer.now());
+    for (let round = 0; round < 20; round++) {
+        const [from, to] = round % 2 === 0 ? entries : [entries[1], entries[0]];
+        const askedAt = timer.now();
+        timer.advance(100);
+        const ageMs = from!.ageMs();
+        timer.advance(100);
+        if (ageMs !== undefined) {
+            to!.recordTold(ageMs, askedAt);
+        }
+    }
+    assert.deepEqual(entries.map(failures => failures.ageMs()), [undefined, undefined]);
+});
+
 /** Decodes documents from their version and targets from their address; anything else is malformed. */
 const itemDecoder: StoreItemDecoder = {
     parseKey: key =>
@@ -356,7 +435,7 @@
         registry,
         members: createMembers(timer, self),
         self: self.id,
-        hasStoreFailedRecently: () => false,
+        storeFailureAgeMs: () => undefined,
         onRegistrationLost: () => {},
         onDocumentAccepted: document => acceptedDocuments.push(document),
     });
--- a/packages/steer/src/store/deferredRemovals.ts
+++ b/packages/steer/src/store/deferredRemovals.ts
@@ -7,11 +7,15 @@
 
 export interface DeferredRemovalsOptions {
     readonly timer: Timer;
-    /** Whether the store failed recently, so that a removed record may merely have expired. */
-    readonly hasStoreFailedRecently: () => boolean;
+    /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
+    readonly storeFailureAgeMs: () => number | undefined;
     /** Targets that are known now. */
     readonly targetCount: () => number;
+    /** Whether the target said that it leaves, so that its removal was to be expected. */
+    readonly isDraining: (id: TargetId) => boolean;
     readonly remove: (id: TargetId) => void;
+    /** Called when removals of one batch are put off; without a failure of the store, as they came together. */
+    readonly onDeferred: (count: number, failureAgeMs: number | undefined) => void;
 }
 
 export interface DeferredRemovals {
@@ -23,8 +27,10 @@
     cancel(id: TargetId): void;
 }
 
-/** Time within which an expired record may be written again. */
-export const removalDelayMs = 2_300;
+/** Time within which an expired record may be written again and read here. */
+export const removalDelayMs = 2_600;
+/** The same for records that vanish together while the store works: a target that leaves must be out of use in 2,500 ms. */
+export const batchRemovalDelayMs = 1_900;
 /**
  * Records that expire while the store is away, unnoticed here, vanish together. Fewer removals in a batch are targets that
  * leave: it holds those of up to a second, and more of them in a larger deployment.
@@ -33,21 +39,35 @@
 const minExpiries = 4;
 
 export function createDeferredRemovals(options: DeferredRemovalsOptions): DeferredRemovals {
-    const { timer, hasStoreFailedRecently, remove } = options;
+    const { timer, remove } = options;
     const pending = new Map<TargetId, Cancel>();
     const scheduled = new Set<TargetId>();
-    const defer = (id: TargetId): void => {
+    const defer = (id: TargetId, delayMs: number): void => {
         const removeNow = (): void => {
             pending.delete(id);
             remove(id);
         };
-        pending.set(id, timer.after(removalDelayMs, removeNow));
+        pending.set(id, timer.after(delayMs, removeNow));
+    };
+    const isExpiry = (): boolean => {
+        const unexpectedCount = [...scheduled].filter(id => !options.isDraining(id)).length;
+        return unexpectedCount >= Math.max(minExpiries, minExpiryFraction * options.targetCount());
     };
     return {
         schedule: id => void scheduled.add(id),
         decide: () => {
-            const isExpiry = scheduled.size >= Math.max(minExpiries, minExpiryFraction * options.targetCount());
-            scheduled.forEach(hasStoreFailedRecently() || isExpiry ? defer : remove);
+            if (scheduled.size === 0) {
+                return;
+            }
+            const failureAgeMs = options.storeFailureAgeMs();
+            if (failureAgeMs !== undefined || isExpiry()) {
+                options.onDeferred(scheduled.size, failureAgeMs);
+                const delayMs = failureAgeMs === undefined ? batchRemovalDelayMs : removalDelayMs;
+                scheduled.forEach(id => defer(id, delayMs));
+            }
+            else {
+                scheduled.forEach(remove);
+            }
             scheduled.clear();
         },
         cancel: id => {
--- a/packages/steer/src/store/peerSync.ts
+++ b/packages/steer/src/store/peerSync.ts
@@ -14,9 +14,11 @@
     encodeStateRequest,
     encodeStoreUpdate,
     type StateRequest,
+    type StoreUpdate,
 } from "./peerMessages.js";
+import type { StoreFailures } from "./storeFailures.js";
 import { decodeMember, encodeMember } from "./storeItems.js";
-import type { StoreReplica, StoreUpdate } from "./storeReplica.js";
+import type { StoreReplica } from "./storeReplica.js";
 
 /**
  * Sends an encoded state request to a peer's control address. Resolves to the encoded update, or to `undefined` if the
@@ -30,6 +32,7 @@
     readonly self: MemberRecord;
     readonly members: Members;
     readonly replica: StoreReplica;
+    readonly failures: StoreFailures;
     /** Control addresses (`host:port`) of entries to ask while no peer is known. */
     readonly seeds: () => readonly string[];
     readonly requestState: StateRequester;
@@ -60,7 +63,7 @@
 const failedPeerPauseMs = 3_000;
 
 export function createPeerSync(options: PeerSyncOptions): PeerSync {
-    const { log, timer, self, members, replica } = options;
+    const { log, timer, self, members, replica, failures } = options;
     const createRequest = (): StateRequest => ({ id: self.id, record: encodeMember(self), after: replica.revision() });
     /** Peers that have announced a newer revision, by control address; most recently heard last. */
     const aheadPeers = new Map<string, number>();
@@ -71,14 +74,15 @@
     let nextSeed = 0;
 
     const synchronise = async (address: string): Promise<void> => {
-        lastRequestAt = timer.now();
+        const askedAt = timer.now();
+        lastRequestAt = askedAt;
         pending.add(address);
         const cancelHedge = timer.after(hedgeDelayMs, askNextPeer);
         try {
             const bytes = await options.requestState(address, encodeStateRequest(createRequest()));
             failedAt.delete(address);
             if (bytes !== undefined) {
-                receiveUpdate(address, bytes);
+                receiveUpdate(address, bytes, askedAt);
             }
         }
         catch (error) {
@@ -106,12 +110,15 @@
             void synchronise(next);
         }
     };
-    const receiveUpdate = (peer: string, bytes: Buffer): void => {
+    const receiveUpdate = (peer: string, bytes: Buffer, askedAt: number): void => {
         const update = decodeStoreUpdate(bytes);
         if (update === undefined) {
             log.write(logEvents.peerStateFailed, { peer, reason: "the update is malformed" });
             return;
         }
+        if (update.failureAgeMs !== undefined) {
+            failures.recordTold(update.failureAgeMs, askedAt);
+        }
         applyUpdate(peer, update);
     };
     const applyUpdate = (peer: string, update: StoreUpdate): void => {
@@ -125,7 +132,7 @@
             members.addAnnounced(record.value);
         }
         return replica.revision() > stateRequest.after
-            ? encodeStoreUpdate(replica.updateSince(stateRequest.after))
+            ? encodeStoreUpdate({ ...replica.updateSince(stateRequest.after), failureAgeMs: failures.ageMs() })
             : undefined;
     };
     const synchroniseFromSeed = (): void => {
--- a/packages/steer/src/store/registration.ts
+++ b/packages/steer/src/store/registration.ts
@@ -3,7 +3,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
-import type { StoreFailure, StoreResult } from "./store.js";
+import type { StoreResult } from "./store.js";
 import type { StoreCalls } from "./storeCalls.js";
 
 export interface RegistrationOptions {
@@ -23,8 +23,6 @@
     start(): void;
     /** Marks the record as lost, so that it is written again. */
     markLost(): void;
-    /** Time of the last call that the store did not serve, on the timer's clock. */
-    lastFailureAt(): number;
     /** Removes the record by revoking its lease. */
     deregister(): Promise<void>;
 }
@@ -40,13 +38,7 @@
     let lease: number | undefined;
     let isWritten = false;
     let isDeregistering = false;
-    let failureAt = -Infinity;
 
-    const recordFailure = (failure: StoreFailure): void => {
-        if (failure.kind !== "noLease") {
-            failureAt = timer.now();
-        }
-    };
     const observe = async <Value>(result: StoreResult<Value>): StoreResult<Value> => {
         const startedAt = timer.now();
         const cancel = timer.after(slowCallMs, options.onSilence);
@@ -64,23 +56,18 @@
         if (lease === undefined) {
             const granted = await observe(store.grantLease(leaseMs));
             if (granted.isErr) {
-                recordFailure(granted.error);
                 return false;
             }
             lease = granted.value;
         }
         const written = await observe(store.write({ expected: [], puts: [{ key, value, lease }], removes: [] }));
         if (written.isErr) {
-            recordFailure(written.error);
             lease = written.error.kind === "noLease" ? undefined : lease;
         }
         return written.isOk;
     };
     const renew = async (): Promise<boolean> => {
         const renewed = await observe(store.renewLease(lease!));
-        if (renewed.isErr) {
-            recordFailure(renewed.error);
-        }
         if (renewed.isErr && renewed.error.kind === "noLease") {
             lease = undefined;
             isWritten = false;
@@ -106,7 +93,6 @@
         markLost: () => {
             isWritten = false;
         },
-        lastFailureAt: () => failureAt,
         deregister: async () => {
             isDeregistering = true;
             if (lease !== undefined) {
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -15,8 +15,9 @@
 import { createReplicaFreshness, type Freshness } from "./replicaFreshness.js";
 import type { Store, StoreEvent } from "./store.js";
 import { createStoreCalls } from "./storeCalls.js";
+import { createStoreFailures } from "./storeFailures.js";
 import { encodeMember, memberKey } from "./storeItems.js";
-import { createStoreReplica, storeFailureWindowMs, type StoreReplica } from "./storeReplica.js";
+import { createStoreReplica, type StoreReplica } from "./storeReplica.js";
 import { createWatcherElection, watchersPerDataCentre } from "./watcherElection.js";
 
 export interface ReplicationOptions {
@@ -50,8 +51,8 @@
     /** Takes the heartbeat of an entry that is not a known member. */
     onUnknownHeartbeat(heartbeat: Heartbeat): void;
     freshness(): Freshness;
-    /** Whether the store failed recently, so that a removed record may merely have expired. */
-    hasStoreFailedRecently(): boolean;
+    /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
+    storeFailureAgeMs(): number | undefined;
     /** Writes this entry's record again. */
     markRegistrationLost(): void;
     /** Removes this entry's record. */
@@ -73,12 +74,13 @@
 
 export function createReplication(options: ReplicationOptions): Replication {
     const { timer, random, log, self, members } = options;
-    const store = createStoreCalls(timer, options.store);
+    const failures = createStoreFailures(timer);
+    const store = createStoreCalls(timer, options.store, failures);
     const watcherElection = createWatcherElection({ timer, self, members });
     const startedAt = timer.now();
     let lastSilenceAt = -Infinity;
     /** Whether calls of other entries may still hang from a failure of the store. */
-    const isRecovering = (): boolean => timer.now() - Math.max(startedAt, lastSilenceAt, replica.lastFailureAt()) < recoveryMs;
+    const isRecovering = (): boolean => timer.now() - Math.max(startedAt, lastSilenceAt, replica.lastTroubleAt()) < recoveryMs;
     const announceRevision = (): void => options.announceRevision(isRecovering() ? "everywhere" : "dataCentre");
     const replica = createStoreReplica({
         store,
@@ -121,6 +123,7 @@
         self,
         members,
         replica,
+        failures,
         seeds: options.seeds,
         requestState: options.requestState,
     });
@@ -151,8 +154,7 @@
         },
         onUnknownHeartbeat: ({ revision }) => freshness.recordUnknownPeerRevision(revision),
         freshness: freshness.current,
-        hasStoreFailedRecently: () =>
-            timer.now() - Math.max(replica.lastFailureAt(), registration.lastFailureAt()) < storeFailureWindowMs,
+        storeFailureAgeMs: failures.ageMs,
         markRegistrationLost: registration.markLost,
         deregister: registration.deregister,
         stop: () => {
--- a/packages/steer/src/store/store.ts
+++ b/packages/steer/src/store/store.ts
@@ -37,12 +37,13 @@
 }
 
 /**
- * Why a call failed. `refused`: the store did nothing. `unknown`: a write may have been applied, or may still be.
+ * Why a call failed. `refused`: the store did nothing. `rateLimited`: it did nothing, as it serves no more calls of this entry
+ * for now. `unknown`: a write may have been applied, or may still be.
  * `compacted`: the requested history is gone. `conflict`: an expected revision did not match. `noLease`: the lease has
  * expired or was revoked.
  */
 export interface StoreFailure {
-    readonly kind: "refused" | "unknown" | "compacted" | "conflict" | "noLease";
+    readonly kind: "refused" | "rateLimited" | "unknown" | "compacted" | "conflict" | "noLease";
     readonly reason: string;
 }
 
--- a/packages/steer/src/store/storeCalls.ts
+++ b/packages/steer/src/store/storeCalls.ts
@@ -1,7 +1,8 @@
 /** Calls to the store that end in bounded time, whether or not the store responds. */
 import type { Timer } from "@pimentospring/core/time/timer";
 import { err } from "true-myth/result";
-import type { Store, StoreChanges, StorePage, StoreResult, StoreWrite } from "./store.js";
+import type { Store, StoreChanges, StoreFailure, StorePage, StoreResult, StoreWrite } from "./store.js";
+import type { StoreFailures } from "./storeFailures.js";
 
 /** Limits of a call; one without a timeout has the usual one. */
 export interface CallLimits {
@@ -26,21 +27,31 @@
 /** A watch that exceeds its waiting time by this much has lost its connection. */
 const watchTimeoutMarginMs = 700;
 
-export function createStoreCalls(timer: Timer, store: Store): StoreCalls {
+/** Whether the store failed for all; a call beyond the rate limit, or of an old revision or lease, shows a store that works. */
+const isOutage = ({ kind }: StoreFailure): boolean => kind === "unknown" || kind === "refused";
+
+export function createStoreCalls(timer: Timer, store: Store, failures: StoreFailures): StoreCalls {
     let responseAt = -Infinity;
     const callWithin = async <Value>(
         timeoutMs: number,
         start: (signal: AbortSignal) => StoreResult<Value>,
         signal?: AbortSignal,
     ): StoreResult<Value> => {
+        const startedAt = timer.now();
         const abort = new AbortController();
+        let isEnded = false;
         let cancelTimeout = (): void => {};
         const end = new Promise<Awaited<StoreResult<Value>>>(resolve => {
             const endWith = (reason: string): void => {
+                isEnded = true;
                 resolve(err({ kind: "unknown", reason }));
                 abort.abort();
             };
-            cancelTimeout = timer.after(timeoutMs, () => endWith(`no response within ${timeoutMs} ms`));
+            cancelTimeout = timer.after(timeoutMs, () => {
+                // The store was silent when the call reached it; when it spoke again, the call does not show.
+                failures.record(startedAt);
+                endWith(`no response within ${timeoutMs} ms`);
+            });
             signal?.addEventListener("abort", () => endWith("the call was ended"), { once: true });
         });
         const result = await Promise.race([start(abort.signal), end]);
@@ -48,6 +59,9 @@
         if (result.isOk || result.error.kind !== "unknown") {
             responseAt = timer.now();
         }
+        if (result.isErr && isOutage(result.error) && !isEnded) {
+            failures.record(timer.now());
+        }
         return result;
     };
     return {
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -17,8 +17,8 @@
     readonly registry: TargetRegistry;
     readonly members: Members;
     readonly self: InstanceId;
-    /** Whether removed records may have expired during an outage of the store. */
-    readonly hasStoreFailedRecently: () => boolean;
+    /** Time since the store's last failure, in milliseconds, if removed records may have expired in it. */
+    readonly storeFailureAgeMs: () => number | undefined;
     /** Called when this entry's own record was removed from the store. */
     readonly onRegistrationLost: () => void;
     /** Called with each newer configuration. */
@@ -42,9 +42,11 @@
     const evacuatedDataCentres = new Set<DataCentreId>();
     const removals = createDeferredRemovals({
         timer,
-        hasStoreFailedRecently: options.hasStoreFailedRecently,
+        storeFailureAgeMs: options.storeFailureAgeMs,
         targetCount: registry.count,
+        isDraining: id => registry.find(id)?.record.isDraining === true,
         remove: registry.remove,
+        onDeferred: (count, failureAgeMs) => log.write(logEvents.removalDeferred, { count, failureAgeMs }),
     });
     let version = -Infinity;
 
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -39,9 +39,9 @@
     /** Current items and the revision that they reflect. */
     snapshot(): ItemsSnapshot;
     /** Changes after a revision, or a full snapshot if the kept history does not reach back that far. */
-    updateSince(revision: number): StoreUpdate;
+    updateSince(revision: number): ItemsUpdate;
     /** Applies a peer's update if it is newer than this replica. Returns whether it was applied. */
-    applyUpdate(update: StoreUpdate): boolean;
+    applyUpdate(update: ItemsUpdate): boolean;
     revision(): number;
     /** Records that a peer has reached a revision. A call that stays without a response to it is ended. */
     recordPeerRevision(peerRevision: number): void;
@@ -54,16 +54,10 @@
     isWatching(): boolean;
     /** Time since which a call to the store has been pending, on the timer's clock; `undefined` if none is. */
     pendingSince(): number | undefined;
-    /** Time of the store's last failure, on the timer's clock. */
-    lastFailureAt(): number;
+    /** Time at which this entry last noticed that a call to the store failed or hung, on the timer's clock. */
+    lastTroubleAt(): number;
 }
 
-/** Update of a replica, sent from one entry to another. */
-export type StoreUpdate = ItemsUpdate & {
-    /** Whether the store failed the sender recently. */
-    readonly isUnsettled: boolean;
-};
-
 /** Time that a watch call waits for changes; it differs so that not all entries' calls end together. */
 const watchWaitMs = { min: 4_000, max: 11_000 } as const;
 /** A call to a store that may not respond. */
@@ -80,8 +74,6 @@
 const lookIntervalMs = 750;
 /** Interval at which an entry that need not watch checks whether that has changed. */
 const watchNeedCheckIntervalMs = 300;
-/** For this long after a store failure, a missing record may merely have expired. */
-export const storeFailureWindowMs = 4_000;
 
 /** An error while changes are applied must not end the watch. */
 const toUnexpectedFailure = (error: Error): StoreFailure => ({ kind: "unknown", reason: error.stack ?? error.message });
@@ -101,7 +93,7 @@
     let isStopped = false;
     let isConnected = false;
     let isWatchRequired = false;
-    let failureAt = -Infinity;
+    let troubleAt = -Infinity;
     let failures = 0;
     let pending: PendingCall | undefined;
     let cancelPause: Cancel = () => {};
@@ -148,7 +140,7 @@
         return changes.map(({ events, revision: upTo }) => items.applyChanges(events, upTo));
     };
     const recordFailure = (failure: StoreFailure): void => {
-        failureAt = timer.now();
+        troubleAt = timer.now();
         if (failure.kind === "unknown") {
             doubtAt = timer.now();
         }
@@ -254,7 +246,7 @@
         peerRestarts++;
         isBehindPeer = true;
         doubtAt = timer.now();
-        failureAt = timer.now();
+        troubleAt = timer.now();
         restartCall();
     };
     const recordPeerRevision = (peerRevision: number): void => {
@@ -276,17 +268,11 @@
             pending?.abort.abort();
         },
         snapshot: items.snapshot,
-        updateSince: after => ({
-            ...items.updateSince(after),
-            isUnsettled: timer.now() - failureAt < storeFailureWindowMs,
-        }),
+        updateSince: items.updateSince,
         applyUpdate: update => {
             if (update.revision <= items.revision()) {
                 return false;
             }
-            if (update.isUnsettled) {
-                failureAt = timer.now();
-            }
             if (update.kind === "state") {
                 items.applySnapshot(update);
             }
@@ -302,6 +288,6 @@
         isConnected: () => isConnected && !isDoubtful(),
         isWatching: () => isWatchRequired && isConnected && !isDoubtful() && !isBehindPeer,
         pendingSince: () => pending?.startedAt,
-        lastFailureAt: () => failureAt,
+        lastTroubleAt: () => troubleAt,
     };
 }
