fix(runtime,steer,entry,console): a stopping process closes no connection whose response waits to be written

Cause: the entry closed idle connections every 50 ms while it stopped. Node counts one as idle once end() has been called on its response, whether it is written or not, and close() of a server closes these first. A connection just opened, whose first request is on the way, counts as idle too.

Change: connections are followed until their response is with the operating system; only those without a request are closed, new ones not before 500 ms; listening ends without closing anything; the process waits until none is left, up to its deadline. The own interface waits for its responses too.

The soak reads one answer in sixty slowly and wants it whole.

--- a/packages/console/src/main.ts
+++ b/packages/console/src/main.ts
@@ -2,11 +2,13 @@
 /** `pimento-console`: runs the operator console from a settings file. */
 import { results } from "@pimentospring/core/results/resultCode";
 import { listen, splitAddress } from "@pimentospring/runtime/http/jsonServer";
+import { trackConnections } from "@pimentospring/runtime/http/serverConnections";
 import { createLog } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createStore } from "@pimentospring/runtime/platform/store";
 import { exitCodes, printBanner, printError } from "@pimentospring/runtime/program/program";
 import { runSettingsProgram } from "@pimentospring/runtime/program/settingsProgram";
+import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
 import { createSessions } from "./auth/sessions.js";
 import { createConsoleServer } from "./server/consoleServer.js";
 import { type ConsoleSettings, consoleSettings } from "./settings/settings.js";
@@ -26,6 +28,7 @@
     const log = createLog(program, settings.listen, settings.log.level);
     const store = createStore(settings.platform.store, settings.platform.timeoutMs);
     const server = createConsoleServer({ sessions: createSessions(settings, Date.now), store, log, wallTime: Date.now });
+    const connections = trackConnections({ server, timer: createClockTimer() });
     const { host, port } = splitAddress(settings.listen);
     try {
         await listen(server, host, port);
@@ -40,8 +43,8 @@
         log.write(logEvents.stopping);
         // Lets requests in flight finish and closes only idle connections.
         await new Promise<void>(resolve => {
-            server.close(() => resolve());
-            server.closeIdleConnections();
+            connections.stopListening(resolve);
+            connections.closeIdle();
         });
         await store.close();
         log.write(logEvents.stopped);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,13 +6,13 @@
 import type { CoreAction, CoreEvent, OperatorNote } from "@pimentospring/core/requests/events";
 import type { Timer } from "@pimentospring/core/time/timer";
 import { listen, splitAddress } from "@pimentospring/runtime/http/jsonServer";
+import { type ServerConnections, trackConnections } from "@pimentospring/runtime/http/serverConnections";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createStore } from "@pimentospring/runtime/platform/store";
 import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
 import { createTracing } from "@pimentospring/runtime/traces/tracing";
 import { randomBytes } from "node:crypto";
-import type { Server } from "node:http";
 import { createCallerServer } from "./callers/callerServer.js";
 import { createRequestExecutor, type RequestExecutor } from "./exchange/requestExecutor.js";
 import { createMesh, type Mesh } from "./mesh/mesh.js";
@@ -120,6 +120,7 @@
         maxBodyBytes: settings.callers.maxBodyBytes,
         submitRequest: components.requestExecutor.submitRequest,
     });
+    const connections = trackConnections({ server, timer });
     const { host, port } = splitAddress(settings.callers.listen);
     await listen(server, host, port);
     const follower = createPlatformFollower({
@@ -142,7 +143,7 @@
     };
     const stop = async (deadlineMs: number): Promise<number> => {
         handle({ kind: "leave" });
-        await drain(timer, components.core, server, deadlineMs);
+        await drain(timer, components.core, connections, deadlineMs);
         const abortedCount = components.requestExecutor.abortAll();
         for (const peer of components.core.status().peers) {
             components.mesh.sendMessage(peer.instance, { kind: "goodbye", from: self });
@@ -165,15 +166,18 @@
 
 const sleep = (timer: Timer, durationMs: number): Promise<void> => new Promise(resolve => timer.after(durationMs, resolve));
 
-/** Waits until no new requests arrive and none is in flight, or the deadline passes. */
-async function drain(timer: Timer, core: EntryCore, server: Server, deadlineMs: number): Promise<void> {
+/** Waits until no new requests arrive, none is in flight and every response is written, or the deadline passes. */
+async function drain(timer: Timer, core: EntryCore, connections: ServerConnections, deadlineMs: number): Promise<void> {
     const startedAt = timer.now();
     const lastActivityAt = (): number => Math.max(startedAt, core.lastArrivalAt());
     do {
         await sleep(timer, drainPollIntervalMs);
-        server.closeIdleConnections();
+        connections.closeIdle();
     }
-    while (timer.now() - startedAt < deadlineMs && (timer.now() - lastActivityAt() < drainQuietPeriodMs || core.inFlight() > 0));
+    while (
+        timer.now() - startedAt < deadlineMs
+        && (timer.now() - lastActivityAt() < drainQuietPeriodMs || core.inFlight() > 0 || connections.openRequestCount() > 0)
+    );
 }
 
 function logNote(log: Log, note: OperatorNote): void {
--- /dev/null
+++ b/packages/runtime/src/http/__tests__/serverConnections.test.ts
@@ -0,0 +1,42 @@
+/** Connections whose response waits to be written to a slow client, while their server stops. */
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { createClockTimer } from "../../time/clockTimer.js";
+import { listen } from "../jsonServer.js";
+import { trackConnections } from "../serverConnections.js";
+
+/** More than the buffers of a loopback connection hold. */
+const body = Buffer.alloc(24_000_000, "x");
+
+// Guards against LOST: Node's `close`, which closes idle connections first, cut such a response.
+test("a server that stops to listen lets a slow client read its response to the end, and then has closed", async context => {
+    const server = createServer((_request, response) => {
+        response.setHeader("connection", "close");
+        response.end(body);
+    });
+    const connections = trackConnections({ server, timer: createClockTimer() });
+    const { port } = await listen(server, "127.0.0.1", 0);
+    const socket = connect(port, "127.0.0.1").on("error", () => {});
+    context.after(() => server.closeAllConnections());
+    let receivedBytes = 0;
+    let isClosed = false;
+    socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    await new Promise(resolve => setTimeout(resolve, 200));
+    assert.equal(connections.openRequestCount(), 1);
+    connections.stopListening(() => {
+        isClosed = true;
+    });
+    connections.closeIdle();
+    socket.on("data", chunk => {
+        receivedBytes += chunk.length;
+        socket.pause();
+        setTimeout(() => socket.resume(), 1);
+    });
+    await new Promise(resolve => socket.once("close", resolve));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    assert.ok(receivedBytes > body.length, `${receivedBytes} bytes`);
+    assert.ok(isClosed);
+    assert.equal(connections.openRequestCount(), 0);
+});
--- /dev/null
+++ b/packages/runtime/src/http/serverConnections.ts
@@ -0,0 +1,74 @@
+/**
+ * Connections of an HTTP server, and which of them are idle. Node's own `closeIdleConnections`, which its `close` calls too, also
+ * closes those whose response still waits to be written to a slow client.
+ */
+import type { Timer } from "@pimentospring/core/time/timer";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
+
+export interface ServerConnections {
+    /**
+     * Closes the connections on which no request is received, handled or answered. One that has just been opened is left alone,
+     * as its first request may be on the way.
+     */
+    closeIdle(): void;
+    /** Accepts no further connections and leaves the open ones alone. Calls `onClosed` once all of them have ended. */
+    stopListening(onClosed?: () => void): void;
+    /** Requests whose head was received and whose response is not yet with the operating system. */
+    openRequestCount(): number;
+    openCount(): number;
+}
+
+export interface ServerConnectionsOptions {
+    readonly server: Server;
+    readonly timer: Timer;
+}
+
+/** Time for the first request of a new connection. */
+const firstRequestMs = 500;
+
+interface ConnectionState {
+    openRequests: number;
+    /** Bytes received when the connection became idle; more of them belong to a request that is being received. */
+    idleAtBytes: number;
+    /** Time from which it may be closed while it is idle. */
+    closableAt: number;
+}
+
+/** Follows the server's connections from now on. */
+export function trackConnections({ server, timer }: ServerConnectionsOptions): ServerConnections {
+    const states = new Map<Socket, ConnectionState>();
+    let openRequests = 0;
+    server.on("connection", (socket: Socket) => {
+        states.set(socket, { openRequests: 0, idleAtBytes: 0, closableAt: timer.now() + firstRequestMs });
+        socket.once("close", () => states.delete(socket));
+    });
+    server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
+        const state = states.get(socket);
+        if (state === undefined) {
+            return;
+        }
+        openRequests++;
+        state.openRequests++;
+        // Comes when the response is with the operating system, or has been given up.
+        response.once("close", () => {
+            openRequests--;
+            state.openRequests--;
+            state.idleAtBytes = socket.bytesRead;
+            state.closableAt = timer.now();
+        });
+    });
+    return {
+        closeIdle: () => {
+            for (const [socket, state] of states) {
+                const isIdle = state.openRequests === 0 && socket.bytesRead === state.idleAtBytes;
+                if (isIdle && timer.now() >= state.closableAt) {
+                    socket.destroySoon();
+                }
+            }
+        },
+        stopListening: onClosed => void NetServer.prototype.close.call(server, onClosed),
+        openRequestCount: () => openRequests,
+        openCount: () => states.size,
+    };
+}
--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -1,7 +1,7 @@
 /** Callers as the platform documents them: they look up entries, keep connections open, retry, and disconnect early. */
 import type { Random } from "@pimentospring/core/random/random";
 import { standinHost } from "@pimentospring/standin/direct/operatorStandin";
-import { crashMarker } from "@pimentospring/standin/direct/targetStandin";
+import { crashMarker, longMarker, longPadding } from "@pimentospring/standin/direct/targetStandin";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, type Dispatcher, request } from "undici";
 import type { Daemon } from "../cluster/daemons.js";
@@ -32,11 +32,17 @@
     readonly isIdempotent: boolean;
     readonly timeoutMs: number;
     readonly abandonAfterMs: number | undefined;
+    /** Whether the answer is long and read slowly. */
+    readonly isSlowlyRead: boolean;
 }
 
 const deadlineMs = 2_500;
 const lookupTimeoutMs = 1_000;
 const maxPauseMs = 60;
+/** Time for a long answer that is read slowly, and the pause after each of its chunks. */
+const slowReadMs = 10_000;
+const chunkPauseMs = 4;
+const slowReadInterval = 60;
 /** One in this many requests is abandoned early, probes the configuration, or uses a new connection, respectively. */
 const abandonInterval = 25;
 const probeInterval = 12;
@@ -47,6 +53,18 @@
 const crashingAddressCount = 40;
 const firstCrashingAddress = 200;
 
+/** Reads a long answer, in chunks with pauses between them; returns it without its padding. */
+async function readSlowly(body: AsyncIterable<Buffer>): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of body) {
+        chunks.push(chunk);
+        await sleep(chunkPauseMs);
+    }
+    const bytes = Buffer.concat(chunks);
+    const textBytes = bytes.length - longPadding.length;
+    return bytes.subarray(textBytes).equals(longPadding) ? bytes.toString("latin1", 0, textBytes) : "the padding is not whole";
+}
+
 export function createCallers(options: CallersOptions): Callers {
     const { daemons, random, outcomes } = options;
     const lookupAgent = new Agent();
@@ -88,7 +106,9 @@
             sentAt,
             timeoutMs: Math.min(plan.timeoutMs, leftMs),
         };
-        const abortSignal = AbortSignal.timeout(plan.abandonAfterMs ?? Math.ceil(leftMs) + lookupTimeoutMs);
+        const patienceMs = Math.ceil(leftMs) + (plan.isSlowlyRead ? slowReadMs : lookupTimeoutMs);
+        const abortSignal = AbortSignal.timeout(plan.abandonAfterMs ?? patienceMs);
+        let hasBegun = false;
         try {
             const answer = await request(`http://${address}${plan.path}`, {
                 method: plan.isIdempotent ? "GET" : "POST",
@@ -96,7 +116,10 @@
                 dispatcher,
                 signal: abortSignal,
             });
-            const text = await answer.body.text();
+            hasBegun = true;
+            const text = plan.isSlowlyRead && answer.statusCode === 200
+                ? await readSlowly(answer.body)
+                : await answer.body.text();
             const retryAfter = answer.headers["retry-after"];
             return {
                 ...common,
@@ -106,25 +129,29 @@
                 isSigned: answer.headers["x-server-stamp"] !== undefined,
                 retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1_000,
                 isAbandoned: false,
+                isCut: false,
             };
         }
         catch (error) {
             const ended = { ...common, endedAt: performance.now(), text: String((error as Error).message), isSigned: false };
             const isAbandoned = plan.abandonAfterMs !== undefined && abortSignal.aborted;
-            return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned };
+            return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned, isCut: hasBegun };
         }
     };
     const planRequest = (): RequestPlan => {
         if (oneIn(probeInterval)) {
             const path = options.probePath();
-            return { path, isIdempotent: true, timeoutMs: options.probeTimeoutMs, abandonAfterMs: undefined };
+            const timeoutMs = options.probeTimeoutMs;
+            return { path, isIdempotent: true, timeoutMs, abandonAfterMs: undefined, isSlowlyRead: false };
         }
         const route = options.routes[random.below(options.routes.length)]!;
+        const isSlowlyRead = oneIn(slowReadInterval);
         return {
-            path: `${route.prefix}${random.below(20)}`,
+            path: `${route.prefix}${isSlowlyRead ? longMarker : ""}${random.below(20)}`,
             isIdempotent: route.isIdempotent,
             timeoutMs: route.timeoutMs,
             abandonAfterMs: oneIn(abandonInterval) ? 20 + random.below(200) : undefined,
+            isSlowlyRead,
         };
     };
     const isRetryable = (outcome: AttemptOutcome): boolean => {
@@ -172,7 +199,13 @@
     const sendCopy = async (copy: number): Promise<void> => {
         const localAddress = `127.0.${options.loopbackSubnet}.${firstCrashingAddress + copy % crashingAddressCount}`;
         const agent = new Agent({ localAddress });
-        const plan = { path: crashingPath, isIdempotent: true, timeoutMs: deadlineMs, abandonAfterMs: undefined };
+        const plan = {
+            path: crashingPath,
+            isIdempotent: true,
+            timeoutMs: deadlineMs,
+            abandonAfterMs: undefined,
+            isSlowlyRead: false,
+        };
         const { callersAddress } = daemons[copy % daemons.length]!;
         outcomes.push(await attempt(callersAddress, plan, agent, deadlineMs));
         await agent.destroy();
--- a/packages/soak/src/promises/__tests__/promises.test.ts
+++ b/packages/soak/src/promises/__tests__/promises.test.ts
@@ -19,6 +19,7 @@
     isSigned: true,
     retryAfterMs: undefined,
     isAbandoned: false,
+    isCut: false,
     timeoutMs: 1_000,
     ...fields,
 });
@@ -81,6 +82,7 @@
     answeredInTime: {
         outcomes: createOutcomes(9, index => outcome(`a${index}`, { status: 504, endedAt: 12_000 })),
     },
+    whole: { outcomes: [outcome("a", { status: undefined, isCut: true })] },
     answered: { outcomes: [outcome("a", { status: undefined, endedAt: 12_000 })] },
     withinBudget: {
         outcomes: [outcome("a", { isIdempotent: true })],
--- a/packages/soak/src/promises/promises.ts
+++ b/packages/soak/src/promises/promises.ts
@@ -230,6 +230,11 @@
         : [];
 };
 
+/** An answer that has begun to arrive arrives whole, unless the daemon's process is killed. */
+export const checkAnswersWhole: PromiseCheck = record =>
+    record.outcomes.filter(outcome => outcome.isCut && !outcome.isAbandoned && !isProcessDisturbed(record, outcome))
+        .map(outcome => violation("whole", `${outcome.request} from ${outcome.daemon} was cut`));
+
 const isProcessDisturbed = ({ disturbances }: SoakRecord, { daemon, sentAt, endedAt }: AttemptOutcome): boolean =>
     disturbances.some(span =>
         span.daemon === daemon && span.kind.startsWith("daemon") && span.from <= endedAt && span.to >= sentAt
@@ -354,6 +359,7 @@
     forward: checkConfigurationNeverReverts,
     answeredInTime: checkAnsweredInTime,
     answered: checkEachAnswered,
+    whole: checkAnswersWhole,
     withinBudget: createRetryBudgetCheck(retrySlack),
     stoppedCleanly: checkStopsCleanly,
     forgotten: checkAbandonedNotSent,
--- a/packages/soak/src/promises/records.ts
+++ b/packages/soak/src/promises/records.ts
@@ -18,6 +18,8 @@
     readonly retryAfterMs: number | undefined;
     /** The caller disconnected before the answer. */
     readonly isAbandoned: boolean;
+    /** The answer began to arrive and broke off. */
+    readonly isCut: boolean;
     /** Time limit for the answer: the route's timeout or the remaining deadline. */
     readonly timeoutMs: number;
 }
--- a/packages/standin/src/direct/targetStandin.ts
+++ b/packages/standin/src/direct/targetStandin.ts
@@ -73,6 +73,11 @@
 /** Length of the queue per slot. */
 const maxQueuedPerSlot = 2;
 
+/** Responses to requests whose path contains this are followed by `longPadding`. */
+export const longMarker = "long";
+/** More than the buffers of a loopback connection hold. */
+export const longPadding = Buffer.alloc(16_000_000, ".");
+
 /** Body of a response; callers recognize by it that the response is complete and belongs to their request. */
 export const answerText = (target: string, request: string): string => `${target} ran ${request}`;
 
@@ -108,13 +113,14 @@
             return;
         }
         const headers = { "X-Server-Stamp": "stamp", "X-Request-Id": requestId, "X-Server-Load": formatLoad() };
-        response.writeHead(200, { ...headers, "Content-Length": text.length });
+        const body = request.url?.includes(longMarker) === true ? Buffer.concat([Buffer.from(text), longPadding]) : text;
+        response.writeHead(200, { ...headers, "Content-Length": body.length });
         if (fault === "cutAnswer") {
             response.write(text.slice(0, text.length / 2), () => request.socket.destroy());
             return;
         }
         const { socket } = request;
-        response.end(text);
+        response.end(body);
         if (fault === "extraAnswer") {
             socket.write(
                 `HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nX-Request-Id: ${requestId}\r\nContent-Length: 5\r\n\r\nextra`,
--- /dev/null
+++ b/packages/steer/src/callers/__tests__/slowCallers.test.ts
@@ -0,0 +1,89 @@
+/** Callers that read slowly, or whose requests are on their way, while an entry stops. */
+import { silentLog } from "@pimentospring/runtime/logs/log";
+import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
+import assert from "node:assert/strict";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { type CallerServer, createCallerServer } from "../callerServer.js";
+
+const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+/** More than the buffers of a loopback connection hold. */
+const body = Buffer.alloc(24_000_000, "x");
+const request = "GET /a/1 HTTP/1.1\r\nHost: a.example\r\n\r\n";
+
+async function startServer(
+    context: TestContext,
+): Promise<{ readonly callers: CallerServer; readonly connectCaller: () => Socket; }> {
+    const callers = createCallerServer({
+        log: silentLog,
+        timer: createClockTimer(),
+        maxBufferedBytes: 1_000_000,
+        onRequest: ({ path }, responder) => {
+            const isLong = path.startsWith("/long");
+            const rawHeaders = ["Content-Length", "0"];
+            responder.respond({ status: 200, statusText: "OK", rawHeaders, body: isLong ? body : Buffer.from("ok") });
+            return () => {};
+        },
+    });
+    await new Promise<void>(resolve => callers.server.listen(0, "127.0.0.1", resolve));
+    context.after(() => {
+        callers.server.close();
+        callers.server.closeAllConnections();
+    });
+    const { port } = callers.server.address() as AddressInfo;
+    return { callers, connectCaller: () => connect(port, "127.0.0.1").on("error", () => {}) };
+}
+
+// Guards against LOST: a response that had been ended but not yet written counted as one of an idle connection.
+test("a response that waits to be written to a slow caller arrives whole although idle connections are closed", async context => {
+    const { callers, connectCaller } = await startServer(context);
+    const socket = connectCaller();
+    let receivedBytes = 0;
+    socket.write(request.replace("/a/", "/long/"));
+    await pause(200);
+    callers.disableKeepAlive();
+    assert.equal(callers.openRequestCount(), 1);
+    const checks = setInterval(callers.closeIdleConnections, 10);
+    context.after(() => clearInterval(checks));
+    await pause(100);
+    socket.on("data", chunk => {
+        receivedBytes += chunk.length;
+        socket.pause();
+        setTimeout(() => socket.resume(), 1);
+    });
+    await new Promise(resolve => socket.once("close", resolve));
+    assert.ok(receivedBytes > body.length, `${receivedBytes} bytes`);
+});
+
+test("connections without a request are closed, those on which a request has begun to arrive are not", async context => {
+    const { callers, connectCaller } = await startServer(context);
+    const [unused, used, arriving, next] = [connectCaller(), connectCaller(), connectCaller(), connectCaller()] as const;
+    const ended = [unused, used, arriving, next].map(() => false);
+    const texts = ended.map(() => "");
+    [unused, used, arriving, next].forEach((socket, index) => {
+        socket.on("data", chunk => {
+            texts[index] += String(chunk);
+        });
+        socket.once("close", () => {
+            ended[index] = true;
+        });
+    });
+    used.write(request);
+    arriving.write(request.slice(0, 20));
+    next.write(request);
+    await pause(100);
+    next.write(request.slice(0, 20));
+    await pause(500);
+    const fresh = connectCaller();
+    await pause(50);
+    callers.closeIdleConnections();
+    await pause(100);
+    assert.deepEqual(ended, [true, true, false, false]);
+    // Guards against a cut: a connection that had just been opened was closed before its first request was read.
+    fresh.write(request);
+    assert.match(await new Promise(resolve => fresh.once("data", data => resolve(String(data)))), /^HTTP\/1\.1 200 /);
+    arriving.write(request.slice(20));
+    next.write(request.slice(20));
+    await pause(100);
+    assert.deepEqual(texts.map(text => text.split("HTTP/1.1 200").length - 1), [0, 1, 1, 2]);
+});
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import { type Result, results } from "@pimentospring/core/results/resultCode";
 import type { CallerLimits } from "@pimentospring/core/steering/steeringDocument";
 import type { Timer } from "@pimentospring/core/time/timer";
+import { trackConnections } from "@pimentospring/runtime/http/serverConnections";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
@@ -48,8 +49,13 @@
     setLimits(limits: CallerLimits): void;
     /** Closes the connection after each response from now on. */
     disableKeepAlive(): void;
+    /** Closes the connections on which no request is received, handled or answered. */
+    closeIdleConnections(): void;
+    /** Accepts no further connections and leaves the open ones alone. */
+    stopListening(): void;
     /** Requests whose head was received and whose response is not yet with the operating system. */
     openRequestCount(): number;
+    openConnectionCount(): number;
 }
 
 /** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
@@ -76,7 +82,6 @@
 export function createCallerServer(options: CallerServerOptions): CallerServer {
     const { log, timer, onRequest } = options;
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes);
-    let openRequests = 0;
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
 
@@ -92,8 +97,6 @@
     };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
-        openRequests++;
-        response.once("close", () => openRequests--);
         const responder = createResponder(response, () => isKeepAliveDisabled);
         /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
         const refuseUnread = (result: Result, retryAfterMs?: number): void => {
@@ -141,6 +144,7 @@
         connectionsCheckingInterval: connectionCheckIntervalMs,
         noDelay: true,
     }, handle);
+    const connections = trackConnections({ server, timer });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         log.write(logEvents.callerError, { reason: error.code ?? error.message });
         if (socket.writable) {
@@ -160,7 +164,10 @@
         disableKeepAlive: () => {
             isKeepAliveDisabled = true;
         },
-        openRequestCount: () => openRequests,
+        closeIdleConnections: connections.closeIdle,
+        stopListening: connections.stopListening,
+        openRequestCount: connections.openRequestCount,
+        openConnectionCount: connections.openCount,
     };
 }
 
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -283,10 +283,10 @@
             const now = timer.now();
             const isClosed = now > stopRequestedAt! + listenerCloseDelayMs;
             if (isClosed && callerServer.server.listening) {
-                callerServer.server.close();
+                callerServer.stopListening();
             }
-            callerServer.server.closeIdleConnections();
-            if (now >= stopDeadline || (callerServer.openRequestCount() === 0 && isClosed)) {
+            callerServer.closeIdleConnections();
+            if (now >= stopDeadline || (isClosed && callerServer.openConnectionCount() === 0)) {
                 return callerServer.openRequestCount();
             }
             await new Promise<void>(resolve => timer.after(stopPollIntervalMs, resolve));
