--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import { createMesh, type Mesh } from "./mesh/mesh.js";
 import { toReceivedRequest } from "./mesh/peerRequest.js";
 import { createMetrics } from "./observe/metrics.js";
+import { createRefusalLog } from "./observe/refusalLog.js";
 import { createPlatformFollower } from "./platform/platformFollower.js";
 import type { EntrySettings } from "./settings/settings.js";
 import { createTargetClient } from "./targets/targetClient.js";
@@ -89,6 +90,7 @@
         mesh: () => components.mesh,
         metrics,
         tracing,
+        onRefused: createRefusalLog({ timer, log }),
     });
     const addPeerAddress = (address: Address): void => components.mesh.addPeerAddress(address);
     components.mesh = await createMesh({
--- a/packages/entry/src/exchange/requestExecutor.ts
+++ b/packages/entry/src/exchange/requestExecutor.ts
@@ -11,6 +11,7 @@
 import type { HopSpan, Tracing } from "@pimentospring/runtime/traces/tracing";
 import type { Mesh } from "../mesh/mesh.js";
 import type { Metrics } from "../observe/metrics.js";
+import type { RefusedRequest } from "../observe/refusalLog.js";
 import type { TargetClient } from "../targets/targetClient.js";
 import type {
     AttemptFailure,
@@ -46,6 +47,7 @@
     readonly mesh: () => Mesh;
     readonly metrics: Metrics;
     readonly tracing: Tracing;
+    readonly onRefused: (request: RefusedRequest) => void;
 }
 
 interface Exchange {
@@ -53,6 +55,8 @@
     readonly received: ReceivedRequest;
     readonly arrivedAt: number;
     readonly attempts: Map<AttemptId, ActiveAttempt>;
+    /** Where the request was sent, and how each attempt ended, for the log. */
+    readonly trail: string[];
     /** Whether the response is complete, or the caller or peer has disconnected. */
     isClosed: boolean;
 }
@@ -79,7 +83,7 @@
 
     const submitRequest = (received: ReceivedRequest): () => void => {
         const id = toRequestId(`${options.instance}#${++requestCount}`);
-        const exchange: Exchange = { id, received, arrivedAt: timer.now(), attempts: new Map(), isClosed: false };
+        const exchange: Exchange = { id, received, arrivedAt: timer.now(), attempts: new Map(), trail: [], isClosed: false };
         exchanges.set(id, exchange);
         handle({ kind: "requestArrived", request: toIncomingRequest(id, received) });
         return () => {
@@ -89,6 +93,8 @@
             }
         };
     };
+    const addStep = (exchange: Exchange, step: string): void =>
+        void exchange.trail.push(`${Math.round(timer.now() - exchange.arrivedAt)}ms ${step}`);
     const closeExchange = (exchange: Exchange): void => {
         exchange.isClosed = true;
         exchange.received.span.end();
@@ -142,6 +148,10 @@
         },
         onFailure: failure => {
             if (finishAttempt(exchange, active)) {
+                addStep(
+                    exchange,
+                    failure.kind === "refused" ? `refused: ${failure.result.name}` : `${failure.kind}: ${failure.reason}`,
+                );
                 handle({ kind: "attemptEnded", attempt: active.id, end: toAttemptEnd(active, failure) });
             }
         },
@@ -168,6 +178,7 @@
         metrics.countAttempt("target");
         const active = startAttempt(exchange, action.attempt, "target");
         active.span.setAttribute("target", action.target);
+        addStep(exchange, `sent to target ${action.target}`);
         const request = prepareOutgoing(exchange, active);
         active.handle = options.targets.send(
             action.address,
@@ -182,6 +193,7 @@
         metrics.countAttempt("peer");
         const active = startAttempt(exchange, action.attempt, "peer");
         active.span.setAttribute("peer", action.peer);
+        addStep(exchange, `sent to peer ${action.peer}, ${action.role}`);
         active.handle = options.mesh().openStream(action.peer, {
             attempt: action.attempt,
             role: action.role,
@@ -217,6 +229,17 @@
             metrics.countRefusal(exchange.received.service, result);
             exchange.received.span.setAttribute("code", result.code);
             closeExchange(exchange);
+            const { received, trail } = exchange;
+            const origin = received.origin.kind === "caller" ? "caller" : `peer ${received.origin.peer}, ${received.origin.role}`;
+            const tookMs = timer.now() - exchange.arrivedAt;
+            options.onRefused({
+                traceId: received.span.context.traceId,
+                service: received.service,
+                origin,
+                result,
+                tookMs,
+                trail,
+            });
         }
     };
     const replay = (request: RequestId, answer: CachedResponse): void => {
