fix(core): a request that a peer has passed on does not wait where nothing can run it

Requests that the other entry has just passed on to its owner then find no slot there, and must not be passed on again. They waited to their deadline, 5 s, at the head of the queue; the queue stops at a head that can't be placed, fills with eight, and everything behind it is refused. After the SIGTERM of the other entry, 2 s later, all tickets of that data centre came from this one. In all that time eight slots of jhb-a stood by, about two of them in use.

Change: what a peer has passed on is refused at once, as not run, where this entry has no capacity, on arrival and in the queue, so that the peer places it anew; a head of the queue that can't be placed no longer stops what stands behind it.

--- a/packages/core/src/admission/laneQueue.ts
+++ b/packages/core/src/admission/laneQueue.ts
@@ -18,8 +18,8 @@
     remove(item: Item): boolean;
     /** Returns an item to the head of its lane and restores the turn that `pop` took. */
     pushFront(lane: Lane, queued: QueuedItem<Item>): void;
-    /** Removes and returns all items. */
-    clear(): Item[];
+    /** Removes and returns the items for which `isRemoved` holds. */
+    removeWhere(isRemoved: (item: Item) => boolean): Item[];
     length(lane: Lane): number;
     total(): number;
 }
@@ -56,7 +56,14 @@
             }
             return index >= 0;
         });
-    const clear = (): Item[] => lanes.flatMap(lane => queues[lane].splice(0).map(queued => queued.item));
+    const removeWhere = (isRemoved: (item: Item) => boolean): Item[] =>
+        lanes.flatMap(lane => {
+            const removed = queues[lane].filter(({ item }) => isRemoved(item));
+            if (removed.length > 0) {
+                queues[lane] = queues[lane].filter(queued => !removed.includes(queued));
+            }
+            return removed.map(({ item }) => item);
+        });
     return {
         push: (lane, queued) => void queues[lane].push(queued),
         pop,
@@ -65,7 +72,7 @@
             remainingTurns[lane]++;
             queues[lane].unshift(queued);
         },
-        clear,
+        removeWhere,
         length: lane => queues[lane].length,
         total: () => lanes.reduce((sum, lane) => sum + queues[lane].length, 0),
     };
--- a/packages/core/src/requests/dispatcher.ts
+++ b/packages/core/src/requests/dispatcher.ts
@@ -23,7 +23,7 @@
     handleRequestAbandoned(request: RequestId): void;
     /** Starts queued requests while slots or grants are available. */
     serveQueue(runtime: ServiceRuntime): void;
-    /** Refuses all queued requests of a service that no target or peer can serve any more. */
+    /** Refuses the queued requests of a service that no target or peer can serve any more. */
     refuseUnservableQueue(runtime: ServiceRuntime): void;
     find(request: RequestId): RequestState | undefined;
     inFlight(): number;
@@ -39,6 +39,8 @@
     readonly isHedgingEnabled: boolean;
 }
 
+/** Queued requests that may fail to be placed in one pass; those behind them may have other targets or peers to go to. */
+const maxUnplaced = 8;
 /** Maximum attempts per request, including the first. */
 const maxAttempts = 3;
 
@@ -49,10 +51,13 @@
     const settleAttempt = createAttemptSettler(options);
     const { tryAnywhere, sendToPeer } = placement;
 
+    /** A request that a peer has passed on needs a slot of this entry: nobody else can serve it from here. */
+    const canBeServed = (state: RequestState, runtime: ServiceRuntime): boolean =>
+        mayForward(state) ? options.canBeServed(runtime) : runtime.pool.capacity() > 0;
     const enqueue = (state: RequestState): void => {
         const runtime = options.runtimeOf(state);
         const lane = state.requestClass.lane;
-        if (!options.canBeServed(runtime)) {
+        if (!canBeServed(state, runtime)) {
             refuse(state, state.lastRefusal ?? results.noTarget);
             return;
         }
@@ -314,23 +319,27 @@
     };
     const serveQueue = (runtime: ServiceRuntime): void => {
         const { queue, pool } = runtime;
-        while (queue.total() > 0 && !options.isRecovering()) {
+        const unplaced: RequestState[] = [];
+        while (queue.total() > 0 && unplaced.length < maxUnplaced && !options.isRecovering()) {
             const hasAvailableGrant = grants.hasAvailableSlot(runtime.id);
             const state = queue.pop(lane => hasAvailableGrant || pool.freeSlots(lane) > 0);
             if (state === undefined) {
-                return;
+                break;
             }
             state.isQueued = false;
             if (!tryAnywhere(state)) {
-                state.isQueued = true;
-                queue.pushFront(state.requestClass.lane, { item: state, deadlineAt: state.deadlineAt });
-                return;
+                unplaced.push(state);
             }
         }
+        for (const state of unplaced.reverse()) {
+            state.isQueued = true;
+            queue.pushFront(state.requestClass.lane, { item: state, deadlineAt: state.deadlineAt });
+        }
     };
     const refuseUnservableQueue = (runtime: ServiceRuntime): void => {
-        if (runtime.queue.total() > 0 && !options.canBeServed(runtime)) {
-            runtime.queue.clear().forEach(state => refuse(state, results.noTarget));
+        if (runtime.queue.total() > 0) {
+            runtime.queue.removeWhere(state => !canBeServed(state, runtime))
+                .forEach(state => refuse(state, state.lastRefusal ?? results.noTarget));
         }
     };
     return {
--- a/packages/harness/src/deployments.ts
+++ b/packages/harness/src/deployments.ts
@@ -244,6 +244,37 @@
     };
 }
 
+/** The smallest deployment of `playground/`: tokens alone, two data centres with two entries and two targets each. */
+export function small(): FakeDeployment {
+    const document = toDocument({
+        regions: { cpt: ["cpt-a"], jhb: ["jhb-a"] },
+        entries: { "cpt-a": 2, "jhb-a": 2 },
+        services: [
+            {
+                id: "tokens",
+                slots: 4,
+                targets: [2, 2],
+                classes: [
+                    shortClass("lookup", ["GET"], "/tokens", "idempotent", 2_000),
+                    shortClass("redeem", ["POST"], "/redeem", "atMostOnce", 5_000),
+                ],
+            },
+        ],
+        mbitPerSecond: 4_000,
+    });
+    const load = { service: "tokens", meanMs: 8 };
+    return {
+        document,
+        entries: { "cpt-a": 2, "jhb-a": 2 },
+        delays: { withinRegionMs: 0.1, betweenRegionsMs: 0.1, toCallerMs: 0.1 },
+        callers: ["10.1.0.9", "10.1.128.9"],
+        loadClasses: [
+            { ...load, name: "lookup", method: "GET", path: "/tokens", isAtMostOnce: false, deadlineMs: 2_000, weight: 10 },
+            { ...load, name: "redeem", method: "POST", path: "/redeem", isAtMostOnce: true, deadlineMs: 5_000, weight: 3 },
+        ],
+    };
+}
+
 function toDocument(size: DeploymentSize): Document {
     const dataCentres = Object.values(size.regions).flat();
     const regions = Object.keys(size.regions);
