--- a/packages/harness/src/__tests__/lastTargetLeaves.test.ts
+++ b/packages/harness/src/__tests__/lastTargetLeaves.test.ts
@@ -43,3 +43,21 @@
         assert.deepEqual(findViolations(result.simulation.log), []);
     }
 });
+
+// Guards against refusals behind a head of the queue that waits for a slot here, while others could go to another entry.
+test("requests behind one that only a slow target can serve go to the other data centre", () => {
+    for (let seed = 1; seed <= 5; seed++) {
+        const result = runScenario({
+            deployment: small(),
+            seed,
+            loadRatio: 0.35,
+            durationMs: 8_000,
+            scheduledActions: [
+                toScheduledAction({ kind: "drain", at: 1_000, target: 0 }),
+                toScheduledAction({ kind: "slow", at: 3_000, target: 1, factor: 60, lasts: 3_000 }),
+            ],
+        });
+        assert.ok(result.answered >= 0.99 * result.sent, `seed ${seed}: ${result.answered} of ${result.sent} answered`);
+        assert.deepEqual(findViolations(result.simulation.log), []);
+    }
+});
