fix(soak): a soak that is ended early ends its daemons

The process now exits on SIGTERM and SIGINT and kills its own children as it exits: tried by hand once, three daemons before the signal, none a second and a half after it.

--- a/packages/soak/src/cluster/daemons.ts
+++ b/packages/soak/src/cluster/daemons.ts
@@ -54,6 +54,8 @@
     const address = (name: typeof listenerNames[number]): string =>
         `${placement.host}:${placement.firstPort + listenerNames.indexOf(name)}`;
     write(options.retrySlack);
+    // A soak that is ended early leaves no daemon behind, which would keep the addresses of the next one.
+    process.once("exit", () => child?.kill("SIGKILL"));
     return {
         placement,
         callersAddress: address("callers"),
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -56,6 +56,9 @@
     .option("--keep <folder>", "Folder for logs and records", { default: "target/soak" })
     .action((flags: Flags) => soak(flags));
 cli.help();
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(exitCodes.failed));
+}
 try {
     cli.parse(process.argv, { run: false });
     await cli.runMatchedCommand();
