--- a/scripts/src/__tests__/reportedFaults.test.ts
+++ b/scripts/src/__tests__/reportedFaults.test.ts
@@ -155,3 +155,16 @@
     assert.ok((counts.get("answered") ?? 0) > 20, JSON.stringify([...counts]));
     assert.equal(await first.exited, 0);
 });
+
+// Guards against LOST: the second signal met no handler any more and ended the process at once.
+test("a stop that is ordered twice cuts nothing", { timeout: 30_000 }, async () => {
+    const daemon = fleet.daemons.at(-1)!;
+    fleet.targets.forEach(target => target.setWorkMs(600));
+    const endings = Array.from({ length: 4 }, (_, index) => sendAlone(daemon, `twice${index}`));
+    await sleep(200);
+    daemon.child.kill("SIGTERM");
+    await sleep(100);
+    daemon.child.kill("SIGTERM");
+    assert.deepEqual(await Promise.all(endings), ["answered", "answered", "answered", "answered"]);
+    assert.equal(await daemon.exited, 0);
+});
