--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -2,6 +2,7 @@
 import type { Random } from "@pimentospring/core/random/random";
 import { standinHost } from "@pimentospring/standin/direct/operatorStandin";
 import { crashMarker, longMarker, longPadding } from "@pimentospring/standin/direct/targetStandin";
+import { type IncomingHttpHeaders, type IncomingMessage, request as httpRequest, type RequestOptions } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, type Dispatcher, request } from "undici";
 import type { Daemon } from "../cluster/daemons.js";
@@ -53,16 +54,34 @@
 const crashingAddressCount = 40;
 const firstCrashingAddress = 200;
 
-/** Reads a long answer, in chunks with pauses between them; returns it without its padding. */
-async function readSlowly(body: AsyncIterable<Buffer>): Promise<string> {
+interface ReadAnswer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly text: string;
+}
+
+async function readAtOnce(answer: Dispatcher.ResponseData, onBegun: () => void): Promise<ReadAnswer> {
+    onBegun();
+    return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() };
+}
+
+/** Node's client, as undici's fails where a connection ends while its body is paused. */
+const beginSlowly = (url: string, options: RequestOptions): Promise<IncomingMessage> =>
+    new Promise((resolve, reject) => httpRequest(url, options, resolve).once("error", reject).end());
+
+/** Reads an answer in chunks with pauses between them; leaves out the padding of a long one. */
+async function readSlowly(answer: IncomingMessage, onBegun: () => void): Promise<ReadAnswer> {
     const chunks: Buffer[] = [];
-    for await (const chunk of body) {
-        chunks.push(chunk);
+    onBegun();
+    for await (const chunk of answer) {
+        chunks.push(chunk as Buffer);
         await sleep(chunkPauseMs);
     }
     const bytes = Buffer.concat(chunks);
-    const textBytes = bytes.length - longPadding.length;
-    return bytes.subarray(textBytes).equals(longPadding) ? bytes.toString("latin1", 0, textBytes) : "the padding is not whole";
+    const textBytes = answer.statusCode === 200 ? bytes.length - longPadding.length : bytes.length;
+    const isWhole = answer.statusCode !== 200 || bytes.subarray(textBytes).equals(longPadding);
+    const text = isWhole ? bytes.toString("latin1", 0, textBytes) : "the padding is not whole";
+    return { status: answer.statusCode!, headers: answer.headers, text };
 }
 
 export function createCallers(options: CallersOptions): Callers {
@@ -109,23 +128,22 @@
         const patienceMs = Math.ceil(leftMs) + (plan.isSlowlyRead ? slowReadMs : lookupTimeoutMs);
         const abortSignal = AbortSignal.timeout(plan.abandonAfterMs ?? patienceMs);
         let hasBegun = false;
-        try {
-            const answer = await request(`http://${address}${plan.path}`, {
-                method: plan.isIdempotent ? "GET" : "POST",
-                headers: { "host": standinHost, "x-request-id": id, "x-deadline-ms": String(Math.floor(leftMs)) },
-                dispatcher,
-                signal: abortSignal,
-            });
+        const onBegun = (): void => {
             hasBegun = true;
-            const text = plan.isSlowlyRead && answer.statusCode === 200
-                ? await readSlowly(answer.body)
-                : await answer.body.text();
+        };
+        try {
+            const url = `http://${address}${plan.path}`;
+            const method = plan.isIdempotent ? "GET" : "POST";
+            const headers = { "host": standinHost, "x-request-id": id, "x-deadline-ms": String(Math.floor(leftMs)) };
+            const answer = plan.isSlowlyRead
+                ? await readSlowly(await beginSlowly(url, { method, headers, signal: abortSignal, agent: false }), onBegun)
+                : await readAtOnce(await request(url, { method, headers, dispatcher, signal: abortSignal }), onBegun);
             const retryAfter = answer.headers["retry-after"];
             return {
                 ...common,
                 endedAt: performance.now(),
-                status: answer.statusCode,
-                text,
+                status: answer.status,
+                text: answer.text,
                 isSigned: answer.headers["x-server-stamp"] !== undefined,
                 retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1_000,
                 isAbandoned: false,
