--- a/packages/soak/src/cluster/daemons.ts
+++ b/packages/soak/src/cluster/daemons.ts
@@ -54,8 +54,6 @@
     const address = (name: typeof listenerNames[number]): string =>
         `${placement.host}:${placement.firstPort + listenerNames.indexOf(name)}`;
     write(options.retrySlack);
-    // A soak that is ended early leaves no daemon behind, which would keep the addresses of the next one.
-    process.once("exit", () => child?.kill("SIGKILL"));
     return {
         placement,
         callersAddress: address("callers"),
@@ -77,8 +75,12 @@
             });
             closeSync(log);
             child = started;
+            // A soak that is ended early leaves no daemon behind, which would keep the addresses of the next one.
+            const killWithSoak = (): boolean => started.kill("SIGKILL");
+            process.once("exit", killWithSoak);
             ended = new Promise(resolve =>
                 started.once("exit", () => {
+                    process.off("exit", killWithSoak);
                     run.endedAt = performance.now();
                     child = undefined;
                     resolve();
