fix(soak): an answer that a slow caller reads is in time when it begins in time

It counts to the beginning of the answer now; one that begins too late, or has not begun, is found as before, which a test of the check shows. That such an answer arrives whole is "whole"'s matter.

--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -127,9 +127,9 @@
         };
         const patienceMs = Math.ceil(leftMs) + (plan.isSlowlyRead ? slowReadMs : lookupTimeoutMs);
         const abortSignal = AbortSignal.timeout(plan.abandonAfterMs ?? patienceMs);
-        let hasBegun = false;
+        let begunAt: number | undefined;
         const onBegun = (): void => {
-            hasBegun = true;
+            begunAt = performance.now();
         };
         try {
             const url = `http://${address}${plan.path}`;
@@ -147,13 +147,14 @@
                 isSigned: answer.headers["x-server-stamp"] !== undefined,
                 retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1_000,
                 isAbandoned: false,
+                begunAt,
                 isCut: false,
             };
         }
         catch (error) {
             const ended = { ...common, endedAt: performance.now(), text: String((error as Error).message), isSigned: false };
             const isAbandoned = plan.abandonAfterMs !== undefined && abortSignal.aborted;
-            return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned, isCut: hasBegun };
+            return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned, begunAt, isCut: begunAt !== undefined };
         }
     };
     const planRequest = (): RequestPlan => {
--- a/packages/soak/src/promises/__tests__/promises.test.ts
+++ b/packages/soak/src/promises/__tests__/promises.test.ts
@@ -19,6 +19,7 @@
     isSigned: true,
     retryAfterMs: undefined,
     isAbandoned: false,
+    begunAt: undefined,
     isCut: false,
     timeoutMs: 1_000,
     ...fields,
@@ -111,6 +112,13 @@
     });
 }
 
+test("an answer that a slow caller reads counts as given when it begins", () => {
+    const late = (begunAt: number): AttemptOutcome[] =>
+        createOutcomes(9, index => outcome(`a${index}`, { status: 504, begunAt, endedAt: 12_000 }));
+    assert.deepEqual(findBrokenPromises({ outcomes: late(11_600) }), ["answeredInTime"]);
+    assert.deepEqual(findBrokenPromises({ outcomes: late(10_900) }), []);
+});
+
 test("a request that a disturbed daemon leaves unanswered, or whose connection breaks, breaks no promise", () => {
     const silent = outcome("a", { status: undefined, endedAt: 12_000 });
     const disturbances = [{ daemon: "one", kind: "daemonPause", from: 11_000, to: 13_000 }];
--- a/packages/soak/src/promises/promises.ts
+++ b/packages/soak/src/promises/promises.ts
@@ -220,8 +220,9 @@
 /** At undisturbed daemons, most requests that reach their route's timeout are answered soon after it. */
 export const checkAnsweredInTime: PromiseCheck = record => {
     const calm = record.outcomes.filter(outcome => isUndisturbed(record, outcome.daemon, outcome.sentAt, outcome.endedAt));
-    const overdue = calm.filter(outcome => outcome.endedAt - outcome.sentAt >= outcome.timeoutMs - 20);
-    const late = overdue.filter(outcome => outcome.endedAt - outcome.sentAt > outcome.timeoutMs + maxTimeoutOverrunMs);
+    const answeredAfterMs = ({ sentAt, begunAt, endedAt }: AttemptOutcome): number => (begunAt ?? endedAt) - sentAt;
+    const overdue = calm.filter(outcome => answeredAfterMs(outcome) >= outcome.timeoutMs - 20);
+    const late = overdue.filter(outcome => answeredAfterMs(outcome) > outcome.timeoutMs + maxTimeoutOverrunMs);
     return late.length >= minLateAnswers && late.length > overdue.length / 4
         ? [violation(
             "answeredInTime",
--- a/packages/soak/src/promises/records.ts
+++ b/packages/soak/src/promises/records.ts
@@ -11,6 +11,8 @@
     readonly daemonRun: number;
     readonly sentAt: number;
     readonly endedAt: number;
+    /** When the answer began to arrive; a slow caller may read it for long. */
+    readonly begunAt: number | undefined;
     /** `undefined` when the connection failed. */
     readonly status: number | undefined;
     readonly text: string;
