fix(core): work that ends before the estimated round trip leaves the free slots a number

Callers saw: an entry that refused every request of a service for good ("no free slot; 0 requests ahead, served 0.0/s") though eight slots of another data centre were free.

Cause: the time of the work is what an attempt took less the estimated round trip. Where that is longer than the whole (73 ms assumed, 20 ms taken), the mean of the work became negative, and the estimate of what others have in flight grew without bound and ended as no number. No target then had a free slot, and nothing was sent that could have mended the mean.

Change: no work counts as shorter than 0.1 ms. The test sends 30 requests answered in 20 ms with a round trip of 73 ms: it fails before with the second not sent, and passes. Where estimates are right nothing changes.

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -123,6 +123,7 @@
     readonly retrySlack?: number;
     readonly coldRateLimit?: number;
     readonly remoteFraction?: number;
+    readonly roundTripMs?: number;
     readonly events?: Partial<SteeringEvents<string>>;
 }
 
@@ -192,7 +193,7 @@
         isEvacuated: () => false,
         coversDataCentre: () => false,
         coldRateLimit: () => options.coldRateLimit ?? Infinity,
-        roundTripMs: () => 1,
+        roundTripMs: () => options.roundTripMs ?? 1,
         inFlightCountAt,
         prices: { dataCentre: 0.1, region: 0.05 },
         meanWorkMs: offeredLoad.meanWorkMs,
@@ -218,7 +219,7 @@
         poisonList,
         targetHealth,
         isOwnRegion: target => target.record.region === region,
-        roundTripMs: () => 1,
+        roundTripMs: () => options.roundTripMs ?? 1,
         send: attempt => sent.push(attempt),
         cancel: attempt => cancelled.push(attempt),
         events: {
--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -307,3 +307,16 @@
         assert.equal(bench.sent.length, 1);
     }
 });
+
+// Guards against an entry that refused everything for good: a negative mean made the estimate of free slots no number.
+test("responses that come sooner than the estimated round trip leave the target's free slots a number", () => {
+    const bench = createTestBench({ targets: [record("one")], roundTripMs: 73 });
+    const load = { running: 2, waiting: 0, slots: 4, slowness: 1 };
+    for (let count = 0; count < 30; count++) {
+        bench.submit(`r${count}`);
+        bench.timer.advance(20);
+        bench.respond(bench.sent[count]!, { load });
+        bench.timer.advance(2_000);
+    }
+    assert.equal(bench.sent.length, 30);
+});
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -79,6 +79,8 @@
 const maxFailedPlacements = 8;
 /** A request is retried only if the remaining time is at least this fraction of its expected work. */
 const minWorkTimeFraction = 0.8;
+/** Shortest work that is learned from; what is measured must never be 0 or negative, since rates are derived from it. */
+const minWorkMs = 0.1;
 /** Interval at which a job that is held as a possible cause of crashes is looked at again. */
 const holdReviewMs = 100;
 const poisonReason = "targets died while they ran the same request";
@@ -366,7 +368,8 @@
         if (action.kind === "deliver" && head.status < 300) {
             // Other responses prove nothing: the target may have ended the run before it crashed.
             poisonGate.recordSuccess(job);
-            const tookMs = now - attempt.sentAt - options.roundTripMs(target.record.dataCentre);
+            // The round trip is an estimate, and may be longer than the whole request took.
+            const tookMs = Math.max(minWorkMs, now - attempt.sentAt - options.roundTripMs(target.record.dataCentre));
             options.offeredLoad.recordWork(job.service, tookMs);
             events.onWorkCompleted(attempt, learnFromWork(workTimes, { attempt, head, tookMs }));
         }
