fix(entry): a response that is read slowly has its end although its connection ends first

Callers of the own interface got all bytes of a slowly read response and no end, or a cut one. Reading now stops at the socket, so that the parser is never paused, and resumes before the next response.

--- a/packages/entry/src/targets/targetClient.ts
+++ b/packages/entry/src/targets/targetClient.ts
@@ -4,6 +4,7 @@
 import { type Dispatcher, Pool } from "undici";
 import { probeTimeoutMs, targetConnectTimeoutMs, targetIdleTimeoutMs } from "../constants.js";
 import { type AttemptHandle, type AttemptListener, endToEndHeaders, type OutgoingRequest } from "../exchange/exchange.js";
+import { createPausableClient } from "./pausableConnection.js";
 
 /** Header with which a target that responds with status 503 declares that it did not start the request. */
 const notStartedHeader = "x-not-started";
@@ -61,6 +62,7 @@
         // Deadlines are enforced by the core.
         headersTimeout: 0,
         bodyTimeout: 0,
+        factory: createPausableClient,
     });
 }
 
