--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -5,15 +5,16 @@
 import { type AttemptId, type DataCentreId, type ServiceId, toAttemptId } from "../ids.js";
 import type { PoisonList } from "../poison/poisonList.js";
 import type { Random } from "../random/random.js";
-import { type Result, results } from "../results/resultCode.js";
+import { results } from "../results/resultCode.js";
 import type { Timer } from "../time/timer.js";
 import { describeClosure, estimateService, isDeferredAsLate, isWorthSendingNow, lateWaitDeadline } from "./admission.js";
 import type { OwnAttempts } from "./attemptDigest.js";
-import { createCallerRetryTracker, retryAfterMs } from "./callerRetries.js";
+import { createCallerRetryTracker } from "./callerRetries.js";
 import { learnFromWork } from "./completedWork.js";
 import { createInFlightCounts } from "./inFlightCounts.js";
-import { type Attempt, type FinalResponse, type Job, type ResponseHead, type SteeringRequest } from "./job.js";
-import { createJobIntake, poisonRetryAfterMs } from "./jobIntake.js";
+import type { Attempt, FinalResponse, Job, ResponseHead, SteeringRequest } from "./job.js";
+import { createJobCompletion } from "./jobCompletion.js";
+import { createJobIntake } from "./jobIntake.js";
 import type { ObjectAffinity } from "./objectAffinity.js";
 import type { OfferedLoad } from "./offeredLoad.js";
 import { createPoisonGate } from "./poisonGate.js";
@@ -88,16 +89,17 @@
 const maxFailedConnections = 3;
 
 export function createRequestDispatcher<Answer>(options: RequestDispatcherOptions<Answer>): RequestDispatcher<Answer> {
-    const { timer, random, targetSelector, pressure, retryBudget, workTimes, events, targetHealth, poisonList } = options;
+    const { timer, targetSelector, pressure, retryBudget, workTimes, events, targetHealth, poisonList } = options;
     const queue = createRequestQueue<Answer>();
     const callerRetries = createCallerRetryTracker(timer);
     const takeIn = createJobIntake<Answer>({ ...options, callerRetries });
     const rates = createServiceRates(timer, options.offeredLoad);
-    const finishers = new Map<Job<Answer>, (response: FinalResponse<Answer>) => void>();
+    const completion = createJobCompletion<Answer>({ ...options, callerRetries, onEnding: queue.remove });
+    const { finish: finishJob, reject: rejectJob, endUnanswered } = completion;
     const poisonGate = createPoisonGate<Answer>({
         poisonList,
         isPossibleCause: targetHealth.isPossibleCause,
-        jobs: () => finishers.keys(),
+        jobs: completion.openJobs,
         onPoisonCleared: events.onPoisonCleared,
     });
     const inFlight = createInFlightCounts();
@@ -110,43 +112,6 @@
         rates.adjustInFlight(target.record.service, change);
     };
 
-    const finishJob = (job: Job<Answer>, response: FinalResponse<Answer>, why: string): void => {
-        if (job.state === "ended") {
-            return;
-        }
-        queue.remove(job);
-        job.state = "ended";
-        job.cancelTimeout();
-        const finish = finishers.get(job)!;
-        finishers.delete(job);
-        // First, so that no error in a log or metric keeps the response from the caller.
-        finish(response);
-        events.onEnded(job, response, why);
-    };
-    /** Ends a job that will not be sent to a target again. The result says "not run" only where that is proved. */
-    const rejectJob = (job: Job<Answer>, result: Result, why: string, notBefore = -Infinity): void => {
-        if (job.failureResponse !== undefined) {
-            finishJob(job, { kind: "answer", answer: job.failureResponse }, why);
-        }
-        else if (job.mayHaveRun) {
-            finishJob(job, { kind: "refusal", result: results.outcomeUnknown, retryAfterMs: undefined }, why);
-        }
-        else if (result === results.poisonRequest) {
-            finishJob(job, { kind: "refusal", result, retryAfterMs: poisonRetryAfterMs }, why);
-        }
-        else {
-            callerRetries.recordRefusal(job.request);
-            const wait = retryAfterMs({
-                job,
-                now: timer.now(),
-                pressure: pressure.levelOf(job.service),
-                hadFreeSlots: job.wasRefusedWithFreeSlots,
-                notBefore,
-                random,
-            });
-            finishJob(job, { kind: "refusal", result, retryAfterMs: wait }, why);
-        }
-    };
     const releaseSlot = (attempt: Attempt<Answer>): void => {
         adjustInFlight(attempt.target, -1);
         attempt.job.attempt = undefined;
@@ -155,8 +120,6 @@
         releaseSlot(attempt);
         options.cancel(attempt);
     };
-    const endUnanswered = (job: Job<Answer>, result: Result, why: string): void =>
-        finishJob(job, { kind: "refusal", result, retryAfterMs: undefined }, why);
     const handleTimeout = (job: Job<Answer>): void => {
         const attempt = job.attempt;
         if (attempt === undefined) {
@@ -410,7 +373,7 @@
                 return () => {};
             }
             const { job } = taken;
-            finishers.set(job, finish);
+            completion.add(job, finish);
             job.cancelTimeout = timer.after(job.responseDueAt - timer.now(), () => handleTimeout(job));
             enqueue(job);
             return () => {
@@ -454,7 +417,7 @@
                 dispatchService(service);
             }
         },
-        inFlightCount: () => finishers.size,
+        inFlightCount: completion.openCount,
         inFlightCountAt: inFlight.countAt,
         queuedCount: service => queue.queuedCount(service),
     };
