fix(core): a request whose end shows that it crashes targets still gets its answer

Callers of such a request got no answer at all, and the daemon logged event 900 (TypeError in releaseSlot) with each later heartbeat that carried poison reports, whose remaining parts were skipped.

Cause: while a broken connection or a timeout is handled, the job has no attempt any more but counts as sent. If that same end proves the target's death and makes the request refusable, all its runs are ended at once, this one too, by its missing attempt. Only attempts in progress are ended now; the job itself is refused when it is tried again. An error while a timeout is handled ends the job, as it does for responses and failures.

Two tests failed with the TypeError before and pass now; the test bench ends runs at a death, as the daemon does.

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -157,8 +157,10 @@
         registry,
         startHealthCheck: target => checks.push(target),
         onChanged: () => {},
-        onTargetDeath: (requests, target) =>
-            void poisonList.recordDeath(requests.map(({ fingerprint }) => fingerprint()), targetIncarnationOf(target.record)),
+        onTargetDeath: (requests, target) => {
+            poisonList.recordDeath(requests.map(({ fingerprint }) => fingerprint()), targetIncarnationOf(target.record));
+            dispatcher.stopPoisonRequests();
+        },
         onCausesDropped: () => {},
         onRecovered: () => dispatcher.dispatchQueued(),
     });
--- a/packages/core/src/steering/__tests__/poisonRequests.test.ts
+++ b/packages/core/src/steering/__tests__/poisonRequests.test.ts
@@ -88,6 +88,30 @@
     assert.equal(bench.finalResponses.get("innocent"), undefined);
 });
 
+/** The attempts of `ids` run when the first one's target dies; the target of the second is found dead, its request still open. */
+function dieTwice(bench: TestBench, ids: readonly string[]): void {
+    ids.forEach(id => submit(bench, id));
+    bench.sent.forEach(bench.dispatcher.recordWritten);
+    crash(bench, 0);
+    bench.targetHealth.recordHealthCheck(bench.sent[1]!.target, noHealthResponse);
+}
+
+// The end of an attempt may itself show that its request crashes targets, while the job has no attempt any more.
+test("a request whose broken connection shows that it crashes targets is answered, and so are its copies", () => {
+    const bench = createTestBench({ targets: manyTargets });
+    dieTwice(bench, ["a", "b", "c"]);
+    breakConnection(bench, 1);
+    assert.deepEqual(["a", "b", "c"].map(id => codeOf(bench.finalResponses.get(id))), [unknownCode, unknownCode, unknownCode]);
+});
+
+test("a request whose timeout shows that it crashes targets is answered, and so are its copies", () => {
+    const bench = createTestBench({ targets: manyTargets });
+    dieTwice(bench, ["a", "b", "c"]);
+    bench.timer.advance(1_300);
+    assert.ok(["a", "b", "c"].every(id => bench.finalResponses.get(id)?.kind === "refusal"));
+    assert.equal(bench.dispatcher.inFlightCount(), 0);
+});
+
 test("a request that timed out at a target that turns out to be dead counts as a cause of its death", () => {
     const bench = createTestBench({ targets: manyTargets });
     for (let death = 0; death < 2; death++) {
--- a/packages/core/src/steering/poisonGate.ts
+++ b/packages/core/src/steering/poisonGate.ts
@@ -1,6 +1,6 @@
 /** Decides when a job may run that could crash its target, and which runs have to end. */
 import type { PoisonList } from "../poison/poisonList.js";
-import type { Job } from "./job.js";
+import type { Attempt, Job } from "./job.js";
 import type { SteeringEvents } from "./steeringEvents.js";
 import type { TargetHealth } from "./targetHealth.js";
 
@@ -10,8 +10,8 @@
     recordStart(job: Job<Answer>): void;
     /** Records that a target ran the request to a successful end, which clears it of the deaths known so far. */
     recordSuccess(job: Job<Answer>): void;
-    /** Jobs at targets whose requests have become known to crash them. */
-    refusedRuns(): Job<Answer>[];
+    /** Attempts in progress whose requests have become known to crash targets. */
+    refusedRuns(): Attempt<Answer>[];
 }
 
 export interface PoisonGateOptions<Answer> {
@@ -26,8 +26,7 @@
     const { poisonList } = options;
     /** Jobs that try a refused request again: they end by what their targets do. */
     const trials = new WeakSet<Job<Answer>>();
-    const isRefusedRun = (job: Job<Answer>): boolean =>
-        job.state === "sent" && !trials.has(job) && poisonList.isRefused(job.request.fingerprint);
+    const isRefusedRun = (job: Job<Answer>): boolean => !trials.has(job) && poisonList.isRefused(job.request.fingerprint);
     const isCopyRunning = ({ route, request }: Job<Answer>): boolean => {
         for (const other of options.jobs()) {
             const mayBeCopy = other.state === "sent" && other.route === route && other.request.path === request.path;
@@ -60,6 +59,8 @@
                 options.onPoisonCleared(job, cleared);
             }
         },
-        refusedRuns: () => [...options.jobs()].filter(isRefusedRun),
+        // A job whose attempt is just ending has none; it is refused when it is tried again.
+        refusedRuns: () =>
+            [...options.jobs()].flatMap(job => job.attempt !== undefined && isRefusedRun(job) ? [job.attempt] : []),
     };
 }
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -120,21 +120,39 @@
         releaseSlot(attempt);
         options.cancel(attempt);
     };
+    /** An error while the end of an attempt is handled leaves neither its caller without a response nor its slot taken. */
+    const handleEnd = (attempt: Attempt<Answer>, handle: () => void): void => {
+        const { job } = attempt;
+        try {
+            handle();
+        }
+        catch (error) {
+            if (job.attempt === attempt) {
+                releaseSlot(attempt);
+            }
+            if (job.state === "sent" && job.attempt === undefined) {
+                endUnanswered(job, results.unexpectedError, "an error while the response was handled");
+            }
+            throw error;
+        }
+    };
     const handleTimeout = (job: Job<Answer>): void => {
         const attempt = job.attempt;
         if (attempt === undefined) {
             rejectJob(job, results.noRoom, "no target had a free slot in time");
             return;
         }
-        abort(attempt);
-        targetHealth.recordTimeout(attempt.target, attempt.isWritten ? job.request : undefined);
-        if (attempt.isWritten) {
-            endUnanswered(job, results.timedOut, "the target did not respond in time");
-        }
-        else {
-            rejectJob(job, results.notReached, "the target was not reached in time");
-        }
-        dispatchService(job.service);
+        handleEnd(attempt, () => {
+            abort(attempt);
+            targetHealth.recordTimeout(attempt.target, attempt.isWritten ? job.request : undefined);
+            if (attempt.isWritten) {
+                endUnanswered(job, results.timedOut, "the target did not respond in time");
+            }
+            else {
+                rejectJob(job, results.notReached, "the target was not reached in time");
+            }
+            dispatchService(job.service);
+        });
     };
 
     const recordObjectStart = (target: Target, object: number): number | undefined => {
@@ -298,22 +316,6 @@
         }
     };
 
-    /** An error while the end of an attempt is handled leaves neither its caller without a response nor its slot taken. */
-    const handleEnd = (attempt: Attempt<Answer>, handle: () => void): void => {
-        const { job } = attempt;
-        try {
-            handle();
-        }
-        catch (error) {
-            if (job.attempt === attempt) {
-                releaseSlot(attempt);
-            }
-            if (job.state === "sent" && job.attempt === undefined) {
-                endUnanswered(job, results.unexpectedError, "an error while the response was handled");
-            }
-            throw error;
-        }
-    };
     const receive = (attempt: Attempt<Answer>, head: ResponseHead, answer: Answer): void => {
         const { job, target } = attempt;
         const now = timer.now();
@@ -358,7 +360,8 @@
         dispatchService(job.service);
     };
 
-    const stopAttempt = (job: Job<Answer>, attempt: Attempt<Answer>): void => {
+    const stopAttempt = (attempt: Attempt<Answer>): void => {
+        const { job } = attempt;
         abort(attempt);
         job.mayHaveRun ||= attempt.isWritten;
         rejectJob(job, results.poisonRequest, poisonReason);
@@ -408,8 +411,8 @@
             }
         },
         stopPoisonRequests: () => {
-            for (const job of poisonGate.refusedRuns()) {
-                stopAttempt(job, job.attempt!);
+            for (const attempt of poisonGate.refusedRuns()) {
+                stopAttempt(attempt);
             }
         },
         dispatchQueued: () => {
