fix(platform): a signal while the daemon starts does not end it

A daemon that got SIGHUP before it had loaded its modules and read its settings ended without a line anywhere: the default action of a signal without a handler.

The entry point now only takes over the signals that don't ask for an end, then loads the daemon, which is a file of its own. Until Node itself runs the first line nothing of ours can act.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,19 +1,32 @@
-/** Bundles the steering daemon (`platform/`) into a single file, which starts faster than separate modules. */
+/**
+ * Bundles the steering daemon (`platform/`), which starts faster than separate modules: its entry point, and everything
+ * else in a second file, so that the entry point's signal handlers don't wait for it.
+ */
 import { build } from "esbuild";
 
-await build({
-    entryPoints: { "pimento-steer": "platform/src/main.ts" },
+const options = {
     outdir: "target",
-    outExtension: { ".js": ".mjs" },
     bundle: true,
     minify: false,
     platform: "node",
     target: "node20",
-    format: "esm",
     conditions: ["source"],
+    logLevel: "warning",
+};
+await build({
+    ...options,
+    format: "esm",
+    entryPoints: { main: "platform/src/main.ts" },
     // Bundled CommonJS dependencies call `require` for Node's built-in modules, which an ES module doesn't define.
     banner: {
         js: "import { createRequire as moduleRequire } from \"node:module\"; const require = moduleRequire(import.meta.url);",
     },
-    logLevel: "warning",
+});
+await build({
+    ...options,
+    // Node runs a CommonJS entry point before it loads anything for ES modules.
+    format: "cjs",
+    entryPoints: { "pimento-steer": "platform/src/start.ts" },
+    outExtension: { ".js": ".cjs" },
+    external: ["./main.js"],
 });
--- a/scripts/src/__tests__/steeringFleet.ts
+++ b/scripts/src/__tests__/steeringFleet.ts
@@ -11,7 +11,7 @@
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
 
-const daemonMain = fileURLToPath(new URL("../../../platform/dist/main.js", import.meta.url));
+const daemonMain = fileURLToPath(new URL("../../../platform/dist/start.js", import.meta.url));
 const firstPort = 17_410;
 const listeners = ["callers", "readiness", "directory", "control", "mesh", "metrics"] as const;
 /** Ends only a run that would otherwise hang. */
