feat: every end of the steering daemon and every listener that can't be opened has a log line

Operators saw a process that was gone and no reason: exit 3 wrote text on standard error only, exit 1 a sentence without the listener's name, and a stop did not say which signal asked for it.

--- a/packages/runtime/src/http/jsonServer.ts
+++ b/packages/runtime/src/http/jsonServer.ts
@@ -18,6 +18,12 @@
     });
 }
 
+/** Listens on `address`, which is `host:port`. */
+export function listenOn(server: Server, address: string): Promise<AddressInfo> {
+    const { host, port } = splitAddress(address);
+    return listen(server, host, port);
+}
+
 export function createRouter(routes: Routes, onError: (error: Error) => void): Server {
     const prefixes = Object.keys(routes).filter(route => route.endsWith("/"));
     return createServer((request, response) => {
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -37,7 +37,8 @@
         105,
         "cannotListen",
         "error",
-        "The program can't listen on an address; it may be in use or belong to another machine.",
+        "A listener can't be opened: its address may be in use or belong to another machine. The line names the listener, the "
+            + "address and the number of tries.",
     ),
     loopBusy: defineEvent(
         106,
@@ -46,6 +47,28 @@
         "The process's event loop is busy for more of the time than the settings allow; the line counts the calls of its timers.",
     ),
     loopCalm: defineEvent(107, "loopCalm", "info", "The process's event loop is no longer busy."),
+    listenerOpened: defineEvent(
+        108,
+        "listenerOpened",
+        "info",
+        "A listener that could not be opened before is open; the line counts the tries.",
+    ),
+    listenerFailed: defineEvent(109, "listenerFailed", "warn", "An open listener reported an error; it stays open."),
+    settingsAwaited: defineEvent(
+        110,
+        "settingsAwaited",
+        "error",
+        "The settings file can't be used: correct what the line names. The program waits and reads it again until it is valid.",
+    ),
+    settingsFound: defineEvent(111, "settingsFound", "info", "The settings file that was waited for is valid."),
+    settingDefaulted: defineEvent(
+        112,
+        "settingDefaulted",
+        "warn",
+        "A setting can't be used: the line gives its key, its value, what is wrong, and the default that is used instead.",
+    ),
+    exiting: defineEvent(113, "exiting", "warn", "The process ends; the line gives its exit code and the reason."),
+    signalIgnored: defineEvent(114, "signalIgnored", "info", "The process received a signal that it does not act on."),
     inForce: defineEvent(200, "inForce", "info", "A new revision of the configuration is in force."),
     documentRefused: defineEvent(201, "documentRefused", "error", "A document was rejected; the one in force stays."),
     storeFailed: defineEvent(
--- a/packages/runtime/src/settings/settings.ts
+++ b/packages/runtime/src/settings/settings.ts
@@ -13,6 +13,11 @@
     readonly text: string;
 }
 
+/** One line for each fault: its key, if it has one, and what is wrong. */
+export function describeSettingsFaults(faults: readonly SettingsFault[]): string[] {
+    return faults.map(({ key, text }) => key === "" ? text : `${key} ${text}`);
+}
+
 /** Reads and validates a file; unknown keys are faults. */
 export function readSettings<Schema extends v.GenericSchema>(
     file: string,
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -8,7 +8,8 @@
 import { createSteering, type Steering } from "@pimentospring/core/steering/steering";
 import type { Service, SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { Target } from "@pimentospring/core/steering/target";
-import { createRouter, listen, splitAddress } from "@pimentospring/runtime/http/jsonServer";
+import { createRouter, listenOn } from "@pimentospring/runtime/http/jsonServer";
+import { type ListenerOptions, openListener } from "@pimentospring/runtime/http/openListener";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { CountedTimer } from "@pimentospring/runtime/time/countedTimer";
@@ -295,13 +296,14 @@
     return {
         instance,
         start: async () => {
-            const [host, port] = settings.callers.split(":");
-            const control = splitAddress(settings.control);
             const onError = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
-            await listen(createRouter({ ...replication.routes, ...statusRoutes }, onError), control.host, control.port);
+            const controlServer = createRouter({ ...replication.routes, ...statusRoutes }, onError);
+            const openListenerOf = (name: "control" | "mesh" | "callers", open: ListenerOptions["open"]): Promise<void> =>
+                openListener({ log, name, address: settings[name], open });
+            await openListenerOf("control", address => listenOn(controlServer, address));
             replication.startPeerSync();
-            await mesh.start();
-            await listen(callerServer.server, host!, Number(port));
+            await openListenerOf("mesh", mesh.start);
+            await openListenerOf("callers", address => listenOn(callerServer.server, address));
             replication.start();
             loopMonitor.start();
             startServiceLog({
