--- a/packages/runtime/src/http/__tests__/jsonServer.test.ts
+++ b/packages/runtime/src/http/__tests__/jsonServer.test.ts
@@ -53,3 +53,11 @@
     await exchange(port, "GET /begins HTTP/1.1\r\nHost: a\r\n\r\n");
     assert.ok(performance.now() - startedAt < 250);
 });
+
+// A server reports an error when it can't accept a connection, for example without a free descriptor.
+test("an error of a server that is open is not thrown", async t => {
+    const server = createRouter({}, () => {});
+    await listen(server, "127.0.0.1", 0);
+    t.after(() => closeServer(server));
+    assert.doesNotThrow(() => server.emit("error", new Error("accept EMFILE")));
+});
