--- a/packages/runtime/src/http/jsonServer.ts
+++ b/packages/runtime/src/http/jsonServer.ts
@@ -7,21 +7,34 @@
 /** Handlers by route: `GET /path`, or `GET /path/` for everything below it. */
 export type Routes = Readonly<Record<string, Handler>>;
 
-/** Starts a server; rejects when the address can't be listened on. */
-export function listen(server: Server, host: string, port: number): Promise<AddressInfo> {
+/**
+ * Starts a server; rejects when the address can't be listened on, after which it may be tried again. Errors of the server once
+ * it listens, such as a connection that can't be accepted, go to `onError`.
+ */
+export function listen(
+    server: Server,
+    host: string,
+    port: number,
+    onError: (error: Error) => void = () => {},
+): Promise<AddressInfo> {
     return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, () => {
-            server.off("error", reject);
+        const onListening = (): void => {
+            server.off("error", onFailure).on("error", onError);
             resolve(server.address() as AddressInfo);
-        });
+        };
+        const onFailure = (error: Error): void => {
+            server.off("listening", onListening);
+            reject(error);
+        };
+        server.once("error", onFailure).once("listening", onListening);
+        server.listen(port, host);
     });
 }
 
 /** Listens on `address`, which is `host:port`. */
-export function listenOn(server: Server, address: string): Promise<AddressInfo> {
+export function listenOn(server: Server, address: string, onError: (error: Error) => void): Promise<AddressInfo> {
     const { host, port } = splitAddress(address);
-    return listen(server, host, port);
+    return listen(server, host, port, onError);
 }
 
 export function createRouter(routes: Routes, onError: (error: Error) => void): Server {
--- a/packages/steer/src/mesh/datagramSocket.ts
+++ b/packages/steer/src/mesh/datagramSocket.ts
@@ -1,8 +1,9 @@
 /** Socket for datagrams between entries, as a port and over UDP. */
+import { splitAddress } from "@pimentospring/runtime/http/jsonServer";
 import { createSocket } from "node:dgram";
 
 export interface DatagramSocket {
-    /** Resolves when the socket receives on `address` (`host:port`); rejects if it can't be bound. */
+    /** Resolves when the socket receives on `address` (`host:port`). Rejects if it can't be bound; it may then be tried again. */
     bind(address: string, listeners: DatagramListeners): Promise<void>;
     send(address: string, bytes: Buffer): void;
     close(): void;
@@ -17,28 +18,36 @@
 
 export function createUdpSocket(): DatagramSocket {
     const socket = createSocket("udp4");
-    let reportError: DatagramListeners["onError"] = () => {};
+    let listeners: DatagramListeners = { onDatagram: () => {}, onError: () => {} };
+    socket.on("message", (bytes, { address, port }) => listeners.onDatagram(bytes, `${address}:${port}`));
+    const sendTo = (address: string, bytes: Buffer): void => {
+        const { host, port } = splitAddress(address);
+        socket.send(bytes, port, host, error => {
+            if (error !== null) {
+                listeners.onError(error.message, address);
+            }
+        });
+    };
     return {
-        bind: (address, { onDatagram, onError }) =>
+        bind: (address, next) =>
             new Promise((resolve, reject) => {
-                const [host, port] = address.split(":");
-                reportError = onError;
+                const { host, port } = splitAddress(address);
+                listeners = next;
                 socket.once("error", reject);
-                socket.bind(Number(port), host, () => {
+                socket.bind(port, host, () => {
                     socket.off("error", reject);
-                    socket.on("error", error => onError(error.message, undefined));
+                    socket.on("error", error => listeners.onError(error.message, undefined));
                     resolve();
                 });
-                socket.on("message", (bytes, { address: senderHost, port: senderPort }) =>
-                    onDatagram(bytes, `${senderHost}:${senderPort}`));
             }),
         send: (address, bytes) => {
-            const [host, port] = address.split(":");
-            socket.send(bytes, Number(port), host, error => {
-                if (error !== null) {
-                    reportError(error.message, address);
-                }
-            });
+            try {
+                sendTo(address, bytes);
+            }
+            catch (error) {
+                // An address that is none, or a closed socket: nothing that the datagrams to other peers depend on.
+                listeners.onError((error as Error).message, address);
+            }
         },
         close: () => socket.close(),
     };
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -53,8 +53,11 @@
 
 export interface SteeringDaemon {
     readonly instance: InstanceId;
-    /** Opens the listeners and starts to follow the store. Rejects if an address can't be bound. */
-    start(): Promise<void>;
+    /**
+     * Opens the listeners, waiting for addresses that are in use, and only then follows the store and joins the other entries.
+     * Resolves to false if `stop` was called first.
+     */
+    start(): Promise<boolean>;
     /** Whether this entry can serve callers. */
     isReady(): boolean;
     /**
@@ -96,6 +99,8 @@
     let services = new Map<ServiceId, Service>();
     let stopDeadline = Infinity;
     let stopRequestedAt: number | undefined;
+    /** Whether all listeners are open and the entry has joined. */
+    let isServing = false;
 
     const members = createMembers(timer, self);
     const poisonList = createPoisonList({ timer, isTrialEntry: members.hasLowestId });
@@ -279,6 +284,17 @@
         waitingRequests: () => [...services.keys()].reduce((sum, service) => sum + dispatcher.queuedCount(service), 0),
     });
 
+    /** The mesh is last, as it announces this entry at once. */
+    const openListeners = async (): Promise<boolean> => {
+        const onError = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
+        const controlServer = createRouter({ ...replication.routes, ...statusRoutes }, onError);
+        const isCancelled = (): boolean => stopRequestedAt !== undefined;
+        const open = (name: "control" | "callers" | "mesh", bind: ListenerOptions["open"]): Promise<boolean> =>
+            openListener({ timer, log, name, address: settings[name], open: bind, isCancelled });
+        return await open("control", (address, onListenerError) => listenOn(controlServer, address, onListenerError))
+            && await open("callers", (address, onListenerError) => listenOn(callerServer.server, address, onListenerError))
+            && await open("mesh", mesh.start);
+    };
     const drain = async (): Promise<number> => {
         for (;;) {
             const now = timer.now();
@@ -296,14 +312,11 @@
     return {
         instance,
         start: async () => {
-            const onError = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
-            const controlServer = createRouter({ ...replication.routes, ...statusRoutes }, onError);
-            const openListenerOf = (name: "control" | "mesh" | "callers", open: ListenerOptions["open"]): Promise<void> =>
-                openListener({ log, name, address: settings[name], open });
-            await openListenerOf("control", address => listenOn(controlServer, address));
+            if (!await openListeners()) {
+                return false;
+            }
+            isServing = true;
             replication.startPeerSync();
-            await openListenerOf("mesh", mesh.start);
-            await openListenerOf("callers", address => listenOn(callerServer.server, address));
             replication.start();
             loopMonitor.start();
             startServiceLog({
@@ -315,8 +328,9 @@
                 routes: () => document?.routes ?? [],
                 isOwnRegion: steering.topology.isOwnRegion,
             });
+            return true;
         },
-        isReady: () => document !== undefined && stopRequestedAt === undefined,
+        isReady: () => isServing && document !== undefined && stopRequestedAt === undefined,
         reload: next => {
             const needRestart = restartOnlySettings.filter(name => JSON.stringify(next[name]) !== JSON.stringify(settings[name]));
             const keptValues = Object.fromEntries(restartOnlySettings.map(name => [name, settings[name]])) as Partial<
@@ -337,6 +351,9 @@
         stop: async () => {
             stopRequestedAt = timer.now();
             stopDeadline = stopRequestedAt + settings.stopGraceMs - stopMarginMs;
+            if (!isServing) {
+                return 0;
+            }
             callerServer.disableKeepAlive();
             mesh.announceLeaving();
             void replication.deregister();
--- a/scripts/src/__tests__/daemonProcess.ts
+++ b/scripts/src/__tests__/daemonProcess.ts
@@ -32,7 +32,8 @@
     start(environment?: Readonly<Record<string, string>>): DaemonRun;
     /** Status of the readiness call, or undefined if the daemon gives none. */
     readinessStatus(): Promise<number | undefined>;
-    close(): void;
+    /** Ends all daemons. */
+    close(): Promise<void>;
 }
 
 export function createDaemonFixture(host: string, storeAddress: string): DaemonFixture {
@@ -74,8 +75,9 @@
                 return undefined;
             }
         },
-        close: () => {
+        close: async () => {
             runs.forEach(run => run.child.kill("SIGKILL"));
+            await Promise.all(runs.map(run => run.ended));
             rmSync(folder, { recursive: true });
         },
     };
--- a/scripts/src/__tests__/occupiedPorts.test.ts
+++ b/scripts/src/__tests__/occupiedPorts.test.ts
@@ -45,7 +45,7 @@
     store.expireLeases();
 });
 afterEach(async () => {
-    fixture.close();
+    await fixture.close();
     await Promise.all([...holders].map(free => free()));
 });
 
