feat(observe): memory by part, descriptors and callers' connections in metrics, and log events near the limit

Gauges give the resident size and its parts, and the bytes that the daemon counts by kind; events 115 and 116 say with the same figures that the memory nears its limit, and that it is normal again. The limits come from the platform's settings in a new optional table `[limits]`; without it the usual values hold.

--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -46,6 +46,13 @@
         "The process's event loop is busy for more of the time than the settings allow; the line counts the calls of its timers.",
     ),
     loopCalm: defineEvent(107, "loopCalm", "info", "The process's event loop is no longer busy."),
+    memoryHigh: defineEvent(
+        115,
+        "memoryHigh",
+        "warn",
+        "The process's memory is near its limit; the line tells its parts, in bytes.",
+    ),
+    memoryNormal: defineEvent(116, "memoryNormal", "info", "The process's memory is no longer near its limit."),
     inForce: defineEvent(200, "inForce", "info", "A new revision of the configuration is in force."),
     documentRefused: defineEvent(201, "documentRefused", "error", "A document was rejected; the one in force stays."),
     storeFailed: defineEvent(
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -56,6 +56,10 @@
     /** Requests whose head was received and whose response is not yet with the operating system. */
     openRequestCount(): number;
     openConnectionCount(): number;
+    /** Memory of request bodies, from their first byte until their requests have ended. */
+    bodyBytes(): number;
+    /** Memory of responses that callers have not read whole. */
+    unreadResponseBytes(): number;
 }
 
 /** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
@@ -84,6 +88,13 @@
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
+    let unreadResponseBytes = 0;
+    const countUnread = (response: ServerResponse, bytes: number): void => {
+        unreadResponseBytes += bytes;
+        response.once("close", () => {
+            unreadResponseBytes -= bytes;
+        });
+    };
 
     const submit = (request: CallerRequest, responder: CallerResponder): () => void => {
         try {
@@ -97,11 +108,11 @@
     };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
-        const responder = createResponder(response, () => isKeepAliveDisabled);
+        const responder = createResponder(response, () => isKeepAliveDisabled, countUnread);
         /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
         const refuseUnread = (result: Result, retryAfterMs?: number): void => {
             const end = (body: string): void => endAfterRequest(request, response, timer, body);
-            createResponder(response, () => true, end).refuse(result, retryAfterMs);
+            createResponder(response, () => true, countUnread, end).refuse(result, retryAfterMs);
         };
         if (headBytes(request) > limits.maxHeaderBytes) {
             refuseUnread(results.headTooLarge);
@@ -168,6 +179,8 @@
         stopListening: connections.stopListening,
         openRequestCount: connections.openRequestCount,
         openConnectionCount: connections.openCount,
+        bodyBytes: memoryQuota.usedBytes,
+        unreadResponseBytes: () => unreadResponseBytes,
     };
 }
 
@@ -275,6 +288,7 @@
 function createResponder(
     response: ServerResponse,
     isKeepAliveDisabled: () => boolean,
+    countUnread: (response: ServerResponse, bytes: number) => void,
     endRefusal: (body: string) => void = body => response.end(body),
 ): CallerResponder {
     const isFinished = (): boolean => response.destroyed || response.writableEnded;
@@ -299,6 +313,7 @@
                 response.shouldKeepAlive = false;
             }
             response.writeHead(targetResponse.status, reasonPhraseOf(targetResponse), headers);
+            countUnread(response, targetResponse.body.length);
             response.end(targetResponse.body);
         },
         refuse: (result, retryAfterMs) => {
--- a/packages/steer/src/observe/gauges.ts
+++ b/packages/steer/src/observe/gauges.ts
@@ -1,5 +1,6 @@
 /** Gauges that are read on each scrape. */
 import type { Freshness } from "../store/replicaFreshness.js";
+import type { MemoryUsage } from "./memoryUsage.js";
 import type { SteerMetrics } from "./metrics.js";
 
 export interface GaugeSources {
@@ -21,6 +22,20 @@
     readonly isStoreConnected: () => boolean;
     readonly freshness: () => Freshness;
     readonly waitingRequests: () => number;
+    readonly memoryUsage: () => MemoryUsage;
+    readonly heldBytes: () => HeldBytes;
+    readonly callerConnections: () => number;
+    readonly openDescriptors: () => number;
+}
+
+/** Bytes that the daemon counts itself. */
+export interface HeldBytes {
+    /** Request bodies, from their first byte until their requests have ended. */
+    readonly requestBodyBytes: number;
+    /** Responses of targets that are being received. */
+    readonly receivedResponseBytes: number;
+    /** Responses that their callers have not read whole. */
+    readonly unreadResponseBytes: number;
 }
 
 export function registerGauges(metrics: SteerMetrics, sources: GaugeSources): void {
@@ -75,4 +90,33 @@
         () => freshness().staleMs / 1_000,
     );
     metrics.registerGauge("pimento_waiting", "Requests queued for a slot", sources.waitingRequests);
+    registerMemoryGauges(metrics, sources);
+}
+
+function registerMemoryGauges(metrics: SteerMetrics, { memoryUsage, heldBytes, ...sources }: GaugeSources): void {
+    metrics.registerGauge("pimento_resident_bytes", "Resident size of the process", () => memoryUsage().residentBytes);
+    metrics.registerGauge("pimento_heap_used_bytes", "Used part of the runtime's heap", () => memoryUsage().heapUsedBytes);
+    metrics.registerGauge(
+        "pimento_external_bytes",
+        "Memory outside the heap, buffers included",
+        () => memoryUsage().externalBytes,
+    );
+    metrics.registerGauge("pimento_buffer_bytes", "Memory of buffers", () => memoryUsage().bufferBytes);
+    metrics.registerGauge(
+        "pimento_request_body_bytes",
+        "Request bodies, from their first byte until their requests have ended",
+        () => heldBytes().requestBodyBytes,
+    );
+    metrics.registerGauge(
+        "pimento_received_response_bytes",
+        "Responses of targets that are being received",
+        () => heldBytes().receivedResponseBytes,
+    );
+    metrics.registerGauge(
+        "pimento_unread_response_bytes",
+        "Responses that their callers have not read whole",
+        () => heldBytes().unreadResponseBytes,
+    );
+    metrics.registerGauge("pimento_caller_connections", "Open connections of callers", sources.callerConnections);
+    metrics.registerGauge("pimento_open_descriptors", "Open file descriptors", sources.openDescriptors);
 }
--- a/packages/steer/src/settings/settings.ts
+++ b/packages/steer/src/settings/settings.ts
@@ -28,6 +28,14 @@
     /** Fraction of the time for which the event loop may be busy before it is logged. */
     readonly maxLoopUtilization: number;
     readonly prices: TransferPrices;
+    readonly limits: ProcessLimits;
+}
+
+/** What the process may use; beyond it the platform ends it or refuses calls. Changes need a restart. */
+export interface ProcessLimits {
+    /** Resident size. */
+    readonly memoryBytes: number;
+    readonly fileDescriptors: number;
 }
 
 /** Cost of transferring a kilobyte, as a fraction of a request's value. */
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -17,8 +17,10 @@
 import { createUdpSocket } from "./mesh/datagramSocket.js";
 import type { Heartbeat } from "./mesh/heartbeat.js";
 import { createMesh } from "./mesh/mesh.js";
-import { registerGauges } from "./observe/gauges.js";
+import { type HeldBytes, registerGauges } from "./observe/gauges.js";
 import { createLoopMonitor } from "./observe/loopMonitor.js";
+import { createMemoryMonitor } from "./observe/memoryMonitor.js";
+import { countOpenDescriptors, readMemoryUsage, readResidentBytes } from "./observe/memoryUsage.js";
 import type { SteerMetrics } from "./observe/metrics.js";
 import { createRequestLog } from "./observe/requestLog.js";
 import { createRouteStatistics } from "./observe/routeStatistics.js";
@@ -261,6 +263,19 @@
         timerCalls: timer.callCount,
         maxUtilization: () => settings.maxLoopUtilization,
     });
+    const heldBytes = (): HeldBytes => ({
+        requestBodyBytes: callerServer.bodyBytes(),
+        receivedResponseBytes: connections.receivedBytes(),
+        unreadResponseBytes: callerServer.unreadResponseBytes(),
+    });
+    const memoryMonitor = createMemoryMonitor({
+        timer,
+        log,
+        maxResidentBytes: settings.limits.memoryBytes,
+        readResidentBytes,
+        readUsage: readMemoryUsage,
+        heldBytes: () => ({ ...heldBytes() }),
+    });
     registerGauges(metrics, {
         loopUtilization: loopMonitor.utilization,
         loopDelayMs: loopMonitor.delayMs,
@@ -276,6 +291,10 @@
         isStoreConnected: replica.isConnected,
         freshness: replication.freshness,
         waitingRequests: () => [...services.keys()].reduce((sum, service) => sum + dispatcher.queuedCount(service), 0),
+        memoryUsage: readMemoryUsage,
+        heldBytes,
+        callerConnections: callerServer.openConnectionCount,
+        openDescriptors: countOpenDescriptors,
     });
 
     const drain = async (): Promise<number> => {
@@ -304,6 +323,7 @@
             await listen(callerServer.server, host!, Number(port));
             replication.start();
             loopMonitor.start();
+            memoryMonitor.start();
             startServiceLog({
                 timer,
                 log,
@@ -355,6 +375,7 @@
     "callers",
     "mesh",
     "control",
+    "limits",
 ] as const satisfies readonly (keyof SteerSettings)[];
 
 const targetLogFields = (
--- a/packages/steer/src/targets/responseBuffers.ts
+++ b/packages/steer/src/targets/responseBuffers.ts
@@ -15,6 +15,7 @@
     recordBytes(bytes: number): void;
     /** Stops counting a response that is complete, failed or aborted. */
     remove(buffer: ResponseBuffer): void;
+    usedBytes(): number;
 }
 
 export function createResponseBuffers(maxBytes: number): ResponseBuffers {
@@ -37,5 +38,6 @@
             }
         },
         remove,
+        usedBytes: () => bufferedBytes,
     };
 }
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -45,6 +45,8 @@
     closeIdle(address: string): void;
     /** Number of connections that are open or being opened. */
     openCount(): number;
+    /** Memory of responses that are being received. */
+    receivedBytes(): number;
     close(): void;
 }
 
@@ -229,6 +231,7 @@
             idle.delete(address);
         },
         openCount: () => all.size,
+        receivedBytes: buffers.usedBytes,
         close: () => [...all].forEach(discard),
     };
 }
--- a/scripts/src/__tests__/docs.test.ts
+++ b/scripts/src/__tests__/docs.test.ts
@@ -84,6 +84,7 @@
             maxLoopUtilization: 0.9,
             stopGraceMs: 1,
             prices: defaultTransferPrices,
+            limits: { memoryBytes: 1, fileDescriptors: 1 },
         },
         store: {} as never,
         itemDecoder: {} as never,
