fix(steer): responses count as held until their callers have read them

Callers that read large answers slowly took a daemon far beyond its 350 MB, where it is killed and all its requests are lost. A response was counted only while it was received; how many complete ones waited for slow callers nobody bounded. They are now counted until the caller's response is closed, in the same limit of 64 MB as those being received. When it is exceeded, unread responses are reset first, those with most bytes to send before others: a response aborted while it is received counts as a failure of its target, which the entry's lack of memory is not. A reset never looks like the end of a response without a length.

--- a/packages/steer/src/callers/__tests__/callerServer.test.ts
+++ b/packages/steer/src/callers/__tests__/callerServer.test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
+import { createResponseBuffers } from "../../targets/responseBuffers.js";
 import { type CallerResponder, createCallerServer } from "../callerServer.js";
 
 /**
@@ -19,6 +20,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes: 1_000_000,
+        responseBuffers: createResponseBuffers(64_000_000),
         onRequest: (_request, responder) => {
             respond(responder);
             return onCallerLeft;
@@ -97,6 +99,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes: 1_000_000,
+        responseBuffers: createResponseBuffers(64_000_000),
         onRequest: () => {
             isHandled = true;
             return () => {};
--- a/packages/steer/src/callers/__tests__/requestBodies.test.ts
+++ b/packages/steer/src/callers/__tests__/requestBodies.test.ts
@@ -5,6 +5,7 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { afterEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { createResponseBuffers } from "../../targets/responseBuffers.js";
 import { type CallerRequest, type CallerResponder, type CallerServer, createCallerServer } from "../callerServer.js";
 
 const maxBufferedBytes = 200_000;
@@ -30,6 +31,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes,
+        responseBuffers: createResponseBuffers(64_000_000),
         onRequest: (request, responder) => {
             accepted.push({ request, responder });
             return () => {};
--- a/packages/steer/src/callers/__tests__/slowCallers.test.ts
+++ b/packages/steer/src/callers/__tests__/slowCallers.test.ts
@@ -2,13 +2,16 @@
 import { silentLog } from "@pimentospring/runtime/logs/log";
 import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
 import assert from "node:assert/strict";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { type AddressInfo, connect, Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { createResponseBuffers } from "../../targets/responseBuffers.js";
 import { type CallerServer, createCallerServer } from "../callerServer.js";
 
 const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 /** More than the buffers of a loopback connection hold. */
 const body = Buffer.alloc(24_000_000, "x");
+/** Room for one body. */
+const maxResponseBytes = body.length;
 const request = "GET /a/1 HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
 async function startServer(
@@ -18,9 +21,10 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes: 1_000_000,
+        responseBuffers: createResponseBuffers(maxResponseBytes),
         onRequest: ({ path }, responder) => {
             const isLong = path.startsWith("/long");
-            const rawHeaders = ["Content-Length", "0"];
+            const rawHeaders = path.endsWith("/unframed") ? [] : ["Content-Length", "0"];
             responder.respond({ status: 200, statusText: "OK", rawHeaders, body: isLong ? body : Buffer.from("ok") });
             return () => {};
         },
@@ -87,3 +91,25 @@
     await pause(100);
     assert.deepEqual(texts.map(text => text.split("HTTP/1.1 200").length - 1), [0, 1, 1, 2]);
 });
+
+// Guards against FAULT: responses that callers had yet to read were not counted, and the process was killed for its memory.
+test("a slow caller's response is cut when memory runs short, and does not look complete without a length either", async context => {
+    // Counted at the server: Node's clients report a reset that follows a partial read as an end.
+    const resets = context.mock.method(Socket.prototype, "resetAndDestroy");
+    const { callers, connectCaller } = await startServer(context);
+    const slow = connectCaller();
+    let receivedBytes = 0;
+    slow.write("GET /long/unframed HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    await pause(200);
+    const other = connectCaller();
+    const answer = new Promise(resolve => other.once("data", data => resolve(String(data))));
+    other.write(request);
+    assert.match(String(await answer), /^HTTP\/1\.1 200 /);
+    assert.equal(resets.mock.callCount(), 1);
+    slow.on("data", chunk => {
+        receivedBytes += chunk.length;
+    });
+    await new Promise(resolve => slow.once("close", resolve));
+    assert.ok(receivedBytes < body.length, `${receivedBytes} bytes`);
+    assert.equal(callers.openRequestCount(), 0);
+});
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -10,7 +10,9 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import { endToEndHeaders } from "../targets/hopHeaders.js";
+import type { ResponseBuffers } from "../targets/responseBuffers.js";
 import { hasDeclaredLength, type TargetResponse } from "../targets/targetResponse.js";
+import { endCounted } from "./countedResponse.js";
 import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
 
 export interface CallerRequest {
@@ -37,6 +39,8 @@
     readonly timer: Timer;
     /** Limit on the memory of all request bodies together, in bytes. */
     readonly maxBufferedBytes: number;
+    /** Counts responses until their callers have read them. */
+    readonly responseBuffers: ResponseBuffers;
     /**
      * Called with each complete request. The returned function is called if the caller disconnects before the response
      * is sent.
@@ -58,8 +62,6 @@
     openConnectionCount(): number;
     /** Memory of request bodies, from their first byte until their requests have ended. */
     bodyBytes(): number;
-    /** Memory of responses that callers have not read whole. */
-    unreadResponseBytes(): number;
 }
 
 /** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
@@ -84,17 +86,10 @@
 };
 
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-    const { log, timer, onRequest } = options;
+    const { log, timer, responseBuffers, onRequest } = options;
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
-    let unreadResponseBytes = 0;
-    const countUnread = (response: ServerResponse, bytes: number): void => {
-        unreadResponseBytes += bytes;
-        response.once("close", () => {
-            unreadResponseBytes -= bytes;
-        });
-    };
 
     const submit = (request: CallerRequest, responder: CallerResponder): () => void => {
         try {
@@ -108,11 +103,11 @@
     };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
-        const responder = createResponder(response, () => isKeepAliveDisabled, countUnread);
+        const responder = createResponder(response, () => isKeepAliveDisabled, responseBuffers);
         /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
         const refuseUnread = (result: Result, retryAfterMs?: number): void => {
             const end = (body: string): void => endAfterRequest(request, response, timer, body);
-            createResponder(response, () => true, countUnread, end).refuse(result, retryAfterMs);
+            createResponder(response, () => true, responseBuffers, end).refuse(result, retryAfterMs);
         };
         if (headBytes(request) > limits.maxHeaderBytes) {
             refuseUnread(results.headTooLarge);
@@ -180,7 +175,6 @@
         openRequestCount: connections.openRequestCount,
         openConnectionCount: connections.openCount,
         bodyBytes: memoryQuota.usedBytes,
-        unreadResponseBytes: () => unreadResponseBytes,
     };
 }
 
@@ -288,10 +282,11 @@
 function createResponder(
     response: ServerResponse,
     isKeepAliveDisabled: () => boolean,
-    countUnread: (response: ServerResponse, bytes: number) => void,
+    responseBuffers: ResponseBuffers,
     endRefusal: (body: string) => void = body => response.end(body),
 ): CallerResponder {
-    const isFinished = (): boolean => response.destroyed || response.writableEnded;
+    let isSent = false;
+    const isFinished = (): boolean => isSent || response.destroyed || response.writableEnded;
     return {
         respond: targetResponse => {
             if (isFinished()) {
@@ -313,8 +308,8 @@
                 response.shouldKeepAlive = false;
             }
             response.writeHead(targetResponse.status, reasonPhraseOf(targetResponse), headers);
-            countUnread(response, targetResponse.body.length);
-            response.end(targetResponse.body);
+            isSent = true;
+            endCounted(response, targetResponse.body, responseBuffers);
         },
         refuse: (result, retryAfterMs) => {
             if (isFinished()) {
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -34,6 +34,7 @@
 import type { StoreItemDecoder } from "./store/storeItems.js";
 import { createStoreProjection } from "./store/storeProjection.js";
 import { createHealthChecks } from "./targets/healthChecks.js";
+import { createResponseBuffers } from "./targets/responseBuffers.js";
 import { createTargetConnections } from "./targets/targetConnections.js";
 import type { TargetResponse } from "./targets/targetResponse.js";
 import { createTargetSender } from "./targets/targetSender.js";
@@ -70,7 +71,7 @@
 
 /** Largest response accepted from a target. */
 const maxResponseBytes = 32 * 1024 * 1024;
-/** Limit on the memory of all responses in progress together. */
+/** Limit on the memory of all responses together, from their first byte until their callers have read them. */
 const maxBufferedBytes = 64 * 1024 * 1024;
 /** Limit on the memory of all request bodies together. */
 const maxRequestBytes = 64 * 1024 * 1024;
@@ -108,10 +109,11 @@
         broadcast: reports => mesh.broadcastPoison(reports),
         onRefusable: () => dispatcher.stopPoisonRequests(),
     });
+    const responseBuffers = createResponseBuffers(maxBufferedBytes);
     const connections = createTargetConnections({
         timer,
         maxResponseBytes,
-        maxBufferedBytes,
+        buffers: responseBuffers,
     });
     const routeStatistics = createRouteStatistics(timer);
     const healthChecks = createHealthChecks({
@@ -190,7 +192,13 @@
         isAccepting: () => timer.now() < (stopRequestedAt ?? Infinity) + acceptGraceMs,
         stopDeadline: () => stopDeadline,
     });
-    const callerServer = createCallerServer({ log, timer, maxBufferedBytes: maxRequestBytes, onRequest: requestHandler.handle });
+    const callerServer = createCallerServer({
+        log,
+        timer,
+        maxBufferedBytes: maxRequestBytes,
+        responseBuffers,
+        onRequest: requestHandler.handle,
+    });
     const replication = createReplication({
         store,
         timer,
@@ -265,8 +273,8 @@
     });
     const heldBytes = (): HeldBytes => ({
         requestBodyBytes: callerServer.bodyBytes(),
-        receivedResponseBytes: connections.receivedBytes(),
-        unreadResponseBytes: callerServer.unreadResponseBytes(),
+        receivedResponseBytes: responseBuffers.receivedBytes(),
+        unreadResponseBytes: responseBuffers.unreadBytes(),
     });
     const memoryMonitor = createMemoryMonitor({
         timer,
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { test } from "node:test";
+import { createResponseBuffers } from "../responseBuffers.js";
 import { createTargetConnections, type TargetConnections } from "../targetConnections.js";
 import type { TargetResponse } from "../targetResponse.js";
 
@@ -51,7 +52,7 @@
     const connections = createTargetConnections({
         timer: createClockTimer(),
         maxResponseBytes: 1_000_000,
-        maxBufferedBytes: 3_000_000,
+        buffers: createResponseBuffers(3_000_000),
     });
     try {
         await check(connections, address);
@@ -102,7 +103,11 @@
     ));
 
 test("a refused connection reports no written request", async () => {
-    const connections = createTargetConnections({ timer: createClockTimer(), maxResponseBytes: 1_000, maxBufferedBytes: 3_000 });
+    const connections = createTargetConnections({
+        timer: createClockTimer(),
+        maxResponseBytes: 1_000,
+        buffers: createResponseBuffers(3_000),
+    });
     let isWritten = false;
     const reason = await new Promise<string>(resolve =>
         connections.send(
--- a/packages/steer/src/targets/responseBuffers.ts
+++ b/packages/steer/src/targets/responseBuffers.ts
@@ -1,43 +1,95 @@
 /**
- * Bounds the total memory of responses in progress. A faulty target may send without end; when the limit is exceeded,
- * the largest response is aborted first.
+ * Bounds the total memory of responses, from their first byte until their callers have read them. Faulty targets may send
+ * without end, and callers may read slowly; when the limit is exceeded, one response after the other is aborted.
  */
 
-/** Buffer of one response in progress. */
+/** Memory of one response. */
 export interface ResponseBuffer {
+    /** Bytes that it holds. */
     readonly bytes: () => number;
+    /** Bytes that are still to be sent to the caller; all of them while the response is received. */
+    readonly unsentBytes: () => number;
     readonly abort: (reason: string) => void;
 }
 
 export interface ResponseBuffers {
-    add(buffer: ResponseBuffer): void;
+    /** Counts a response that is received from a target from now on. */
+    addReceived(buffer: ResponseBuffer): void;
+    /** Counts a complete response that its caller is to read. */
+    addUnread(buffer: ResponseBuffer): void;
     /** Counts bytes received for any of the responses. */
     recordBytes(bytes: number): void;
-    /** Stops counting a response that is complete, failed or aborted. */
+    /** Stops counting a response that is complete, failed, aborted or read. */
     remove(buffer: ResponseBuffer): void;
-    usedBytes(): number;
+    /** Aborts the unread response with most bytes to send; false if there is none. */
+    abortUnread(reason: string): boolean;
+    /** Whether responses that are being received leave too little room for those of further requests. */
+    isScarce(): boolean;
+    receivedBytes(): number;
+    unreadBytes(): number;
+    /** Unread responses aborted so far. */
+    abortedCount(): number;
 }
 
+/** Responses of a kind, and the bytes that they hold. */
+interface BufferGroup {
+    readonly buffers: Set<ResponseBuffer>;
+    bytes: number;
+}
+
+const scarceFraction = 0.5;
+
 export function createResponseBuffers(maxBytes: number): ResponseBuffers {
-    const buffers = new Set<ResponseBuffer>();
-    let bufferedBytes = 0;
+    const received: BufferGroup = { buffers: new Set(), bytes: 0 };
+    const unread: BufferGroup = { buffers: new Set(), bytes: 0 };
+    let abortedCount = 0;
+
+    const add = (group: BufferGroup, buffer: ResponseBuffer): void => {
+        group.buffers.add(buffer);
+        group.bytes += buffer.bytes();
+        abortExcess();
+    };
     const remove = (buffer: ResponseBuffer): void => {
-        if (buffers.delete(buffer)) {
-            bufferedBytes -= buffer.bytes();
+        const group = received.buffers.has(buffer) ? received : unread;
+        if (group.buffers.delete(buffer)) {
+            group.bytes -= buffer.bytes();
+        }
+    };
+    /** The group must not be empty. */
+    const abortLargest = ({ buffers }: BufferGroup, reason: string): void => {
+        const largest = [...buffers].reduce((most, buffer) => buffer.unsentBytes() > most.unsentBytes() ? buffer : most);
+        remove(largest);
+        largest.abort(reason);
+    };
+    const abortUnread = (reason: string): boolean => {
+        if (unread.buffers.size === 0) {
+            return false;
+        }
+        abortedCount++;
+        abortLargest(unread, reason);
+        return true;
+    };
+    // Unread ones first: an aborted reception counts as a failure of its target.
+    const abortExcess = (): void => {
+        const reason = `responses exceed ${maxBytes} bytes together; aborting the one with most bytes to send`;
+        while (received.bytes + unread.bytes > maxBytes) {
+            if (!abortUnread(reason)) {
+                abortLargest(received, reason);
+            }
         }
     };
-    const largest = (): ResponseBuffer => [...buffers].reduce((most, buffer) => buffer.bytes() > most.bytes() ? buffer : most);
     return {
-        add: buffer => void buffers.add(buffer),
+        addReceived: buffer => add(received, buffer),
+        addUnread: buffer => add(unread, buffer),
         recordBytes: bytes => {
-            bufferedBytes += bytes;
-            while (bufferedBytes > maxBytes && buffers.size > 0) {
-                const buffer = largest();
-                remove(buffer);
-                buffer.abort(`responses in progress exceed ${maxBytes} bytes together; aborting the largest`);
-            }
+            received.bytes += bytes;
+            abortExcess();
         },
         remove,
-        usedBytes: () => bufferedBytes,
+        abortUnread,
+        isScarce: () => received.bytes >= maxBytes * scarceFraction,
+        receivedBytes: () => received.bytes,
+        unreadBytes: () => unread.bytes,
+        abortedCount: () => abortedCount,
     };
 }
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -5,7 +5,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import net from "node:net";
 import { Client, type Dispatcher } from "undici";
-import { createResponseBuffers, type ResponseBuffer, type ResponseBuffers } from "./responseBuffers.js";
+import type { ResponseBuffer, ResponseBuffers } from "./responseBuffers.js";
 import type { TargetResponse } from "./targetResponse.js";
 
 export interface OutgoingRequest {
@@ -45,8 +45,6 @@
     closeIdle(address: string): void;
     /** Number of connections that are open or being opened. */
     openCount(): number;
-    /** Memory of responses that are being received. */
-    receivedBytes(): number;
     close(): void;
 }
 
@@ -54,8 +52,7 @@
     readonly timer: Timer;
     /** Largest response that is accepted. */
     readonly maxResponseBytes: number;
-    /** Limit on the bytes of all responses in progress together. */
-    readonly maxBufferedBytes: number;
+    readonly buffers: ResponseBuffers;
 }
 
 /** Keep-alive timeout for targets that announce none. */
@@ -90,10 +87,9 @@
 }
 
 export function createTargetConnections(options: TargetConnectionsOptions): TargetConnections {
-    const { timer, maxResponseBytes } = options;
+    const { timer, maxResponseBytes, buffers } = options;
     const idle = new Map<string, Connection[]>();
     const all = new Set<Connection>();
-    const buffers = createResponseBuffers(options.maxBufferedBytes);
 
     const discard = (connection: Connection): void => {
         all.delete(connection);
@@ -231,7 +227,6 @@
             idle.delete(address);
         },
         openCount: () => all.size,
-        receivedBytes: buffers.usedBytes,
         close: () => [...all].forEach(discard),
     };
 }
@@ -256,6 +251,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     const buffer: ResponseBuffer = {
         bytes: () => size,
+        unsentBytes: () => size,
         abort: reason => {
             chunks = [];
             controller?.abort(new Error(reason));
@@ -264,7 +260,7 @@
     return {
         onRequestStart: requestController => {
             controller = requestController;
-            buffers.add(buffer);
+            buffers.addReceived(buffer);
             options.onWriteStart();
         },
         onResponseStart: (requestController, statusCode, _headers, statusMessage) => {
