fix(core): hashing a large body takes no memory for good

The fingerprint of a request joined its parts and its body into a second copy, and the hasher copied that once more into memory of WebAssembly, which never shrinks: one body of 64 MB left the process 64 MB larger until it ended.

--- a/packages/steer/src/callers/requestFingerprint.ts
+++ b/packages/steer/src/callers/requestFingerprint.ts
@@ -2,7 +2,7 @@
  * Identifies requests that ask for the same work, whoever sends them: the address that a request comes from may change from
  * one copy to the next.
  */
-import { hashBytes, hashText } from "@pimentospring/core/hash/hash";
+import { hashBytes, hashParts, hashText } from "@pimentospring/core/hash/hash";
 import type { Fingerprint } from "@pimentospring/core/ids";
 import type { CallerRequest } from "./callerServer.js";
 
@@ -21,8 +21,7 @@
         object: objectId ?? "",
     };
     let value: Fingerprint | undefined;
-    const compute = (): Fingerprint =>
-        hashBytes(Buffer.concat([Buffer.from(Object.values(parts).join("\n")), caller.body])) as Fingerprint;
+    const compute = (): Fingerprint => hashParts([Buffer.from(Object.values(parts).join("\n")), caller.body]) as Fingerprint;
     return {
         value: () => value ??= compute(),
         describe: () =>
