fix(steer): bodies are held once while they are received

A body stood in memory as its parts and as the whole until the next collection, so that requests and responses took up to twice what the limits allow. One of a declared length is now put in its place part by part; how much is allocated for bodies that have not arrived is bounded, and beyond that bound they are collected as before. The parts of others are no longer copied: the parser passes views of buffers that nobody else writes to.

--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -9,6 +9,7 @@
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
+import { createBodyBuffer } from "../targets/bodyBuffer.js";
 import { endToEndHeaders } from "../targets/hopHeaders.js";
 import type { ResponseBuffers } from "../targets/responseBuffers.js";
 import { hasDeclaredLength, type TargetResponse } from "../targets/targetResponse.js";
@@ -88,6 +89,7 @@
 export function createCallerServer(options: CallerServerOptions): CallerServer {
     const { log, timer, responseBuffers, onRequest } = options;
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes);
+    const bodyAllocations = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
 
@@ -118,7 +120,7 @@
             return;
         }
         const { maxBodyBytes } = limits;
-        readBody({ request, response, maxBodyBytes, memoryQuota }, outcome => {
+        readBody({ request, response, maxBodyBytes, memoryQuota, bodyAllocations }, outcome => {
             switch (outcome) {
                 case "tooLarge":
                     refuseUnread(results.bodyTooLarge);
@@ -210,16 +212,18 @@
     readonly response: ServerResponse;
     readonly maxBodyBytes: number;
     readonly memoryQuota: MemoryQuota;
+    /** Bounds the memory of bodies that are allocated before they have arrived. */
+    readonly bodyAllocations: MemoryQuota;
 }
 
 /** Reads the body. `done` is not called if the caller disconnects before its request is complete. */
 function readBody(reading: BodyReading, done: (outcome: Buffer | "tooLarge" | "noMemory") => void): void {
     const { request, response, maxBodyBytes, memoryQuota } = reading;
-    let chunks: Buffer[] = [];
+    const body = createBodyBuffer(Number(request.headers["content-length"] ?? 0), reading.bodyAllocations);
     let size = 0;
     const giveUp = (outcome: "tooLarge" | "noMemory"): void => {
         request.off("data", onData).off("end", onEnd);
-        chunks = [];
+        body.clear();
         done(outcome);
     };
     const onData = (chunk: Buffer): void => {
@@ -232,15 +236,18 @@
             return;
         }
         size += chunk.length;
-        chunks.push(chunk);
+        body.add(chunk);
     };
-    const onEnd = (): void => done(Buffer.concat(chunks, size));
+    const onEnd = (): void => done(body.take());
     request.on("data", onData);
     request.on("end", onEnd);
     request.on("error", () => {
         // The caller disconnected before the request was complete: nothing was routed and no response is expected.
     });
-    response.once("close", () => memoryQuota.giveBack(size));
+    response.once("close", () => {
+        memoryQuota.giveBack(size);
+        body.clear();
+    });
 }
 
 /**
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -13,6 +13,7 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { CountedTimer } from "@pimentospring/runtime/time/countedTimer";
 import { createCallerServer } from "./callers/callerServer.js";
+import { createMemoryQuota } from "./callers/memoryQuota.js";
 import { createRequestHandler } from "./callers/requestHandler.js";
 import { createUdpSocket } from "./mesh/datagramSocket.js";
 import type { Heartbeat } from "./mesh/heartbeat.js";
@@ -114,6 +115,7 @@
         timer,
         maxResponseBytes,
         buffers: responseBuffers,
+        allocations: createMemoryQuota(maxBufferedBytes),
     });
     const routeStatistics = createRouteStatistics(timer);
     const healthChecks = createHealthChecks({
--- a/packages/steer/src/targets/__tests__/foreignResponses.test.ts
+++ b/packages/steer/src/targets/__tests__/foreignResponses.test.ts
@@ -7,6 +7,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import type { CallerRequest } from "../../callers/callerServer.js";
+import { createMemoryQuota } from "../../callers/memoryQuota.js";
 import type { HeaderCodec } from "../../wire/headerCodec.js";
 import { createResponseBuffers } from "../responseBuffers.js";
 import { createTargetConnections, maxRequestsPerConnection } from "../targetConnections.js";
@@ -47,7 +48,12 @@
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    const connections = createTargetConnections({ timer, maxResponseBytes: 10_000, buffers: createResponseBuffers(30_000) });
+    const connections = createTargetConnections({
+        timer,
+        maxResponseBytes: 10_000,
+        buffers: createResponseBuffers(30_000),
+        allocations: createMemoryQuota(30_000),
+    });
     const waiting = new Map<AttemptId, (outcome: string) => void>();
     const dispatcher = {
         recordWritten: () => {},
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { test } from "node:test";
+import { createMemoryQuota } from "../../callers/memoryQuota.js";
 import { createResponseBuffers } from "../responseBuffers.js";
 import { createTargetConnections, type TargetConnections } from "../targetConnections.js";
 import type { TargetResponse } from "../targetResponse.js";
@@ -53,6 +54,7 @@
         timer: createClockTimer(),
         maxResponseBytes: 1_000_000,
         buffers: createResponseBuffers(3_000_000),
+        allocations: createMemoryQuota(3_000_000),
     });
     try {
         await check(connections, address);
@@ -107,6 +109,7 @@
         timer: createClockTimer(),
         maxResponseBytes: 1_000,
         buffers: createResponseBuffers(3_000),
+        allocations: createMemoryQuota(3_000),
     });
     let isWritten = false;
     const reason = await new Promise<string>(resolve =>
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -5,8 +5,10 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import net from "node:net";
 import { Client, type Dispatcher } from "undici";
+import type { MemoryQuota } from "../callers/memoryQuota.js";
+import { createBodyBuffer } from "./bodyBuffer.js";
 import type { ResponseBuffer, ResponseBuffers } from "./responseBuffers.js";
-import type { TargetResponse } from "./targetResponse.js";
+import { declaredBytes, type TargetResponse } from "./targetResponse.js";
 
 export interface OutgoingRequest {
     /** The id that the response repeats; `undefined` if the request carries none. */
@@ -53,6 +55,8 @@
     /** Largest response that is accepted. */
     readonly maxResponseBytes: number;
     readonly buffers: ResponseBuffers;
+    /** Bounds the memory of response bodies that are allocated before they have arrived. */
+    readonly allocations: MemoryQuota;
 }
 
 /** Keep-alive timeout for targets that announce none. */
@@ -87,7 +91,7 @@
 }
 
 export function createTargetConnections(options: TargetConnectionsOptions): TargetConnections {
-    const { timer, maxResponseBytes, buffers } = options;
+    const { timer, maxResponseBytes, buffers, allocations } = options;
     const idle = new Map<string, Connection[]>();
     const all = new Set<Connection>();
 
@@ -202,6 +206,7 @@
             const handler = createDispatchHandler({
                 maxResponseBytes,
                 buffers,
+                allocations,
                 onWriteStart: () => {
                     if (!isSettled) {
                         responseHandler.onWriteStart();
@@ -234,6 +239,7 @@
 interface DispatchHandlerOptions {
     readonly maxResponseBytes: number;
     readonly buffers: ResponseBuffers;
+    readonly allocations: MemoryQuota;
     readonly onWriteStart: () => void;
     readonly onResponse: (response: TargetResponse) => void;
     readonly onFailure: (reason: string) => void;
@@ -247,13 +253,13 @@
     let rawHeaders: string[] = [];
     let size = 0;
     let interimCount = 0;
-    let chunks: Buffer[] = [];
+    let body = createBodyBuffer(0, options.allocations);
     let controller: Dispatcher.DispatchController | undefined;
     const buffer: ResponseBuffer = {
         bytes: () => size,
         unsentBytes: () => size,
         abort: reason => {
-            chunks = [];
+            body.clear();
             controller?.abort(new Error(reason));
         },
     };
@@ -273,14 +279,14 @@
                 rawHeaders = ((requestController.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item =>
                     item.toString("latin1")
                 );
+                body = createBodyBuffer(Math.min(declaredBytes(rawHeaders), maxResponseBytes + 1), options.allocations);
             }
             else if (++interimCount > maxInterimResponses) {
                 requestController.abort(new Error(`more than ${maxInterimResponses} interim (1xx) responses`));
             }
         },
         onResponseData: (_controller, chunk) => {
-            // Copied, since the parser may reuse its memory.
-            chunks.push(Buffer.from(chunk));
+            body.add(chunk);
             size += chunk.length;
             buffers.recordBytes(chunk.length);
             if (size > maxResponseBytes) {
@@ -289,11 +295,11 @@
         },
         onResponseEnd: () => {
             buffers.remove(buffer);
-            options.onResponse({ status, statusText, rawHeaders, body: Buffer.concat(chunks, size) });
+            options.onResponse({ status, statusText, rawHeaders, body: body.take() });
         },
         onResponseError: (_controller, error) => {
             buffers.remove(buffer);
-            chunks = [];
+            body.clear();
             options.onFailure(error.message);
         },
     };
--- a/packages/steer/src/targets/targetResponse.ts
+++ b/packages/steer/src/targets/targetResponse.ts
@@ -16,3 +16,9 @@
 export function hasDeclaredLength(response: TargetResponse): boolean {
     return response.rawHeaders.some((text, index) => index % 2 === 0 && framingHeaders.has(text.toLowerCase()));
 }
+
+/** The declared length; 0 if none is declared or it is no number. */
+export function declaredBytes(rawHeaders: readonly string[]): number {
+    const at = rawHeaders.findIndex((text, index) => index % 2 === 0 && text.toLowerCase() === "content-length");
+    return at === -1 ? 0 : Number(rawHeaders[at + 1]) || 0;
+}
