fix(steer): near the memory limit garbage is collected, requests are refused and slow responses cut

A daemon that neared its memory went on accepting until it was killed, and with it all its requests. Its limits on bodies and on responses are now parts of the machine's memory (a fifth each) and new requests are refused as not run, with a time to retry, while responses that are being received take half of theirs, or while the resident size is above four fifths of the limit; from nine tenths the slowest unread response is cut, one a check. Event 117 and two gauges tell what was cut and refused.

--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -50,9 +50,15 @@
         115,
         "memoryHigh",
         "warn",
-        "The process's memory is near its limit; the line tells its parts, in bytes.",
+        "The process's memory is near its limit; requests are refused until it is normal again. The line tells its parts, in bytes.",
     ),
     memoryNormal: defineEvent(116, "memoryNormal", "info", "The process's memory is no longer near its limit."),
+    responsesCut: defineEvent(
+        117,
+        "responsesCut",
+        "warn",
+        "Responses that callers read slowly were cut as they took too much memory; the line counts them and tells what is held, in bytes.",
+    ),
     inForce: defineEvent(200, "inForce", "info", "A new revision of the configuration is in force."),
     documentRefused: defineEvent(201, "documentRefused", "error", "A document was rejected; the one in force stays."),
     storeFailed: defineEvent(
--- a/packages/steer/src/callers/__tests__/requestBodies.test.ts
+++ b/packages/steer/src/callers/__tests__/requestBodies.test.ts
@@ -31,6 +31,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes,
+        isMemoryScarce: () => false,
         responseBuffers: createResponseBuffers(64_000_000),
         onRequest: (request, responder) => {
             accepted.push({ request, responder });
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -40,6 +40,8 @@
     readonly timer: Timer;
     /** Limit on the memory of all request bodies together, in bytes. */
     readonly maxBufferedBytes: number;
+    /** Whether requests are to be refused as memory is short. */
+    readonly isMemoryScarce: () => boolean;
     /** Counts responses until their callers have read them. */
     readonly responseBuffers: ResponseBuffers;
     /**
@@ -63,6 +65,8 @@
     openConnectionCount(): number;
     /** Memory of request bodies, from their first byte until their requests have ended. */
     bodyBytes(): number;
+    /** Requests refused so far for lack of memory. */
+    memoryRefusalCount(): number;
 }
 
 /** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
@@ -92,6 +96,7 @@
     const bodyAllocations = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
+    let memoryRefusals = 0;
 
     const submit = (request: CallerRequest, responder: CallerResponder): () => void => {
         try {
@@ -111,6 +116,14 @@
             const end = (body: string): void => endAfterRequest(request, response, timer, body);
             createResponder(response, () => true, responseBuffers, end).refuse(result, retryAfterMs);
         };
+        const refuseForMemory = (): void => {
+            memoryRefusals++;
+            refuseUnread(results.noMemory, noMemoryRetryAfterMs);
+        };
+        if (options.isMemoryScarce()) {
+            refuseForMemory();
+            return;
+        }
         if (headBytes(request) > limits.maxHeaderBytes) {
             refuseUnread(results.headTooLarge);
             return;
@@ -126,7 +139,7 @@
                     refuseUnread(results.bodyTooLarge);
                     return;
                 case "noMemory":
-                    refuseUnread(results.noMemory, noMemoryRetryAfterMs);
+                    refuseForMemory();
                     return;
             }
             // Waits for another read of the sockets, so that a caller that disconnected while the event loop was
@@ -177,6 +190,7 @@
         openRequestCount: connections.openRequestCount,
         openConnectionCount: connections.openCount,
         bodyBytes: memoryQuota.usedBytes,
+        memoryRefusalCount: () => memoryRefusals,
     };
 }
 
--- a/packages/steer/src/observe/__tests__/memoryMonitor.test.ts
+++ b/packages/steer/src/observe/__tests__/memoryMonitor.test.ts
@@ -15,6 +15,9 @@
         readResidentBytes: () => residentBytes,
         readUsage: () => ({ residentBytes, heapUsedBytes: 1, externalBytes: 1, bufferBytes: 1 }),
         heldBytes: () => ({ heldBytes: 7 }),
+        collectGarbage: () => {},
+        abortUnreadResponse: () => {},
+        abortedResponses: () => 0,
     });
     monitor.start();
     for (const next of [50, 79, 85, 95, 75, 69, 75]) {
@@ -24,3 +27,30 @@
     assert.deepEqual(lines, ["memoryHigh 85 7", "memoryNormal 69 7"]);
     assert.equal(monitor.isHigh(), false);
 });
+
+test("garbage is collected before requests are refused, and responses are aborted last", () => {
+    const timer = createVirtualTimer();
+    const acts: string[] = [];
+    let residentBytes = 0;
+    let aborted = 0;
+    const monitor = createMemoryMonitor({
+        timer,
+        log: { write: ({ name }, fields) => void acts.push(`${name} ${fields?.["count"] ?? ""}`.trim()) },
+        maxResidentBytes: 100,
+        readResidentBytes: () => residentBytes,
+        readUsage: () => ({ residentBytes, heapUsedBytes: 1, externalBytes: 1, bufferBytes: 1 }),
+        heldBytes: () => ({}),
+        collectGarbage: () => void acts.push("collect"),
+        abortUnreadResponse: () => void aborted++,
+        abortedResponses: () => aborted,
+    });
+    monitor.start();
+    for (const next of [60, 72, 75, 78, 79, 79, 82, 91, 95, 60]) {
+        residentBytes = next;
+        timer.advance(250);
+    }
+    assert.deepEqual(acts, ["collect", "collect", "memoryHigh", "responsesCut 1", "memoryNormal"]);
+    assert.equal(aborted, 2);
+    timer.advance(2_000);
+    assert.equal(acts.at(-1), "responsesCut 1");
+});
--- a/packages/steer/src/observe/gauges.ts
+++ b/packages/steer/src/observe/gauges.ts
@@ -24,6 +24,8 @@
     readonly waitingRequests: () => number;
     readonly memoryUsage: () => MemoryUsage;
     readonly heldBytes: () => HeldBytes;
+    readonly cutResponses: () => number;
+    readonly memoryRefusals: () => number;
     readonly callerConnections: () => number;
     readonly openDescriptors: () => number;
 }
@@ -117,6 +119,8 @@
         "Responses that their callers have not read whole",
         () => heldBytes().unreadResponseBytes,
     );
+    metrics.registerGauge("pimento_responses_cut", "Responses cut so far for lack of memory", sources.cutResponses);
+    metrics.registerGauge("pimento_memory_refusals", "Requests refused so far for lack of memory", sources.memoryRefusals);
     metrics.registerGauge("pimento_caller_connections", "Open connections of callers", sources.callerConnections);
     metrics.registerGauge("pimento_open_descriptors", "Open file descriptors", sources.openDescriptors);
 }
--- a/packages/steer/src/observe/memoryMonitor.ts
+++ b/packages/steer/src/observe/memoryMonitor.ts
@@ -1,4 +1,7 @@
-/** Watches the process's resident size: a process that exceeds its limit is killed without any other sign. */
+/**
+ * Watches the process's resident size: a process that exceeds its limit is killed without any other sign. Near the limit garbage
+ * is collected and requests are refused; nearer still, responses that callers read slowly are aborted.
+ */
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
@@ -13,37 +16,72 @@
     readonly readUsage: () => MemoryUsage;
     /** What the daemon itself counts, by kind. */
     readonly heldBytes: () => Readonly<Record<string, number>>;
+    /** Frees buffers that are no longer in use. */
+    readonly collectGarbage: () => void;
+    /** Aborts the response that is read most slowly, if there is any. */
+    readonly abortUnreadResponse: (reason: string) => void;
+    /** Responses that were aborted so far for lack of memory. */
+    readonly abortedResponses: () => number;
 }
 
 export interface MemoryMonitor {
     start(): void;
-    /** Whether the resident size is near its limit. */
+    /** Whether the resident size is near its limit, so that requests are to be refused. */
     isHigh(): boolean;
 }
 
 const checkIntervalMs = 250;
-/** Fractions of the limit from which the memory counts as high, and below which as normal again. */
+/** Time between two collections, which stop the process. */
+const collectionIntervalMs = 1_000;
+/** Time between two log lines on aborted responses. */
+const abortLogIntervalMs = 2_000;
+/** Fractions of the limit: from the first garbage is collected, from the next two requests are refused and responses aborted. */
+const collectFraction = 0.7;
 const highFraction = 0.8;
+const criticalFraction = 0.9;
+/** Fraction of the limit below which the memory is normal again. */
 const normalFraction = 0.7;
 
 export function createMemoryMonitor(options: MemoryMonitorOptions): MemoryMonitor {
     const { timer, log, maxResidentBytes } = options;
     let isHigh = false;
+    let collectedAt = -Infinity;
+    let abortsLoggedAt = -Infinity;
+    let loggedAborts = 0;
 
-    const setHigh = (next: boolean): void => {
-        isHigh = next;
-        log.write(next ? logEvents.memoryHigh : logEvents.memoryNormal, {
-            maxResidentBytes,
-            ...options.readUsage(),
-            ...options.heldBytes(),
-        });
+    const logMemory = (event: typeof logEvents.memoryHigh | typeof logEvents.memoryNormal): void =>
+        log.write(event, { maxResidentBytes, ...options.readUsage(), ...options.heldBytes() });
+    const updateHigh = (residentBytes: number): void => {
+        const threshold = maxResidentBytes * (isHigh ? normalFraction : highFraction);
+        if (residentBytes >= threshold !== isHigh) {
+            isHigh = !isHigh;
+            logMemory(isHigh ? logEvents.memoryHigh : logEvents.memoryNormal);
+        }
+    };
+    const collect = (): void => {
+        if (timer.now() >= collectedAt + collectionIntervalMs) {
+            collectedAt = timer.now();
+            options.collectGarbage();
+        }
+    };
+    const logAborts = (): void => {
+        const count = options.abortedResponses() - loggedAborts;
+        if (count > 0 && timer.now() >= abortsLoggedAt + abortLogIntervalMs) {
+            abortsLoggedAt = timer.now();
+            loggedAborts += count;
+            log.write(logEvents.responsesCut, { count, ...options.heldBytes() });
+        }
     };
     const check = (): void => {
         const residentBytes = options.readResidentBytes();
-        const threshold = maxResidentBytes * (isHigh ? normalFraction : highFraction);
-        if (residentBytes >= threshold !== isHigh) {
-            setHigh(!isHigh);
+        updateHigh(residentBytes);
+        if (residentBytes >= maxResidentBytes * criticalFraction) {
+            options.abortUnreadResponse(`resident size of ${residentBytes} bytes near the limit of ${maxResidentBytes}`);
+        }
+        if (residentBytes >= maxResidentBytes * collectFraction) {
+            collect();
         }
+        logAborts();
     };
     return {
         start: () => void timer.subscribe(checkIntervalMs, check),
--- a/packages/steer/src/observe/memoryUsage.ts
+++ b/packages/steer/src/observe/memoryUsage.ts
@@ -31,3 +31,6 @@
         return 0;
     }
 }
+
+/** Collects garbage at once, where the runtime was started with `--expose-gc`. */
+export const collectGarbage = (): void => globalThis.gc?.();
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -21,7 +21,7 @@
 import { type HeldBytes, registerGauges } from "./observe/gauges.js";
 import { createLoopMonitor } from "./observe/loopMonitor.js";
 import { createMemoryMonitor } from "./observe/memoryMonitor.js";
-import { countOpenDescriptors, readMemoryUsage, readResidentBytes } from "./observe/memoryUsage.js";
+import { collectGarbage, countOpenDescriptors, readMemoryUsage, readResidentBytes } from "./observe/memoryUsage.js";
 import type { SteerMetrics } from "./observe/metrics.js";
 import { createRequestLog } from "./observe/requestLog.js";
 import { createRouteStatistics } from "./observe/routeStatistics.js";
@@ -72,10 +72,10 @@
 
 /** Largest response accepted from a target. */
 const maxResponseBytes = 32 * 1024 * 1024;
-/** Limit on the memory of all responses together, from their first byte until their callers have read them. */
-const maxBufferedBytes = 64 * 1024 * 1024;
-/** Limit on the memory of all request bodies together. */
-const maxRequestBytes = 64 * 1024 * 1024;
+/** Part of the process's memory for all responses together, from their first byte until their callers have read them. */
+const responseMemoryFraction = 0.2;
+/** Part of the process's memory for all request bodies together. */
+const requestMemoryFraction = 0.2;
 /** Requests that arrive later than this after the stop request are refused. */
 const acceptGraceMs = 3_000;
 const listenerCloseDelayMs = 4_500;
@@ -110,6 +110,7 @@
         broadcast: reports => mesh.broadcastPoison(reports),
         onRefusable: () => dispatcher.stopPoisonRequests(),
     });
+    const maxBufferedBytes = settings.limits.memoryBytes * responseMemoryFraction;
     const responseBuffers = createResponseBuffers(maxBufferedBytes);
     const connections = createTargetConnections({
         timer,
@@ -197,7 +198,8 @@
     const callerServer = createCallerServer({
         log,
         timer,
-        maxBufferedBytes: maxRequestBytes,
+        maxBufferedBytes: settings.limits.memoryBytes * requestMemoryFraction,
+        isMemoryScarce: () => memoryMonitor.isHigh() || responseBuffers.isScarce(),
         responseBuffers,
         onRequest: requestHandler.handle,
     });
@@ -285,6 +287,9 @@
         readResidentBytes,
         readUsage: readMemoryUsage,
         heldBytes: () => ({ ...heldBytes() }),
+        collectGarbage,
+        abortUnreadResponse: responseBuffers.abortUnread,
+        abortedResponses: responseBuffers.abortedCount,
     });
     registerGauges(metrics, {
         loopUtilization: loopMonitor.utilization,
@@ -303,6 +308,8 @@
         waitingRequests: () => [...services.keys()].reduce((sum, service) => sum + dispatcher.queuedCount(service), 0),
         memoryUsage: readMemoryUsage,
         heldBytes,
+        cutResponses: responseBuffers.abortedCount,
+        memoryRefusals: callerServer.memoryRefusalCount,
         callerConnections: callerServer.openConnectionCount,
         openDescriptors: countOpenDescriptors,
     });
