fix(steer): an entry's lack of memory is not a failure of its targets

When responses exceeded their limit together, the aborted ones counted as connections that their targets had broken: targets that answered were taken out of use, their requests suspected of crashing them and refused, or run once more. Such a request now ends with unexpectedError (it may have run), its attempt is given up as if the caller had left, and nothing is counted against the target.

--- a/packages/steer/src/callers/requestHandler.ts
+++ b/packages/steer/src/callers/requestHandler.ts
@@ -16,8 +16,11 @@
     readonly log: Log;
     readonly headerCodec: HeaderCodec;
     readonly dispatcher: () => RequestDispatcher<TargetResponse>;
-    /** Stores the caller's request until the returned function is called. */
-    readonly register: (request: SteeringRequest, caller: CallerRequest) => () => void;
+    /**
+     * Stores the caller's request until the returned function is called. `onNoMemory` is called when this entry lacks the memory for
+     * its response.
+     */
+    readonly register: (request: SteeringRequest, caller: CallerRequest, onNoMemory: () => void) => () => void;
     /** Whether new requests are accepted. */
     readonly isAccepting: () => boolean;
     /** Time at which the process exits, on the timer's clock. */
@@ -70,8 +73,13 @@
                 fingerprint: fingerprint.value,
                 describeFingerprint: fingerprint.describe,
             };
-            const unregister = options.register(request, caller);
-            return dispatcher().submit(request, finalResponse => {
+            let cancel = (): void => {};
+            const unregister = options.register(request, caller, () => {
+                // It may have run, so that it is neither refused as not run nor sent to another target.
+                responder.refuse(results.unexpectedError, undefined);
+                cancel();
+            });
+            cancel = dispatcher().submit(request, finalResponse => {
                 unregister();
                 if (finalResponse.kind === "answer") {
                     respond(request, finalResponse.answer, responder);
@@ -80,6 +88,7 @@
                     responder.refuse(finalResponse.result, finalResponse.retryAfterMs);
                 }
             });
+            return cancel;
         },
     };
 }
--- a/packages/steer/src/targets/__tests__/foreignResponses.test.ts
+++ b/packages/steer/src/targets/__tests__/foreignResponses.test.ts
@@ -68,7 +68,7 @@
         const request = { id: toRequestId(id) };
         const rawHeaders = ["Host", "a", "X-Request-Id", id];
         const caller = { method: "GET", path: "/", rawHeaders, header: () => undefined, body: Buffer.alloc(0) };
-        sender.register(request, caller as unknown as CallerRequest);
+        sender.register(request, caller as unknown as CallerRequest, () => {});
         const attempt = {
             id: toAttemptId(++attempts),
             job: { request, route: { isIdempotent: false }, responseDueAt: timer.now() + 2_000 },
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -227,3 +227,35 @@
             },
         ));
 }
+
+// Guards against healthy targets that were taken out of use, and requests that were suspected, for the entry's own lack of memory.
+test("a response for which there is no memory is not a failure of its target, and counts no longer", () =>
+    withTarget(
+        socket => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n${"x".repeat(800_000)}`),
+        async (_connections, address) => {
+            const buffers = createResponseBuffers(1_000_000);
+            const connections = createTargetConnections({
+                timer: createClockTimer(),
+                maxResponseBytes: 1_000_000,
+                buffers,
+                allocations: createMemoryQuota(1_000_000),
+            });
+            const outcomes: string[] = [];
+            const outgoing = { id: undefined, method: "GET", path: "/", headers: ["Host", "a"], body: undefined };
+            for (let count = 0; count < 3; count++) {
+                connections.send(address, outgoing, true, 500, {
+                    onWriteStart: () => {},
+                    isExpected: () => true,
+                    onResponse: () => outcomes.push("response"),
+                    onFailure: reason => outcomes.push(reason),
+                    onNoMemory: () => outcomes.push("no memory"),
+                });
+            }
+            await pause(400);
+            assert.deepEqual(outcomes, ["no memory", "no memory"]);
+            assert.equal(buffers.receivedBytes(), 800_000);
+            connections.close();
+            await pause(50);
+            assert.equal(buffers.receivedBytes(), 0);
+        },
+    ));
--- a/packages/steer/src/targets/responseBuffers.ts
+++ b/packages/steer/src/targets/responseBuffers.ts
@@ -27,7 +27,7 @@
     isScarce(): boolean;
     receivedBytes(): number;
     unreadBytes(): number;
-    /** Unread responses aborted so far. */
+    /** Responses aborted so far. */
     abortedCount(): number;
 }
 
@@ -59,13 +59,13 @@
     const abortLargest = ({ buffers }: BufferGroup, reason: string): void => {
         const largest = [...buffers].reduce((most, buffer) => buffer.unsentBytes() > most.unsentBytes() ? buffer : most);
         remove(largest);
+        abortedCount++;
         largest.abort(reason);
     };
     const abortUnread = (reason: string): boolean => {
         if (unread.buffers.size === 0) {
             return false;
         }
-        abortedCount++;
         abortLargest(unread, reason);
         return true;
     };
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -29,6 +29,8 @@
     onResponse(response: TargetResponse): void;
     /** Called when no complete response can arrive any more. */
     onFailure(reason: string): void;
+    /** Called in place of `onFailure` when this entry lacks the memory for the response, which says nothing of the target. */
+    onNoMemory?(reason: string): void;
 }
 
 export interface TargetConnections {
@@ -215,6 +217,7 @@
                 // Deferred: stray bytes that follow in the same chunk are parsed first and close the connection.
                 onResponse: response => queueMicrotask(() => succeed(response)),
                 onFailure: fail,
+                onNoMemory: reason => settle(false, () => (responseHandler.onNoMemory ?? responseHandler.onFailure)(reason)),
             });
             connection.client.dispatch({
                 method: outgoing.method as Dispatcher.HttpMethod,
@@ -243,6 +246,7 @@
     readonly onWriteStart: () => void;
     readonly onResponse: (response: TargetResponse) => void;
     readonly onFailure: (reason: string) => void;
+    readonly onNoMemory: (reason: string) => void;
 }
 
 /** Collects one response. */
@@ -254,46 +258,53 @@
     let size = 0;
     let interimCount = 0;
     let body = createBodyBuffer(0, options.allocations);
-    let controller: Dispatcher.DispatchController | undefined;
+    let isAborted = false;
+    let requestController: Dispatcher.DispatchController | undefined;
     const buffer: ResponseBuffer = {
         bytes: () => size,
         unsentBytes: () => size,
         abort: reason => {
+            isAborted = true;
             body.clear();
-            controller?.abort(new Error(reason));
+            options.onNoMemory(reason);
+            requestController?.abort(new Error(reason));
         },
     };
     return {
-        onRequestStart: requestController => {
-            controller = requestController;
+        onRequestStart: controller => {
+            requestController = controller;
             buffers.addReceived(buffer);
             options.onWriteStart();
         },
-        onResponseStart: (requestController, statusCode, _headers, statusMessage) => {
+        onResponseStart: (controller, statusCode, _headers, statusMessage) => {
             if (controlCharacterPattern.test(statusMessage ?? "")) {
-                requestController.abort(new Error("the status line has control characters"));
+                controller.abort(new Error("the status line has control characters"));
             }
             else if (statusCode >= 200) {
                 status = statusCode;
                 statusText = statusMessage ?? "";
-                rawHeaders = ((requestController.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item =>
-                    item.toString("latin1")
-                );
+                rawHeaders = ((controller.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item => item.toString("latin1"));
                 body = createBodyBuffer(Math.min(declaredBytes(rawHeaders), maxResponseBytes + 1), options.allocations);
             }
             else if (++interimCount > maxInterimResponses) {
-                requestController.abort(new Error(`more than ${maxInterimResponses} interim (1xx) responses`));
+                controller.abort(new Error(`more than ${maxInterimResponses} interim (1xx) responses`));
             }
         },
-        onResponseData: (_controller, chunk) => {
+        onResponseData: (controller, chunk) => {
+            if (isAborted) {
+                return;
+            }
             body.add(chunk);
             size += chunk.length;
             buffers.recordBytes(chunk.length);
             if (size > maxResponseBytes) {
-                buffer.abort(`response exceeds ${maxResponseBytes} bytes`);
+                controller.abort(new Error(`response exceeds ${maxResponseBytes} bytes`));
             }
         },
         onResponseEnd: () => {
+            if (isAborted) {
+                return;
+            }
             buffers.remove(buffer);
             options.onResponse({ status, statusText, rawHeaders, body: body.take() });
         },
--- a/packages/steer/src/targets/targetSender.ts
+++ b/packages/steer/src/targets/targetSender.ts
@@ -19,8 +19,11 @@
 }
 
 export interface TargetSender {
-    /** Stores the caller's request for its attempts, until the returned function is called. */
-    register(request: object, caller: CallerRequest): () => void;
+    /**
+     * Stores the caller's request for its attempts, until the returned function is called. `onNoMemory` is called when this entry
+     * lacks the memory for a response.
+     */
+    register(request: object, caller: CallerRequest, onNoMemory: () => void): () => void;
     send(attempt: Attempt<TargetResponse>): void;
     cancel(attempt: Attempt<TargetResponse>): void;
 }
@@ -33,6 +36,7 @@
 interface RegisteredRequest {
     readonly caller: CallerRequest;
     readonly headers: readonly string[];
+    readonly onNoMemory: () => void;
 }
 
 export function createTargetSender(options: TargetSenderOptions): TargetSender {
@@ -50,8 +54,8 @@
     const decodeHead = (response: TargetResponse): TargetResponseHead =>
         headerCodec.decodeResponse(response.status, headerReader(response.rawHeaders), response.body.length);
     return {
-        register: (request, caller) => {
-            registered.set(request, { caller, headers: endToEndHeaders(caller.rawHeaders, isReplacedHeader) });
+        register: (request, caller, onNoMemory) => {
+            registered.set(request, { caller, onNoMemory, headers: endToEndHeaders(caller.rawHeaders, isReplacedHeader) });
             return () => registered.delete(request);
         },
         send: attempt => {
@@ -84,6 +88,10 @@
                         cancels.delete(attempt.id);
                         dispatcher().handleConnectionFailure(attempt, reason);
                     },
+                    onNoMemory: () => {
+                        cancels.delete(attempt.id);
+                        registeredRequest.onNoMemory();
+                    },
                 },
             );
             cancels.set(attempt.id, cancel);
