--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -9,8 +9,11 @@
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
+import { createBodyBuffer } from "../targets/bodyBuffer.js";
 import { endToEndHeaders } from "../targets/hopHeaders.js";
+import type { ResponseBuffers } from "../targets/responseBuffers.js";
 import { hasDeclaredLength, type TargetResponse } from "../targets/targetResponse.js";
+import { endCounted } from "./countedResponse.js";
 import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
 
 export interface CallerRequest {
@@ -37,6 +40,10 @@
     readonly timer: Timer;
     /** Limit on the memory of all request bodies together, in bytes. */
     readonly maxBufferedBytes: number;
+    /** Whether requests are to be refused as memory is short. */
+    readonly isMemoryScarce: () => boolean;
+    /** Counts responses until their callers have read them. */
+    readonly responseBuffers: ResponseBuffers;
     /**
      * Called with each complete request. The returned function is called if the caller disconnects before the response
      * is sent.
@@ -56,6 +63,10 @@
     /** Requests whose head was received and whose response is not yet with the operating system. */
     openRequestCount(): number;
     openConnectionCount(): number;
+    /** Memory of request bodies, from their first byte until their requests have ended. */
+    bodyBytes(): number;
+    /** Requests refused so far for lack of memory. */
+    memoryRefusalCount(): number;
 }
 
 /** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
@@ -80,10 +91,12 @@
 };
 
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-    const { log, timer, onRequest } = options;
+    const { log, timer, responseBuffers, onRequest } = options;
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes);
+    const bodyAllocations = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
+    let memoryRefusals = 0;
 
     const submit = (request: CallerRequest, responder: CallerResponder): () => void => {
         try {
@@ -97,12 +110,20 @@
     };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
-        const responder = createResponder(response, () => isKeepAliveDisabled);
+        const responder = createResponder(response, () => isKeepAliveDisabled, responseBuffers);
         /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
         const refuseUnread = (result: Result, retryAfterMs?: number): void => {
             const end = (body: string): void => endAfterRequest(request, response, timer, body);
-            createResponder(response, () => true, end).refuse(result, retryAfterMs);
+            createResponder(response, () => true, responseBuffers, end).refuse(result, retryAfterMs);
         };
+        const refuseForMemory = (): void => {
+            memoryRefusals++;
+            refuseUnread(results.noMemory, noMemoryRetryAfterMs);
+        };
+        if (options.isMemoryScarce()) {
+            refuseForMemory();
+            return;
+        }
         if (headBytes(request) > limits.maxHeaderBytes) {
             refuseUnread(results.headTooLarge);
             return;
@@ -112,13 +133,13 @@
             return;
         }
         const { maxBodyBytes } = limits;
-        readBody({ request, response, maxBodyBytes, memoryQuota }, outcome => {
+        readBody({ request, response, maxBodyBytes, memoryQuota, bodyAllocations }, outcome => {
             switch (outcome) {
                 case "tooLarge":
                     refuseUnread(results.bodyTooLarge);
                     return;
                 case "noMemory":
-                    refuseUnread(results.noMemory, noMemoryRetryAfterMs);
+                    refuseForMemory();
                     return;
             }
             // Waits for another read of the sockets, so that a caller that disconnected while the event loop was
@@ -168,6 +189,8 @@
         stopListening: connections.stopListening,
         openRequestCount: connections.openRequestCount,
         openConnectionCount: connections.openCount,
+        bodyBytes: memoryQuota.usedBytes,
+        memoryRefusalCount: () => memoryRefusals,
     };
 }
 
@@ -203,16 +226,18 @@
     readonly response: ServerResponse;
     readonly maxBodyBytes: number;
     readonly memoryQuota: MemoryQuota;
+    /** Bounds the memory of bodies that are allocated before they have arrived. */
+    readonly bodyAllocations: MemoryQuota;
 }
 
 /** Reads the body. `done` is not called if the caller disconnects before its request is complete. */
 function readBody(reading: BodyReading, done: (outcome: Buffer | "tooLarge" | "noMemory") => void): void {
     const { request, response, maxBodyBytes, memoryQuota } = reading;
-    let chunks: Buffer[] = [];
+    const body = createBodyBuffer(Number(request.headers["content-length"] ?? 0), reading.bodyAllocations);
     let size = 0;
     const giveUp = (outcome: "tooLarge" | "noMemory"): void => {
         request.off("data", onData).off("end", onEnd);
-        chunks = [];
+        body.clear();
         done(outcome);
     };
     const onData = (chunk: Buffer): void => {
@@ -225,15 +250,18 @@
             return;
         }
         size += chunk.length;
-        chunks.push(chunk);
+        body.add(chunk);
     };
-    const onEnd = (): void => done(Buffer.concat(chunks, size));
+    const onEnd = (): void => done(body.take());
     request.on("data", onData);
     request.on("end", onEnd);
     request.on("error", () => {
         // The caller disconnected before the request was complete: nothing was routed and no response is expected.
     });
-    response.once("close", () => memoryQuota.giveBack(size));
+    response.once("close", () => {
+        memoryQuota.giveBack(size);
+        body.clear();
+    });
 }
 
 /**
@@ -275,9 +303,11 @@
 function createResponder(
     response: ServerResponse,
     isKeepAliveDisabled: () => boolean,
+    responseBuffers: ResponseBuffers,
     endRefusal: (body: string) => void = body => response.end(body),
 ): CallerResponder {
-    const isFinished = (): boolean => response.destroyed || response.writableEnded;
+    let isSent = false;
+    const isFinished = (): boolean => isSent || response.destroyed || response.writableEnded;
     return {
         respond: targetResponse => {
             if (isFinished()) {
@@ -299,7 +329,8 @@
                 response.shouldKeepAlive = false;
             }
             response.writeHead(targetResponse.status, reasonPhraseOf(targetResponse), headers);
-            response.end(targetResponse.body);
+            isSent = true;
+            endCounted(response, targetResponse.body, responseBuffers);
         },
         refuse: (result, retryAfterMs) => {
             if (isFinished()) {
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -14,12 +14,15 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { CountedTimer } from "@pimentospring/runtime/time/countedTimer";
 import { createCallerServer } from "./callers/callerServer.js";
+import { createMemoryQuota } from "./callers/memoryQuota.js";
 import { createRequestHandler } from "./callers/requestHandler.js";
 import { createUdpSocket } from "./mesh/datagramSocket.js";
 import type { Heartbeat } from "./mesh/heartbeat.js";
 import { createMesh } from "./mesh/mesh.js";
-import { registerGauges } from "./observe/gauges.js";
+import { type HeldBytes, registerGauges } from "./observe/gauges.js";
 import { createLoopMonitor } from "./observe/loopMonitor.js";
+import { createMemoryMonitor } from "./observe/memoryMonitor.js";
+import { collectGarbage, countOpenDescriptors, readMemoryUsage, readResidentBytes } from "./observe/memoryUsage.js";
 import type { SteerMetrics } from "./observe/metrics.js";
 import { createRequestLog } from "./observe/requestLog.js";
 import { createRouteStatistics } from "./observe/routeStatistics.js";
@@ -33,6 +36,7 @@
 import type { StoreItemDecoder } from "./store/storeItems.js";
 import { createStoreProjection } from "./store/storeProjection.js";
 import { createHealthChecks } from "./targets/healthChecks.js";
+import { createResponseBuffers } from "./targets/responseBuffers.js";
 import { createTargetConnections } from "./targets/targetConnections.js";
 import type { TargetResponse } from "./targets/targetResponse.js";
 import { createTargetSender } from "./targets/targetSender.js";
@@ -72,10 +76,10 @@
 
 /** Largest response accepted from a target. */
 const maxResponseBytes = 32 * 1024 * 1024;
-/** Limit on the memory of all responses in progress together. */
-const maxBufferedBytes = 64 * 1024 * 1024;
-/** Limit on the memory of all request bodies together. */
-const maxRequestBytes = 64 * 1024 * 1024;
+/** Part of the process's memory for all responses together, from their first byte until their callers have read them. */
+const responseMemoryFraction = 0.2;
+/** Part of the process's memory for all request bodies together. */
+const requestMemoryFraction = 0.2;
 /** Requests that arrive later than this after the stop request are refused. */
 const acceptGraceMs = 3_000;
 const listenerCloseDelayMs = 4_500;
@@ -112,10 +116,13 @@
         broadcast: reports => mesh.broadcastPoison(reports),
         onRefusable: () => dispatcher.stopPoisonRequests(),
     });
+    const maxBufferedBytes = settings.limits.memoryBytes * responseMemoryFraction;
+    const responseBuffers = createResponseBuffers(maxBufferedBytes);
     const connections = createTargetConnections({
         timer,
         maxResponseBytes,
-        maxBufferedBytes,
+        buffers: responseBuffers,
+        allocations: createMemoryQuota(maxBufferedBytes),
     });
     const routeStatistics = createRouteStatistics(timer);
     const healthChecks = createHealthChecks({
@@ -194,7 +201,14 @@
         isAccepting: () => timer.now() < (stopRequestedAt ?? Infinity) + acceptGraceMs,
         stopDeadline: () => stopDeadline,
     });
-    const callerServer = createCallerServer({ log, timer, maxBufferedBytes: maxRequestBytes, onRequest: requestHandler.handle });
+    const callerServer = createCallerServer({
+        log,
+        timer,
+        maxBufferedBytes: settings.limits.memoryBytes * requestMemoryFraction,
+        isMemoryScarce: () => memoryMonitor.isHigh() || responseBuffers.isScarce(),
+        responseBuffers,
+        onRequest: requestHandler.handle,
+    });
     const replication = createReplication({
         store,
         timer,
@@ -267,6 +281,22 @@
         timerCalls: timer.callCount,
         maxUtilization: () => settings.maxLoopUtilization,
     });
+    const heldBytes = (): HeldBytes => ({
+        requestBodyBytes: callerServer.bodyBytes(),
+        receivedResponseBytes: responseBuffers.receivedBytes(),
+        unreadResponseBytes: responseBuffers.unreadBytes(),
+    });
+    const memoryMonitor = createMemoryMonitor({
+        timer,
+        log,
+        maxResidentBytes: settings.limits.memoryBytes,
+        readResidentBytes,
+        readUsage: readMemoryUsage,
+        heldBytes: () => ({ ...heldBytes() }),
+        collectGarbage,
+        abortUnreadResponse: responseBuffers.abortUnread,
+        abortedResponses: responseBuffers.abortedCount,
+    });
     registerGauges(metrics, {
         loopUtilization: loopMonitor.utilization,
         loopDelayMs: loopMonitor.delayMs,
@@ -282,6 +312,12 @@
         isStoreConnected: replica.isConnected,
         freshness: replication.freshness,
         waitingRequests: () => [...services.keys()].reduce((sum, service) => sum + dispatcher.queuedCount(service), 0),
+        memoryUsage: readMemoryUsage,
+        heldBytes,
+        cutResponses: responseBuffers.abortedCount,
+        memoryRefusals: callerServer.memoryRefusalCount,
+        callerConnections: callerServer.openConnectionCount,
+        openDescriptors: countOpenDescriptors,
     });
 
     /** The mesh is last, as it announces this entry at once. */
@@ -319,6 +355,7 @@
             replication.startPeerSync();
             replication.start();
             loopMonitor.start();
+            memoryMonitor.start();
             startServiceLog({
                 timer,
                 log,
@@ -374,6 +411,7 @@
     "callers",
     "mesh",
     "control",
+    "limits",
 ] as const satisfies readonly (keyof SteerSettings)[];
 
 const targetLogFields = (
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -3,6 +3,8 @@
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { test } from "node:test";
+import { createMemoryQuota } from "../../callers/memoryQuota.js";
+import { createResponseBuffers } from "../responseBuffers.js";
 import { createTargetConnections, type TargetConnections } from "../targetConnections.js";
 import type { TargetResponse } from "../targetResponse.js";
 
@@ -51,7 +53,8 @@
     const connections = createTargetConnections({
         timer: createClockTimer(),
         maxResponseBytes: 1_000_000,
-        maxBufferedBytes: 3_000_000,
+        buffers: createResponseBuffers(3_000_000),
+        allocations: createMemoryQuota(3_000_000),
     });
     try {
         await check(connections, address);
@@ -102,7 +105,12 @@
     ));
 
 test("a refused connection reports no written request", async () => {
-    const connections = createTargetConnections({ timer: createClockTimer(), maxResponseBytes: 1_000, maxBufferedBytes: 3_000 });
+    const connections = createTargetConnections({
+        timer: createClockTimer(),
+        maxResponseBytes: 1_000,
+        buffers: createResponseBuffers(3_000),
+        allocations: createMemoryQuota(3_000),
+    });
     let isWritten = false;
     const reason = await new Promise<string>(resolve =>
         connections.send(
@@ -219,3 +227,35 @@
             },
         ));
 }
+
+// Guards against healthy targets that were taken out of use, and requests that were suspected, for the entry's own lack of memory.
+test("a response for which there is no memory is not a failure of its target, and counts no longer", () =>
+    withTarget(
+        socket => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n${"x".repeat(800_000)}`),
+        async (_connections, address) => {
+            const buffers = createResponseBuffers(1_000_000);
+            const connections = createTargetConnections({
+                timer: createClockTimer(),
+                maxResponseBytes: 1_000_000,
+                buffers,
+                allocations: createMemoryQuota(1_000_000),
+            });
+            const outcomes: string[] = [];
+            const outgoing = { id: undefined, method: "GET", path: "/", headers: ["Host", "a"], body: undefined };
+            for (let count = 0; count < 3; count++) {
+                connections.send(address, outgoing, true, 500, {
+                    onWriteStart: () => {},
+                    isExpected: () => true,
+                    onResponse: () => outcomes.push("response"),
+                    onFailure: reason => outcomes.push(reason),
+                    onNoMemory: () => outcomes.push("no memory"),
+                });
+            }
+            await pause(400);
+            assert.deepEqual(outcomes, ["no memory", "no memory"]);
+            assert.equal(buffers.receivedBytes(), 800_000);
+            connections.close();
+            await pause(50);
+            assert.equal(buffers.receivedBytes(), 0);
+        },
+    ));
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -5,8 +5,10 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import net from "node:net";
 import { Client, type Dispatcher } from "undici";
-import { createResponseBuffers, type ResponseBuffer, type ResponseBuffers } from "./responseBuffers.js";
-import type { TargetResponse } from "./targetResponse.js";
+import type { MemoryQuota } from "../callers/memoryQuota.js";
+import { createBodyBuffer } from "./bodyBuffer.js";
+import type { ResponseBuffer, ResponseBuffers } from "./responseBuffers.js";
+import { declaredBytes, type TargetResponse } from "./targetResponse.js";
 
 export interface OutgoingRequest {
     /** The id that the response repeats; `undefined` if the request carries none. */
@@ -27,6 +29,8 @@
     onResponse(response: TargetResponse): void;
     /** Called when no complete response can arrive any more. */
     onFailure(reason: string): void;
+    /** Called in place of `onFailure` when this entry lacks the memory for the response, which says nothing of the target. */
+    onNoMemory?(reason: string): void;
 }
 
 export interface TargetConnections {
@@ -52,8 +56,9 @@
     readonly timer: Timer;
     /** Largest response that is accepted. */
     readonly maxResponseBytes: number;
-    /** Limit on the bytes of all responses in progress together. */
-    readonly maxBufferedBytes: number;
+    readonly buffers: ResponseBuffers;
+    /** Bounds the memory of response bodies that are allocated before they have arrived. */
+    readonly allocations: MemoryQuota;
 }
 
 /** Keep-alive timeout for targets that announce none. */
@@ -88,10 +93,9 @@
 }
 
 export function createTargetConnections(options: TargetConnectionsOptions): TargetConnections {
-    const { timer, maxResponseBytes } = options;
+    const { timer, maxResponseBytes, buffers, allocations } = options;
     const idle = new Map<string, Connection[]>();
     const all = new Set<Connection>();
-    const buffers = createResponseBuffers(options.maxBufferedBytes);
 
     const discard = (connection: Connection): void => {
         all.delete(connection);
@@ -204,6 +208,7 @@
             const handler = createDispatchHandler({
                 maxResponseBytes,
                 buffers,
+                allocations,
                 onWriteStart: () => {
                     if (!isSettled) {
                         responseHandler.onWriteStart();
@@ -212,6 +217,7 @@
                 // Deferred: stray bytes that follow in the same chunk are parsed first and close the connection.
                 onResponse: response => queueMicrotask(() => succeed(response)),
                 onFailure: fail,
+                onNoMemory: reason => settle(false, () => (responseHandler.onNoMemory ?? responseHandler.onFailure)(reason)),
             });
             connection.client.dispatch({
                 method: outgoing.method as Dispatcher.HttpMethod,
@@ -236,9 +242,11 @@
 interface DispatchHandlerOptions {
     readonly maxResponseBytes: number;
     readonly buffers: ResponseBuffers;
+    readonly allocations: MemoryQuota;
     readonly onWriteStart: () => void;
     readonly onResponse: (response: TargetResponse) => void;
     readonly onFailure: (reason: string) => void;
+    readonly onNoMemory: (reason: string) => void;
 }
 
 /** Collects one response. */
@@ -249,52 +257,60 @@
     let rawHeaders: string[] = [];
     let size = 0;
     let interimCount = 0;
-    let chunks: Buffer[] = [];
-    let controller: Dispatcher.DispatchController | undefined;
+    let body = createBodyBuffer(0, options.allocations);
+    let isAborted = false;
+    let requestController: Dispatcher.DispatchController | undefined;
     const buffer: ResponseBuffer = {
         bytes: () => size,
+        unsentBytes: () => size,
         abort: reason => {
-            chunks = [];
-            controller?.abort(new Error(reason));
+            isAborted = true;
+            body.clear();
+            options.onNoMemory(reason);
+            requestController?.abort(new Error(reason));
         },
     };
     return {
-        onRequestStart: requestController => {
-            controller = requestController;
-            buffers.add(buffer);
+        onRequestStart: controller => {
+            requestController = controller;
+            buffers.addReceived(buffer);
             options.onWriteStart();
         },
-        onResponseStart: (requestController, statusCode, _headers, statusMessage) => {
+        onResponseStart: (controller, statusCode, _headers, statusMessage) => {
             if (controlCharacterPattern.test(statusMessage ?? "")) {
-                requestController.abort(new Error("the status line has control characters"));
+                controller.abort(new Error("the status line has control characters"));
             }
             else if (statusCode >= 200) {
                 status = statusCode;
                 statusText = statusMessage ?? "";
-                rawHeaders = ((requestController.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item =>
-                    item.toString("latin1")
-                );
+                rawHeaders = ((controller.rawHeaders ?? []) as readonly (Buffer | string)[]).map(item => item.toString("latin1"));
+                body = createBodyBuffer(Math.min(declaredBytes(rawHeaders), maxResponseBytes + 1), options.allocations);
             }
             else if (++interimCount > maxInterimResponses) {
-                requestController.abort(new Error(`more than ${maxInterimResponses} interim (1xx) responses`));
+                controller.abort(new Error(`more than ${maxInterimResponses} interim (1xx) responses`));
             }
         },
-        onResponseData: (_controller, chunk) => {
-            // Copied, since the parser may reuse its memory.
-            chunks.push(Buffer.from(chunk));
+        onResponseData: (controller, chunk) => {
+            if (isAborted) {
+                return;
+            }
+            body.add(chunk);
             size += chunk.length;
             buffers.recordBytes(chunk.length);
             if (size > maxResponseBytes) {
-                buffer.abort(`response exceeds ${maxResponseBytes} bytes`);
+                controller.abort(new Error(`response exceeds ${maxResponseBytes} bytes`));
             }
         },
         onResponseEnd: () => {
+            if (isAborted) {
+                return;
+            }
             buffers.remove(buffer);
-            options.onResponse({ status, statusText, rawHeaders, body: Buffer.concat(chunks, size) });
+            options.onResponse({ status, statusText, rawHeaders, body: body.take() });
         },
         onResponseError: (_controller, error) => {
             buffers.remove(buffer);
-            chunks = [];
+            body.clear();
             options.onFailure(error.message);
         },
     };
