--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -181,7 +181,7 @@
         742,
         "settingsRefused",
         "error",
-        "The changed settings file is invalid; correct it. The previous settings stay in force.",
+        "The changed settings file, or with `kept` only the value that the line names, can't be used; correct it. What was in force stays.",
     ),
     fault: defineEvent(900, "fault", "error", "An unexpected error was caught; please report it with the line."),
 } as const satisfies Record<string, LogEvent>;
--- a/packages/runtime/src/settings/settings.ts
+++ b/packages/runtime/src/settings/settings.ts
@@ -1,5 +1,6 @@
 /** Reads a program's TOML settings and validates them against a schema; each fault names its place and how to correct it. */
 import { readFileSync } from "node:fs";
+import { isIPv4 } from "node:net";
 import { parse, TomlError } from "smol-toml";
 import { err, ok, type Result } from "true-myth/result";
 import * as v from "valibot";
@@ -30,16 +31,19 @@
     catch (error) {
         return err([{ file, key: "", text: `can't be read: ${(error as Error).message}; name a TOML file that exists` }]);
     }
-    let raw: unknown;
+    return parseSettings(file, text).andThen(raw => checkSettings(file, raw, schema));
+}
+
+/** Parses the text of a file. */
+export function parseSettings(file: string, text: string): Result<unknown, SettingsFault[]> {
     try {
-        raw = parse(text);
+        return ok(parse(text));
     }
     catch (error) {
         const place = error instanceof TomlError ? ` at line ${error.line}, column ${error.column}` : "";
         const reason = (error as Error).message.split("\n")[0]!;
         return err([{ file, key: "", text: `is not valid TOML${place}: ${reason}` }]);
     }
-    return checkSettings(file, raw, schema);
 }
 
 export function checkSettings<Schema extends v.GenericSchema>(
@@ -51,10 +55,10 @@
     if (parsed.success) {
         return ok(parsed.output);
     }
-    return err(parsed.issues.map(issue => ({ file, key: v.getDotPath(issue) ?? "", text: describe(issue) })));
+    return err(parsed.issues.map(issue => ({ file, key: v.getDotPath(issue) ?? "", text: describeFault(issue) })));
 }
 
-function describe(issue: v.BaseIssue<unknown>): string {
+export function describeFault(issue: v.BaseIssue<unknown>): string {
     if (issue.type === "strict_object" && issue.expected === "never") {
         return "is not a known key; remove it or correct its spelling";
     }
@@ -64,10 +68,17 @@
     return issue.message;
 }
 
+const maxPort = 65_535;
+
+function isAddress(text: string): boolean {
+    const [, host, port] = /^([\d.]+):(\d{1,5})$/.exec(text) ?? [];
+    return host !== undefined && isIPv4(host) && Number(port) <= maxPort;
+}
+
 /** Schemas shared by the settings of several programs. */
 export const addressSetting = v.pipe(
     v.string(),
-    v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "must be an IPv4 address and port such as 127.0.0.1:7001"),
+    v.check(isAddress, "must be an IPv4 address and port such as 127.0.0.1:7001"),
 );
 export const urlSetting = v.pipe(v.string(), v.url("must be a URL such as http://127.0.0.1:2379"));
 export const keySetting = v.pipe(v.string(), v.minLength(16, "must be at least 16 characters"));
