fix(steer): callers' connections leave descriptors for targets, the store and files

With more callers' connections than descriptors a daemon reached no target and no store, could not read its settings, and blamed its targets for it. Callers now get three quarters of the descriptors that are not reserved for files; a connection beyond them is closed as it arrives, nothing of it has run, and the first-opened idle one makes room for the next. Event 118 and a gauge count them. Figures of memory that can't be read count as 0 rather than as an error.

With the bound taken out, the new test fails at EMFILE.

--- a/packages/runtime/src/http/serverConnections.ts
+++ b/packages/runtime/src/http/serverConnections.ts
@@ -12,6 +12,8 @@
      * as its first request may be on the way.
      */
     closeIdle(): void;
+    /** Closes the first-opened of the idle connections; false if none is idle. */
+    closeOneIdle(): boolean;
     /** Accepts no further connections and leaves the open ones alone. Calls `onClosed` once all of them have ended. */
     stopListening(onClosed?: () => void): void;
     /** Requests whose head was received and whose response is not yet with the operating system. */
@@ -58,15 +60,27 @@
             state.closableAt = timer.now();
         });
     });
+    const isClosable = (socket: Socket, state: ConnectionState): boolean =>
+        state.openRequests === 0 && socket.bytesRead === state.idleAtBytes && timer.now() >= state.closableAt;
     return {
         closeIdle: () => {
             for (const [socket, state] of states) {
-                const isIdle = state.openRequests === 0 && socket.bytesRead === state.idleAtBytes;
-                if (isIdle && timer.now() >= state.closableAt) {
+                if (isClosable(socket, state)) {
                     socket.destroySoon();
                 }
             }
         },
+        closeOneIdle: () => {
+            for (const [socket, state] of states) {
+                if (isClosable(socket, state)) {
+                    // Not to be found again while it closes.
+                    state.closableAt = Infinity;
+                    socket.destroySoon();
+                    return true;
+                }
+            }
+            return false;
+        },
         stopListening: onClosed => void NetServer.prototype.close.call(server, onClosed),
         openRequestCount: () => openRequests,
         openCount: () => states.size,
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -59,6 +59,12 @@
         "warn",
         "Responses that callers read slowly were cut as they took too much memory; the line counts them and tells what is held, in bytes.",
     ),
+    callersDropped: defineEvent(
+        118,
+        "callersDropped",
+        "warn",
+        "Connections of callers were closed as they arrived, as there were too many; the line counts them and the open ones.",
+    ),
     inForce: defineEvent(200, "inForce", "info", "A new revision of the configuration is in force."),
     documentRefused: defineEvent(201, "documentRefused", "error", "A document was rejected; the one in force stays."),
     storeFailed: defineEvent(
--- a/packages/steer/src/callers/__tests__/callerServer.test.ts
+++ b/packages/steer/src/callers/__tests__/callerServer.test.ts
@@ -20,6 +20,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes: 1_000_000,
+        maxConnections: 1_000,
         isMemoryScarce: () => false,
         responseBuffers: createResponseBuffers(64_000_000),
         onRequest: (_request, responder) => {
@@ -100,6 +101,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes: 1_000_000,
+        maxConnections: 1_000,
         isMemoryScarce: () => false,
         responseBuffers: createResponseBuffers(64_000_000),
         onRequest: () => {
--- a/packages/steer/src/callers/__tests__/requestBodies.test.ts
+++ b/packages/steer/src/callers/__tests__/requestBodies.test.ts
@@ -31,6 +31,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes,
+        maxConnections: 1_000,
         isMemoryScarce: () => false,
         responseBuffers: createResponseBuffers(64_000_000),
         onRequest: (request, responder) => {
--- a/packages/steer/src/callers/__tests__/slowCallers.test.ts
+++ b/packages/steer/src/callers/__tests__/slowCallers.test.ts
@@ -21,6 +21,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes: 1_000_000,
+        maxConnections: 1_000,
         isMemoryScarce: () => false,
         responseBuffers: createResponseBuffers(maxResponseBytes),
         onRequest: ({ path }, responder) => {
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -40,6 +40,8 @@
     readonly timer: Timer;
     /** Limit on the memory of all request bodies together, in bytes. */
     readonly maxBufferedBytes: number;
+    /** Connections beyond this number are closed as they arrive. */
+    readonly maxConnections: number;
     /** Whether requests are to be refused as memory is short. */
     readonly isMemoryScarce: () => boolean;
     /** Counts responses until their callers have read them. */
@@ -67,6 +69,8 @@
     bodyBytes(): number;
     /** Requests refused so far for lack of memory. */
     memoryRefusalCount(): number;
+    /** Connections closed so far as there were too many. */
+    droppedConnectionCount(): number;
 }
 
 /** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
@@ -78,6 +82,8 @@
 const lingerMs = 2_000;
 /** Time until a caller may repeat a request for which there was no memory. */
 const noMemoryRetryAfterMs = 500;
+/** Time between two log lines on dropped connections. */
+const dropLogIntervalMs = 2_000;
 /**
  * Connections stay open this much longer than callers may reuse them, so that none is closed while a request arrives.
  */
@@ -97,6 +103,7 @@
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
     let memoryRefusals = 0;
+    let droppedConnections = 0;
 
     const submit = (request: CallerRequest, responder: CallerResponder): () => void => {
         try {
@@ -166,6 +173,19 @@
         noDelay: true,
     }, handle);
     const connections = trackConnections({ server, timer });
+    server.maxConnections = options.maxConnections;
+    let dropsLoggedAt = -Infinity;
+    let loggedDrops = 0;
+    server.on("drop", () => {
+        droppedConnections++;
+        // Makes room for the next one.
+        connections.closeOneIdle();
+        if (timer.now() >= dropsLoggedAt + dropLogIntervalMs) {
+            log.write(logEvents.callersDropped, { count: droppedConnections - loggedDrops, open: connections.openCount() });
+            dropsLoggedAt = timer.now();
+            loggedDrops = droppedConnections;
+        }
+    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         log.write(logEvents.callerError, { reason: error.code ?? error.message });
         if (socket.writable) {
@@ -191,6 +211,7 @@
         openConnectionCount: connections.openCount,
         bodyBytes: memoryQuota.usedBytes,
         memoryRefusalCount: () => memoryRefusals,
+        droppedConnectionCount: () => droppedConnections,
     };
 }
 
--- a/packages/steer/src/observe/gauges.ts
+++ b/packages/steer/src/observe/gauges.ts
@@ -26,6 +26,7 @@
     readonly heldBytes: () => HeldBytes;
     readonly cutResponses: () => number;
     readonly memoryRefusals: () => number;
+    readonly droppedConnections: () => number;
     readonly callerConnections: () => number;
     readonly openDescriptors: () => number;
 }
@@ -122,5 +123,10 @@
     metrics.registerGauge("pimento_responses_cut", "Responses cut so far for lack of memory", sources.cutResponses);
     metrics.registerGauge("pimento_memory_refusals", "Requests refused so far for lack of memory", sources.memoryRefusals);
     metrics.registerGauge("pimento_caller_connections", "Open connections of callers", sources.callerConnections);
+    metrics.registerGauge(
+        "pimento_callers_dropped",
+        "Connections of callers closed so far as there were too many",
+        sources.droppedConnections,
+    );
     metrics.registerGauge("pimento_open_descriptors", "Open file descriptors", sources.openDescriptors);
 }
--- a/packages/steer/src/observe/memoryUsage.ts
+++ b/packages/steer/src/observe/memoryUsage.ts
@@ -9,18 +9,31 @@
     readonly bufferBytes: number;
 }
 
+/** All 0 where the system does not tell, as while no descriptor is free. */
 export function readMemoryUsage(): MemoryUsage {
-    const usage = process.memoryUsage();
-    return {
-        residentBytes: usage.rss,
-        heapUsedBytes: usage.heapUsed,
-        externalBytes: usage.external,
-        bufferBytes: usage.arrayBuffers,
-    };
+    try {
+        const usage = process.memoryUsage();
+        return {
+            residentBytes: usage.rss,
+            heapUsedBytes: usage.heapUsed,
+            externalBytes: usage.external,
+            bufferBytes: usage.arrayBuffers,
+        };
+    }
+    catch {
+        return { residentBytes: 0, heapUsedBytes: 0, externalBytes: 0, bufferBytes: 0 };
+    }
 }
 
-/** Resident size alone, which costs less to read. */
-export const readResidentBytes = (): number => process.memoryUsage.rss();
+/** Resident size alone, which costs less to read; 0 where the system does not tell. */
+export function readResidentBytes(): number {
+    try {
+        return process.memoryUsage.rss();
+    }
+    catch {
+        return 0;
+    }
+}
 
 /** Descriptors that the process has open; 0 where the system does not tell. */
 export function countOpenDescriptors(): number {
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -76,6 +76,10 @@
 const responseMemoryFraction = 0.2;
 /** Part of the process's memory for all request bodies together. */
 const requestMemoryFraction = 0.2;
+/** Descriptors that connections can't use. */
+const fileDescriptorsForFiles = 200;
+/** Part of the connections for callers; the rest is for targets, other entries and the store. */
+const callerConnectionFraction = 0.75;
 /** Requests that arrive later than this after the stop request are refused. */
 const acceptGraceMs = 3_000;
 const listenerCloseDelayMs = 4_500;
@@ -199,6 +203,7 @@
         log,
         timer,
         maxBufferedBytes: settings.limits.memoryBytes * requestMemoryFraction,
+        maxConnections: maxCallerConnections(settings.limits.fileDescriptors),
         isMemoryScarce: () => memoryMonitor.isHigh() || responseBuffers.isScarce(),
         responseBuffers,
         onRequest: requestHandler.handle,
@@ -310,6 +315,7 @@
         heldBytes,
         cutResponses: responseBuffers.abortedCount,
         memoryRefusals: callerServer.memoryRefusalCount,
+        droppedConnections: callerServer.droppedConnectionCount,
         callerConnections: callerServer.openConnectionCount,
         openDescriptors: countOpenDescriptors,
     });
@@ -384,6 +390,9 @@
     };
 }
 
+const maxCallerConnections = (fileDescriptors: number): number =>
+    Math.max(1, Math.floor((fileDescriptors - fileDescriptorsForFiles) * callerConnectionFraction));
+
 /** Settings that identify the process and its sockets; they change only with a restart. */
 const restartOnlySettings = [
     "name",
--- a/scripts/src/__tests__/memoryLimit.test.ts
+++ b/scripts/src/__tests__/memoryLimit.test.ts
@@ -43,3 +43,19 @@
     await sleep(1_000);
     assert.equal(await deployment.sendSmall(), 200);
 });
+
+// Guards against FAULT: callers' connections took all descriptors, so that no target and not even the settings could be reached.
+test("callers that open more connections than the daemon has descriptors leave it those that it needs to serve others", async context => {
+    const maxDescriptors = 600;
+    const deployment = await start(context, "127.0.144", maxDescriptors);
+    const sockets = await deployment.openConnections(maxDescriptors + 100);
+    context.after(() => sockets.forEach(socket => socket.destroy()));
+    const statuses: number[] = [];
+    for (let call = 0; call < 20; call++) {
+        statuses.push(await deployment.sendSmall().catch(() => 0));
+        await sleep(50);
+    }
+    assert.equal(deployment.child.exitCode, null, "the daemon ended by itself");
+    assert.doesNotMatch(deployment.log(), /"event":(742|900)/);
+    assert.ok(statuses.filter(status => status === 200).length >= 15, statuses.join(" "));
+});
