fix(steer): responses of peers and of the store are bounded

What a peer sent in answer to a state request was kept whole until the request's timeout, 0.8 s, and from two peers at a time; the store's responses had no limit at all. Both are now read up to a limit that no honest response reaches, then the connection is closed.

--- a/packages/runtime/src/http/jsonServer.ts
+++ b/packages/runtime/src/http/jsonServer.ts
@@ -66,11 +66,11 @@
     response.end(body);
 }
 
-/** Reads a body of at most `maxBytes`; rejects a larger one. */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
+/** Reads the body of a request or a response, of at most `maxBytes`; rejects a larger one and closes its connection. */
+export async function readBody(message: AsyncIterable<unknown>, maxBytes: number): Promise<Buffer> {
     const chunks: Buffer[] = [];
     let size = 0;
-    for await (const chunk of request) {
+    for await (const chunk of message) {
         size += (chunk as Buffer).length;
         if (size > maxBytes) {
             throw new Error(`the body is larger than ${maxBytes} bytes`);
