feat(soak): deployed bundle, limits and process faults, first state

Change: the deployed command, template and limits; resident sizes; promises on processes; faults of processes; many callers.

--- a/packages/soak/src/__tests__/soak.test.ts
+++ b/packages/soak/src/__tests__/soak.test.ts
@@ -20,10 +20,11 @@
 /** Safety limit for a soak that hangs; a working one ends by itself. */
 const maxSoakMs = 90_000;
 
-for (const { seed, faultPhaseMs: lengthMs, meanGapMs: gapMs, cause } of regressions) {
+for (const { seed, faultPhaseMs, meanGapMs, meanProcessGapMs = 0, callers = 12, cause } of regressions) {
     test(`seed ${seed} keeps every promise (${cause})`, () => {
         const folder = mkdtempSync(join(tmpdir(), "pimento-soak-"));
-        const words = ["--seed", seed, "--seconds", lengthMs / 1_000, "--gap", gapMs, "--net", 91, "--keep", folder];
+        const schedule = ["--seed", seed, "--seconds", faultPhaseMs / 1_000, "--gap", meanGapMs];
+        const words = [...schedule, "--process-gap", meanProcessGapMs, "--callers", callers, "--net", 91, "--keep", folder];
         const ended = spawnSync(process.execPath, [program, ...words.map(String)], { encoding: "utf8", timeout: maxSoakMs });
         assert.equal(ended.status, 0, `${ended.stdout}${ended.stderr}`);
         assert.match(ended.stdout, /every promise kept/);
--- a/packages/soak/src/cluster/cluster.ts
+++ b/packages/soak/src/cluster/cluster.ts
@@ -7,13 +7,14 @@
 import { retainedVersionCount, versionProbePath } from "../promises/promises.js";
 import {
     type ConfigurationVersion,
+    type FaultSpan,
     prefixOf,
     type SoakRecord,
     type TargetDeparture,
     type TargetNoticeSpan,
 } from "../promises/records.js";
 import { createDaemon, type Daemon } from "./daemons.js";
-import { regionByDataCentre } from "./daemonSettings.js";
+import { controlAddress, regionByDataCentre } from "./daemonSettings.js";
 import { createTargetHost, type TargetHost } from "./targetHosts.js";
 
 export interface Cluster {
@@ -32,13 +33,17 @@
     /** Restarts the daemon, unless the cluster is closing. */
     restart(daemon: Daemon): void;
     recordStop(daemon: Daemon): void;
+    /** Records that the daemon could not start from `from` until now. */
+    recordObstacle(daemon: Daemon, kind: string, from: number): void;
     /** Runs `act` on the target host, unless it or half of all target hosts are in use by other acts. */
     withTargetHost(which: number, act: (targetHost: TargetHost) => Promise<void>): Promise<void>;
     otherService(targetHost: TargetHost): string;
-    observations(): Pick<SoakRecord, "runs" | "versions" | "leavings" | "notices" | "crashes" | "turnedAway" | "stops">;
+    observations(): ClusterObservations;
     close(): Promise<void>;
 }
 
+export type ClusterObservations = Omit<SoakRecord, "outcomes" | "disturbances" | "calmFrom" | "endedAt">;
+
 export interface LoadRoute {
     readonly prefix: string;
     readonly isIdempotent: boolean;
@@ -56,6 +61,8 @@
 const firstPort = 17_510;
 const objectiveMs = 300;
 const versionTimeoutMs = 1_000;
+/** Time after which a process that ended by itself is started again. */
+const restartDelayMs = 250;
 const services = ["s", "t"];
 /** Faults disturb at most half of all targets at once, see `withTargetHost`. */
 const targetsPerServiceAndDataCentre = 2;
@@ -75,6 +82,7 @@
     const stops: { readonly daemon: string; readonly run: number; readonly at: number; }[] = [];
     const notices: TargetNoticeSpan[] = [];
     const crashes: number[] = [];
+    const obstacles: FaultSpan[] = [];
     const allRuns: (readonly RequestRun[])[] = [];
     const allTurnedAway: (readonly TurnedAway[])[] = [];
     const busyTargetHosts = new Set<TargetHost>();
@@ -115,6 +123,12 @@
             );
         }
     }
+    const restart = (daemon: Daemon): void => {
+        // Two faults may have ended the same process; it must be started only once.
+        if (!isClosing && daemon.runs.at(-1)!.endedAt !== undefined) {
+            daemon.start();
+        }
+    };
     const storeLinks: Proxy[] = [];
     const daemons: Daemon[] = [];
     const dataCentres = Object.keys(regionByDataCentre);
@@ -128,9 +142,13 @@
             dataCentre,
             region: regionByDataCentre[dataCentre]!,
         };
-        const seeds = dataCentres.map((_, other) => `${host(1 + other)}:${firstPort + 3}`);
+        const seeds = dataCentres.map((_, other) => controlAddress(host(1 + other), firstPort));
         daemons.push(
-            createDaemon({ placement, storeAddress: link.address, seeds, folder: options.folder, retrySlack }),
+            createDaemon({
+                settings: { placement, storeAddress: link.address, seeds, retrySlack },
+                folder: options.folder,
+                onUnaskedEnd: daemon => void setTimeout(() => restart(daemon), restartDelayMs),
+            }),
         );
     }
     daemons.forEach(daemon => daemon.start());
@@ -147,13 +165,10 @@
         },
         writeNextConfiguration,
         currentVersion: () => versions.at(-1)!.version,
-        restart: daemon => {
-            // Two faults may have ended the same process; it must be started only once.
-            if (!isClosing && daemon.runs.at(-1)!.endedAt !== undefined) {
-                daemon.start();
-            }
-        },
+        restart,
         recordStop: daemon => stops.push({ daemon: daemon.placement.name, run: daemon.runs.length - 1, at: performance.now() }),
+        recordObstacle: (daemon, kind, from) =>
+            void obstacles.push({ daemon: daemon.placement.name, kind, from, to: performance.now() }),
         withTargetHost: async (which, act) => {
             const targetHost = targetHosts[which % targetHosts.length]!;
             if (busyTargetHosts.has(targetHost) || busyTargetHosts.size >= targetHosts.length / 2) {
@@ -171,6 +186,8 @@
             stops,
             notices,
             crashes,
+            obstacles,
+            daemonRuns: daemons.flatMap(daemon => daemon.runs),
             turnedAway: allTurnedAway.flat(),
         }),
         close: async () => {
--- a/packages/soak/src/cluster/daemons.ts
+++ b/packages/soak/src/cluster/daemons.ts
@@ -1,102 +1,90 @@
-/** Steering daemons as child processes, with their logs in files. */
-import { type ChildProcess, spawn } from "node:child_process";
-import { closeSync, mkdirSync, openSync, writeFileSync } from "node:fs";
+/** Steering daemons: each has a settings file, logs, and one process, or two while one replaces the other. */
+import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
-import { type DaemonPlacement, formatSettings, listenerNames } from "./daemonSettings.js";
-
-/** One incarnation of a daemon's process; times are monotonic, in milliseconds. */
-export interface DaemonRun {
-    readonly number: number;
-    readonly startedAt: number;
-    endedAt: number | undefined;
-    /** Time at which SIGTERM was sent. */
-    stopRequestedAt: number | undefined;
-}
+import type { DaemonRun } from "../promises/records.js";
+import { type DaemonProcess, type EndingSignal, type OtherSignal, startDaemonProcess } from "./daemonProcess.js";
+import { type DaemonSettings, type ListenAddresses, listenAddressesOf, renderSettings } from "./daemonSettings.js";
+import { readDeployment } from "./deployment.js";
 
 export interface Daemon {
-    readonly placement: DaemonPlacement;
-    /** `host:port` for callers. */
-    readonly callersAddress: string;
-    readonly directoryAddress: string;
+    readonly placement: DaemonSettings["placement"];
+    readonly listen: ListenAddresses;
+    /** All processes so far, in the order of their starts. */
     readonly runs: readonly DaemonRun[];
-    /** Whether the process is running and has not been sent SIGTERM. */
-    isUp(): boolean;
+    /** Number of the process that has the listeners: the earliest that is left, or the latest. */
+    servingRun(): number;
     start(): void;
-    /** Sends a signal to the running process, if any. */
-    signal(name: "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGHUP"): void;
-    /** Rewrites the settings file with another retry slack. */
-    rewriteSettings(retrySlack: number): void;
-    /** Resolves when the current process has exited. */
+    /** Sends a signal to the latest process, if it is running. */
+    signal(name: EndingSignal | OtherSignal): void;
+    /** Changes the settings and rewrites their file. */
+    rewriteSettings(change: SettingsChange): void;
+    /** Rewrites the settings file with a part of its text, as a reader sees it while it is written. */
+    cutSettings(keptFraction: number): void;
+    /** Resolves when the latest process has exited. */
     waitForExit(): Promise<void>;
 }
 
+export type SettingsChange = Partial<Pick<DaemonSettings, "retrySlack" | "furtherDataCentres">>;
+
 export interface DaemonOptions {
-    readonly placement: DaemonPlacement;
-    /** `host:port` of the store, or of the proxy in front of it. */
-    readonly storeAddress: string;
-    readonly seeds: readonly string[];
+    readonly settings: DaemonSettings;
     readonly folder: string;
-    readonly retrySlack: number;
+    /** Called when a process has ended although no fault told it to. */
+    readonly onUnaskedEnd: (daemon: Daemon) => void;
 }
 
-const program = fileURLToPath(new URL("../../../../platform/dist/main.js", import.meta.url));
-
 export function createDaemon(options: DaemonOptions): Daemon {
-    const { placement, folder } = options;
+    const { folder } = options;
+    const { placement } = options.settings;
+    const deployment = readDeployment();
+    const processes: DaemonProcess[] = [];
     const runs: DaemonRun[] = [];
-    const file = join(folder, `${placement.name}.toml`);
-    let child: ChildProcess | undefined;
-    let ended = Promise.resolve();
+    const settingsFile = join(folder, `${placement.name}.toml`);
+    let settings = options.settings;
+    const render = (): string => renderSettings(deployment.template, settings);
+    const listen = listenAddressesOf(render());
+    const isLeft = (run: DaemonRun): boolean => run.endedAt === undefined;
     mkdirSync(folder, { recursive: true });
-    const write = (retrySlack: number): void => writeFileSync(file, formatSettings({ ...options, retrySlack }));
-    const latest = (): DaemonRun => runs.at(-1)!;
-    const address = (name: typeof listenerNames[number]): string =>
-        `${placement.host}:${placement.firstPort + listenerNames.indexOf(name)}`;
-    write(options.retrySlack);
-    return {
+    writeFileSync(settingsFile, render());
+    const daemon: Daemon = {
         placement,
-        callersAddress: address("callers"),
-        directoryAddress: address("directory"),
+        listen,
         runs,
-        isUp: () => child !== undefined && latest().stopRequestedAt === undefined,
+        servingRun: () => runs.find(isLeft)?.number ?? runs.length - 1,
         start: () => {
-            const run: DaemonRun = {
-                number: runs.length,
-                startedAt: performance.now(),
-                endedAt: undefined,
-                stopRequestedAt: undefined,
-            };
-            runs.push(run);
-            const log = openSync(join(folder, `${placement.name}.${run.number}.log`), "w");
-            const started = spawn(process.execPath, [program], {
-                env: { PATH: process.env["PATH"], PIMENTOSPRING_CONFIG: file },
-                stdio: ["ignore", log, log],
+            const number = runs.length;
+            const started = startDaemonProcess({
+                deployment,
+                daemon: placement.name,
+                number,
+                settingsFile,
+                logFile: join(folder, `${placement.name}.${number}.log`),
+                callersAddress: listen.callers,
+                isAlone: () => !runs.slice(0, number).some(isLeft),
+                onEnd: () => {
+                    if (runs[number]!.toldToEndAt === undefined) {
+                        options.onUnaskedEnd(daemon);
+                    }
+                },
             });
-            closeSync(log);
-            child = started;
-            // A soak that is ended early leaves no daemon behind, which would keep the addresses of the next one.
-            const killWithSoak = (): boolean => started.kill("SIGKILL");
-            process.once("exit", killWithSoak);
-            ended = new Promise(resolve =>
-                started.once("exit", () => {
-                    process.off("exit", killWithSoak);
-                    run.endedAt = performance.now();
-                    child = undefined;
-                    resolve();
-                })
-            );
+            processes.push(started);
+            runs.push(started.run);
         },
         signal: name => {
-            if (child === undefined) {
-                return;
+            const latest = processes.at(-1)!;
+            if (isLeft(latest.run)) {
+                latest.signal(name);
             }
-            if (name === "SIGTERM") {
-                latest().stopRequestedAt ??= performance.now();
-            }
-            child.kill(name);
         },
-        rewriteSettings: write,
-        waitForExit: () => ended,
+        rewriteSettings: change => {
+            settings = { ...settings, ...change };
+            writeFileSync(settingsFile, render());
+        },
+        cutSettings: keptFraction => {
+            const text = render();
+            writeFileSync(settingsFile, text.slice(0, keptFraction * text.length));
+        },
+        waitForExit: () => processes.at(-1)!.ended,
     };
+    return daemon;
 }
--- a/packages/soak/src/faults/faultInjectors.ts
+++ b/packages/soak/src/faults/faultInjectors.ts
@@ -1,25 +1,18 @@
 /** Fault injectors: each applies one kind of fault to a cluster and reverts it. */
 import type { TargetFault } from "@pimentospring/standin/direct/targetStandin";
 import type { Cluster } from "../cluster/cluster.js";
-import type { Daemon } from "../cluster/daemons.js";
 import type { TargetHost } from "../cluster/targetHosts.js";
+import { type FaultInjector, onDaemon, pick } from "./faultInjector.js";
+import { processFaultInjectors, restartDelayMs } from "./processFaults.js";
 import type { ProxyFault } from "./proxy.js";
-import type { Fault, FaultKind } from "./schedule.js";
+import { type Fault, type FaultKind, processKinds } from "./schedule.js";
 
 const delayMs = 120;
 const stormIntervalMs = 150;
 const stormChangeCount = 8;
 const reuseGraceMs = 400;
-const restartDelayMs = 250;
 const noFault: ProxyFault = { kind: "none" };
 
-type FaultInjector = (cluster: Cluster, fault: Fault) => Promise<void>;
-
-const pick = <Item>(items: readonly Item[], fault: Fault): Item => items[fault.which % items.length]!;
-
-const onDaemon = (act: (daemon: Daemon, cluster: Cluster, fault: Fault) => Promise<void>): FaultInjector => (cluster, fault) =>
-    act(pick(cluster.daemons, fault), cluster, fault);
-
 const onTargetHost =
     (act: (targetHost: TargetHost, cluster: Cluster, fault: Fault) => Promise<void>): FaultInjector => (cluster, fault) =>
         cluster.withTargetHost(fault.which, targetHost => act(targetHost, cluster, fault));
@@ -46,7 +39,7 @@
 });
 
 const reload = onDaemon(async (daemon, cluster, fault) => {
-    daemon.rewriteSettings(cluster.retrySlack - (fault.which % 2));
+    daemon.rewriteSettings({ retrySlack: cluster.retrySlack - (fault.which % 2) });
     daemon.signal("SIGHUP");
     await cluster.sleep(0);
 });
@@ -142,13 +135,17 @@
     },
     configurationStorm,
     evacuation,
+    ...processFaultInjectors,
 };
 
+/** Faults of a daemon's process that must not disturb requests. */
+const undisturbing: ReadonlySet<FaultKind> = new Set(["daemonStop", "daemonReload", ...processKinds]);
+
 /** Name of the daemon that a fault disturbs, `"*"` for all daemons, or undefined for none. */
 export function affectedDaemon(cluster: Cluster, fault: Fault): string | undefined {
     if (fault.kind.startsWith("daemon")) {
-        // Stops and reloads must not disturb requests; a stop has its own promise check, by the time of SIGTERM.
-        return fault.kind === "daemonStop" || fault.kind === "daemonReload"
+        // A stop has its own promise check, by the time of its signal.
+        return undisturbing.has(fault.kind)
             ? undefined
             : pick(cluster.daemons, fault).placement.name;
     }
--- a/packages/soak/src/faults/schedule.ts
+++ b/packages/soak/src/faults/schedule.ts
@@ -39,7 +39,25 @@
 /** Responses that break the protocol in ways that only later requests or a parser show. Drawn on their own too. */
 export const responseKinds = ["targetRepeatsRefusals", "targetSpoilsStatusLines"] as const;
 
-export type FaultKind = typeof faultKinds[number] | typeof noticeKinds[number] | typeof responseKinds[number];
+/** What happens to the daemons' processes, ports and settings files. Drawn on their own too. */
+export const processKinds = [
+    "daemonOverlap",
+    "daemonPortTaken",
+    "daemonCutSettingsStart",
+    "daemonCutSettingsReload",
+    "daemonInterrupt",
+    "daemonStopTwice",
+    "daemonStraySignal",
+    "daemonOddNames",
+] as const;
+
+export type ProcessFaultKind = typeof processKinds[number];
+
+export type FaultKind =
+    | typeof faultKinds[number]
+    | typeof noticeKinds[number]
+    | typeof responseKinds[number]
+    | ProcessFaultKind;
 
 export interface Fault {
     readonly kind: FaultKind;
--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -11,6 +11,8 @@
 export interface CallersOptions {
     readonly daemons: readonly Daemon[];
     readonly random: Random;
+    /** Draws the bodies of requests, apart from what else is drawn. */
+    readonly bodyRandom: Random;
     readonly outcomes: AttemptOutcome[];
     /** Routes of the ordinary load. */
     readonly routes: readonly { readonly prefix: string; readonly isIdempotent: boolean; readonly timeoutMs: number; }[];
@@ -35,11 +37,18 @@
     readonly abandonAfterMs: number | undefined;
     /** Whether the answer is long and read slowly. */
     readonly isSlowlyRead: boolean;
+    readonly body?: Buffer | undefined;
 }
 
 const deadlineMs = 2_500;
 const lookupTimeoutMs = 1_000;
 const maxPauseMs = 60;
+/** Pauses of many callers are longer, so that they send no more than about this many requests a second. */
+const maxRequestsPerSecond = 1_000;
+/** One in this many requests that are not idempotent has a body of up to this length. */
+const bodyInterval = 10;
+const maxBodyBytes = 4_000_000;
+const bodyBytes = Buffer.alloc(maxBodyBytes, "b");
 /** Time for a long answer that is read slowly, and the pause after each of its chunks. */
 const slowReadMs = 10_000;
 const chunkPauseMs = 4;
@@ -92,9 +101,9 @@
 
     const lookupEntries = async (caller: number): Promise<readonly string[]> => {
         for (let turn = 0; turn < daemons.length; turn++) {
-            const { directoryAddress, placement } = daemons[(caller + turn) % daemons.length]!;
+            const { listen, placement } = daemons[(caller + turn) % daemons.length]!;
             try {
-                const url = `http://${directoryAddress}/resolve?name=a&region=${placement.region}&zone=${placement.dataCentre}`;
+                const url = `http://${listen.directory}/resolve?name=a&region=${placement.region}&zone=${placement.dataCentre}`;
                 const answer = await request(url, { signal: AbortSignal.timeout(lookupTimeoutMs), dispatcher: lookupAgent });
                 const body = (await answer.body.json()) as { readonly addresses?: readonly string[]; };
                 if (answer.statusCode === 200 && body.addresses !== undefined) {
@@ -113,7 +122,7 @@
         dispatcher: Dispatcher,
         leftMs: number,
     ): Promise<AttemptOutcome> => {
-        const daemon = daemons.find(candidate => candidate.callersAddress === address)!;
+        const daemon = daemons.find(candidate => candidate.listen.callers === address)!;
         const id = `r${++sequence}`;
         const sentAt = performance.now();
         const common = {
@@ -121,7 +130,7 @@
             path: plan.path,
             isIdempotent: plan.isIdempotent,
             daemon: daemon.placement.name,
-            daemonRun: daemon.runs.length - 1,
+            daemonRun: daemon.servingRun(),
             sentAt,
             timeoutMs: Math.min(plan.timeoutMs, leftMs),
         };
@@ -137,7 +146,10 @@
             const headers = { "host": standinHost, "x-request-id": id, "x-deadline-ms": String(Math.floor(leftMs)) };
             const answer = plan.isSlowlyRead
                 ? await readSlowly(await beginSlowly(url, { method, headers, signal: abortSignal, agent: false }), onBegun)
-                : await readAtOnce(await request(url, { method, headers, dispatcher, signal: abortSignal }), onBegun);
+                : await readAtOnce(
+                    await request(url, { method, headers, body: plan.body, dispatcher, signal: abortSignal }),
+                    onBegun,
+                );
             const retryAfter = answer.headers["retry-after"];
             return {
                 ...common,
@@ -165,12 +177,14 @@
         }
         const route = options.routes[random.below(options.routes.length)]!;
         const isSlowlyRead = oneIn(slowReadInterval);
+        const hasBody = !route.isIdempotent && options.bodyRandom.below(bodyInterval) === 0;
         return {
             path: `${route.prefix}${isSlowlyRead ? longMarker : ""}${random.below(20)}`,
             isIdempotent: route.isIdempotent,
             timeoutMs: route.timeoutMs,
             abandonAfterMs: oneIn(abandonInterval) ? 20 + random.below(200) : undefined,
             isSlowlyRead,
+            body: hasBody ? bodyBytes.subarray(0, options.bodyRandom.below(maxBodyBytes)) : undefined,
         };
     };
     const isRetryable = (outcome: AttemptOutcome): boolean => {
@@ -200,7 +214,7 @@
         }
         return false;
     };
-    const runCaller = async (caller: number, until: number): Promise<void> => {
+    const runCaller = async (caller: number, until: number, pauseMs: number): Promise<void> => {
         // Connections are reused for as long as they work, also while their entry is shutting down.
         const keptAgent = new Agent({ connections: 2, keepAliveTimeout: 10_000 });
         let addresses: readonly string[] = [];
@@ -211,7 +225,7 @@
             if (addresses.length === 0 || !(await sendWithRetry(addresses, keptAgent))) {
                 addresses = [];
             }
-            await sleep(random.below(maxPauseMs));
+            await sleep(random.below(pauseMs));
         }
         await keptAgent.destroy();
     };
@@ -225,8 +239,8 @@
             abandonAfterMs: undefined,
             isSlowlyRead: false,
         };
-        const { callersAddress } = daemons[copy % daemons.length]!;
-        outcomes.push(await attempt(callersAddress, plan, agent, deadlineMs));
+        const { listen } = daemons[copy % daemons.length]!;
+        outcomes.push(await attempt(listen.callers, plan, agent, deadlineMs));
         await agent.destroy();
     };
     return {
@@ -240,7 +254,8 @@
             await Promise.all(copies);
         },
         run: async (callers, until) => {
-            await Promise.all(Array.from({ length: callers }, (_, caller) => runCaller(caller, until)));
+            const pauseMs = Math.max(maxPauseMs, Math.round(2_000 * callers / maxRequestsPerSecond));
+            await Promise.all(Array.from({ length: callers }, (_, caller) => runCaller(caller, until, pauseMs)));
             await lookupAgent.destroy();
         },
     };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,7 +3,8 @@
 import { exitCodes, printError } from "@pimentospring/runtime/program/program";
 import { cac } from "cac";
 import { randomInt } from "node:crypto";
-import { join } from "node:path";
+import { join, resolve } from "node:path";
+import type { Violation } from "./promises/records.js";
 import { runSoak } from "./soak.js";
 
 interface Flags {
@@ -11,33 +12,44 @@
     readonly seeds: number;
     readonly seconds: number;
     readonly gap: number;
+    readonly processGap: number;
     readonly callers: number;
     readonly net: number;
     readonly keep: string;
 }
 
+const shownPerPromise = 3;
+
+/** The first violations of each promise. */
+const firstOfEach = (violations: readonly Violation[]): readonly Violation[] =>
+    violations.filter(({ promise }, index) =>
+        violations.slice(0, index).filter(earlier => earlier.promise === promise).length < shownPerPromise
+    );
+
 async function soak(flags: Flags): Promise<void> {
     const first = flags.seed ?? randomInt(1_000_000);
     let failed = 0;
     for (let seed = first; seed < first + flags.seeds; seed++) {
-        const folder = join(flags.keep, `seed-${seed}`);
+        const folder = join(resolve(flags.keep), `seed-${seed}`);
         const { net, callers } = flags;
         const result = await runSoak({
             seed,
             faultPhaseMs: flags.seconds * 1_000,
             meanGapMs: flags.gap,
+            meanProcessGapMs: flags.processGap,
             callers,
             loopbackSubnet: net,
             folder,
         });
         const { requests, served, runs, faults, crashes, violations } = result;
+        const load = `${Math.round(result.maxResidentMb)} MB resident at most, soak busy ${Math.round(100 * result.busyRatio)}%`;
         process.stdout.write(
-            `seed ${seed}: ${faults} faults, ${requests} requests, ${served} served, ${runs} runs, ${crashes} targets crashed, `,
+            `seed ${seed}: ${faults} faults, ${requests} requests, ${served} served, ${runs} runs, ${crashes} targets crashed, ${load}, `,
         );
         process.stdout.write(
             violations.length === 0 ? "every promise kept\n" : `${violations.length} broken promises; logs in ${folder}\n`,
         );
-        violations.slice(0, 5).forEach(({ promise, text }) => process.stdout.write(`  ${promise}: ${text}\n`));
+        firstOfEach(violations).forEach(({ promise, text }) => process.stdout.write(`  ${promise}: ${text}\n`));
         failed += violations.length === 0 ? 0 : 1;
     }
     process.stdout.write(`${flags.seeds - failed} of ${flags.seeds} seeds kept every promise\n`);
@@ -51,6 +63,7 @@
     .option("--seeds <n>", "Number of consecutive seeds to run", { default: 1 })
     .option("--seconds <n>", "Length of the fault phase", { default: 16 })
     .option("--gap <ms>", "Mean gap between the starts of faults", { default: 500 })
+    .option("--process-gap <ms>", "The same for faults of the daemons' processes; 0 for none", { default: 1_000 })
     .option("--callers <n>", "Concurrent callers", { default: 12 })
     .option("--net <n>", "Third byte of the loopback addresses, for parallel runs", { default: 81 })
     .option("--keep <folder>", "Folder for logs and records", { default: "target/soak" })
--- a/packages/soak/src/promises/__tests__/promises.test.ts
+++ b/packages/soak/src/promises/__tests__/promises.test.ts
@@ -2,8 +2,9 @@
 import { answerText, type RequestRun } from "@pimentospring/standin/direct/targetStandin";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { checkEndsOnlyWhenTold, checkWithinMemory } from "../processPromises.js";
 import { createPromiseChecks, versionProbePath } from "../promises.js";
-import type { AttemptOutcome, FaultSpan, SoakRecord } from "../records.js";
+import type { AttemptOutcome, DaemonRun, FaultSpan, SoakRecord } from "../records.js";
 
 const slack = 5;
 const outcome = (request: string, fields: Partial<AttemptOutcome> = {}): AttemptOutcome => ({
@@ -32,6 +33,19 @@
     at: 10_010,
     ...fields,
 });
+const daemonRun = (fields: Partial<DaemonRun> = {}): DaemonRun => ({
+    daemon: "one",
+    number: 0,
+    startedAt: 1_000,
+    endedAt: undefined,
+    exit: undefined,
+    lastLines: [],
+    toldToEndAt: undefined,
+    stopRequestedAt: undefined,
+    answeredAt: 2_000,
+    maxResidentMb: 100,
+    ...fields,
+});
 const services = { "/order/": ["s"], "/version-4/": ["s"], "/version-5/": ["s"] };
 const record = (fields: Partial<SoakRecord>): SoakRecord => ({
     outcomes: [],
@@ -42,6 +56,8 @@
     crashes: [],
     turnedAway: [],
     disturbances: [],
+    daemonRuns: [],
+    obstacles: [],
     stops: [],
     calmFrom: 20_000,
     endedAt: 30_000,
@@ -64,6 +80,12 @@
 });
 
 const violatingRecords: Readonly<Record<string, Partial<SoakRecord>>> = {
+    endsOnlyWhenTold: { daemonRuns: [daemonRun({ endedAt: 9_000, exit: "exit code 1" })] },
+    withinMemory: { daemonRuns: [daemonRun({ maxResidentMb: 351, endedAt: 9_000, exit: "SIGKILL" })] },
+    starts: { daemonRuns: [daemonRun({ answeredAt: undefined })] },
+    stopsInTime: {
+        daemonRuns: [daemonRun({ toldToEndAt: 9_000, stopRequestedAt: 9_000, endedAt: 16_000, exit: "exit code 0" })],
+    },
     once: { outcomes: [outcome("a")], runs: [run("a"), run("a", { at: 10_030 })] },
     refusedIsNotRun: { outcomes: [outcome("a", { status: 503, retryAfterMs: 20 })], runs: [run("a")] },
     refusalsSayWhen: { outcomes: [outcome("a", { status: 503 })] },
@@ -174,3 +196,50 @@
     const disturbances = [{ daemon: "one", kind: "daemonKill", from: 9_000, to: 9_500 }];
     assert.deepEqual(findBrokenPromises({ crashes, runs, outcomes, disturbances }), []);
 });
+
+test("the end of a process breaks a promise whatever its exit code or signal, and the violation names them, the run and its log", () => {
+    const findEnd = (fields: Partial<DaemonRun>): readonly string[] =>
+        checkEndsOnlyWhenTold(record({ daemonRuns: [daemonRun({ endedAt: 9_000, ...fields })] })).map(({ text }) => text);
+    assert.deepEqual(findEnd({ exit: "exit code 0", number: 3, lastLines: ["first", "second"] }), [
+        "one, run 3, ended untold with exit code 0; its log ends: first / second",
+    ]);
+    assert.equal(findEnd({ exit: "SIGUSR2" }).length, 1);
+    assert.equal(findEnd({ exit: "SIGKILL" }).length, 1);
+    assert.deepEqual(findEnd({ exit: "SIGTERM", toldToEndAt: 8_990, stopRequestedAt: 8_990 }), []);
+});
+
+test("a violation of the memory limit names the size", () => {
+    const daemonRuns = [daemonRun({ maxResidentMb: 498.4 })];
+    assert.match(checkWithinMemory(record({ daemonRuns }))[0]!.text, /^one, run 0, had 498 MB resident, 350 MB are allowed$/);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [daemonRun({ maxResidentMb: 350 })] }), []);
+});
+
+test("a process may start late behind its predecessor, a taken port or a pause, but not without or long after them", () => {
+    const predecessor = daemonRun({ startedAt: 0, answeredAt: 500, toldToEndAt: 900, stopRequestedAt: 900, endedAt: 6_000 });
+    const late = (answeredAt: number): DaemonRun => daemonRun({ number: 1, answeredAt });
+    const portTaken = { daemon: "one", kind: "portTaken", from: 5_000, to: 8_000 };
+    const pause = { ...portTaken, kind: "daemonPause" };
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [late(6_500)] }), ["starts"]);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [predecessor, late(10_900)] }), []);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [predecessor, late(11_100)] }), ["starts"]);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [late(12_900)], obstacles: [portTaken] }), []);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [late(12_900)], disturbances: [pause] }), []);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [late(13_100)], obstacles: [portTaken] }), ["starts"]);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [late(12_900)], obstacles: [{ ...portTaken, daemon: "two" }] }), [
+        "starts",
+    ]);
+});
+
+test("a process that is told to end before it answers, or whose start the run does not cover, keeps its promise", () => {
+    const unanswered = daemonRun({ answeredAt: undefined });
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [{ ...unanswered, toldToEndAt: 5_900, endedAt: 6_000 }] }), []);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [{ ...unanswered, startedAt: 26_000 }] }), []);
+});
+
+test("a process that does not end within its grace period breaks its promise, also at the end of the run; one that was paused does not", () => {
+    const stopping = daemonRun({ toldToEndAt: 9_000, stopRequestedAt: 9_000 });
+    const pause = { daemon: "one", kind: "daemonPause", from: 10_000, to: 12_000 };
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [stopping] }), ["stopsInTime"]);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [{ ...stopping, endedAt: 15_000 }] }), []);
+    assert.deepEqual(findBrokenPromises({ daemonRuns: [{ ...stopping, endedAt: 17_000 }], disturbances: [pause] }), []);
+});
--- a/packages/soak/src/promises/promises.ts
+++ b/packages/soak/src/promises/promises.ts
@@ -1,17 +1,17 @@
 /** Checks of the product's guarantees ("promises") against the record of what callers and targets observed. */
 import { answerText, crashMarker, type RequestRun } from "@pimentospring/standin/direct/targetStandin";
+import { checkEndsOnlyWhenTold, checkStarts, checkStopsInTime, checkWithinMemory } from "./processPromises.js";
 import {
     type AttemptOutcome,
     type FaultSpan,
     isItselfUndisturbed,
     isUndisturbed,
     prefixOf,
+    type PromiseCheck,
     type SoakRecord,
     type Violation,
 } from "./records.js";
 
-export type PromiseCheck = (record: SoakRecord) => readonly Violation[];
-
 const violation = (promise: string, text: string): Violation => ({ promise, text });
 
 function groupBy<Item>(items: readonly Item[], keyOf: (item: Item) => string): ReadonlyMap<string, readonly Item[]> {
@@ -346,6 +346,10 @@
 };
 
 export const createPromiseChecks = (retrySlack: number): Readonly<Record<string, PromiseCheck>> => ({
+    endsOnlyWhenTold: checkEndsOnlyWhenTold,
+    withinMemory: checkWithinMemory,
+    starts: checkStarts,
+    stopsInTime: checkStopsInTime,
     once: checkAtMostOnce,
     refusedIsNotRun: checkRefusedNeverRuns,
     refusalsSayWhen: checkRefusalsHaveRetryAfter,
--- a/packages/soak/src/promises/records.ts
+++ b/packages/soak/src/promises/records.ts
@@ -56,6 +56,26 @@
     readonly to: number;
 }
 
+/** One process of a daemon. */
+export interface DaemonRun {
+    readonly daemon: string;
+    readonly number: number;
+    readonly startedAt: number;
+    endedAt: number | undefined;
+    /** Exit code or signal. */
+    exit: string | undefined;
+    /** The last lines of its log. */
+    lastLines: readonly string[];
+    /** When the soak first sent a signal that may end it. */
+    toldToEndAt: number | undefined;
+    /** When the soak first sent a signal that makes it finish its requests and end. */
+    stopRequestedAt: number | undefined;
+    /** When its callers' listener first answered, with no earlier process left. */
+    answeredAt: number | undefined;
+    /** Largest resident size, in millions of bytes. */
+    maxResidentMb: number;
+}
+
 export interface SoakRecord {
     readonly outcomes: readonly AttemptOutcome[];
     readonly runs: readonly RequestRun[];
@@ -67,7 +87,10 @@
     /** Requests that targets turned away with the time of a pause. */
     readonly turnedAway: readonly TurnedAway[];
     readonly disturbances: readonly FaultSpan[];
-    /** Times at which SIGTERM was sent, with the daemon and the incarnation of its process. */
+    readonly daemonRuns: readonly DaemonRun[];
+    /** Time spans in which a daemon can't start, as its callers' port is in use or its settings file is not whole. */
+    readonly obstacles: readonly FaultSpan[];
+    /** Times at which SIGTERM or SIGINT was sent, with the daemon and the incarnation of its process. */
     readonly stops: readonly { readonly daemon: string; readonly run: number; readonly at: number; }[];
     /** End of the fault phase. */
     readonly calmFrom: number;
@@ -80,6 +103,8 @@
     readonly text: string;
 }
 
+export type PromiseCheck = (record: SoakRecord) => readonly Violation[];
+
 export const prefixOf = (path: string): string => path.slice(0, path.indexOf("/", 1) + 1);
 
 /** Whether no fault disturbed the daemon from `settlingMs` before `from` until `to`. */
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -4,6 +4,9 @@
     readonly seed: number;
     readonly faultPhaseMs: number;
     readonly meanGapMs: number;
+    /** Mean gap of faults of the daemons' processes; none if omitted. */
+    readonly meanProcessGapMs?: number;
+    readonly callers?: number;
     readonly cause: string;
 }
 
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,8 +5,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { type Cluster, startCluster } from "./cluster/cluster.js";
+import { readinessRequestId } from "./cluster/daemonProcess.js";
 import { affectedDaemon, faultInjectors } from "./faults/faultInjectors.js";
-import { createFaultSchedule, type Fault, noticeKinds, responseKinds } from "./faults/schedule.js";
+import { createFaultSchedule, type Fault, type FaultKind, noticeKinds, processKinds, responseKinds } from "./faults/schedule.js";
 import { createCallers } from "./load/callers.js";
 import { createPromiseChecks, versionProbePath } from "./promises/promises.js";
 import type { AttemptOutcome, FaultSpan, SoakRecord, Violation } from "./promises/records.js";
@@ -17,6 +18,8 @@
     readonly faultPhaseMs: number;
     /** Mean gap between the starts of two faults; gaps are up to twice as long. */
     readonly meanGapMs: number;
+    /** The same for faults of the daemons' processes, ports and settings files; 0 for none of them. */
+    readonly meanProcessGapMs: number;
     readonly callers: number;
     readonly loopbackSubnet: number;
     /** Folder for logs and the record. */
@@ -32,10 +35,15 @@
     readonly faults: number;
     /** Targets that the request that crashes them ended. */
     readonly crashes: number;
+    /** Largest resident size of a daemon's process. */
+    readonly maxResidentMb: number;
+    /** Part of the time for which the soak's own process was busy. */
+    readonly busyRatio: number;
 }
 
 const noticeSeedOffset = 1_000_000;
 const responseSeedOffset = 2_000_000;
+const processSeedOffset = 3_000_000;
 /** Faults that are drawn on their own are this much rarer than other faults. */
 const rareGapFactor = 3;
 const calmPhaseMs = 8_000;
@@ -43,31 +51,22 @@
 const crashingFromFraction = 0.25;
 const readinessTimeoutMs = 15_000;
 const probeTimeoutMs = 1_000;
-/** Id of the readiness requests, which are left out of the record. */
-const readinessRequestId = "readiness";
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const { seed, faultPhaseMs: lengthMs, folder } = options;
-    const faults = [
-        ...createFaultSchedule(createRandom(seed), lengthMs, options.meanGapMs),
-        ...createFaultSchedule(createRandom(seed + noticeSeedOffset), lengthMs, rareGapFactor * options.meanGapMs, noticeKinds),
-        ...createFaultSchedule(
-            createRandom(seed + responseSeedOffset),
-            lengthMs,
-            rareGapFactor * options.meanGapMs,
-            responseKinds,
-        ),
-    ];
+    const faults = drawFaults(options);
     const cluster = await startCluster({ loopbackSubnet: options.loopbackSubnet, folder });
     const outcomes: AttemptOutcome[] = [];
     const disturbances: FaultSpan[] = [];
     try {
         await waitUntilReady(cluster);
         const startedAt = performance.now();
+        const utilization = performance.eventLoopUtilization();
         const calmFrom = startedAt + lengthMs;
         const callers = createCallers({
             daemons: cluster.daemons,
             random: createRandom(seed + 1),
+            bodyRandom: createRandom(seed + 2),
             outcomes,
             routes: cluster.loadRoutes,
             probePath: () => versionProbePath(cluster.currentVersion()),
@@ -91,6 +90,8 @@
             runs: runs.length,
             faults: faults.length,
             crashes: record.crashes.length,
+            maxResidentMb: Math.max(...record.daemonRuns.map(run => run.maxResidentMb)),
+            busyRatio: performance.eventLoopUtilization(utilization).utilization,
         };
     }
     finally {
@@ -98,6 +99,18 @@
     }
 }
 
+/** Each group of kinds is drawn on its own, so that a new one leaves the other faults of a seed as they were. */
+function drawFaults({ seed, faultPhaseMs, meanGapMs, meanProcessGapMs }: SoakOptions): readonly Fault[] {
+    const draw = (seedOffset: number, gapMs: number, kinds?: readonly FaultKind[]): readonly Fault[] =>
+        createFaultSchedule(createRandom(seed + seedOffset), faultPhaseMs, gapMs, kinds);
+    return [
+        ...draw(0, meanGapMs),
+        ...draw(noticeSeedOffset, rareGapFactor * meanGapMs, noticeKinds),
+        ...draw(responseSeedOffset, rareGapFactor * meanGapMs, responseKinds),
+        ...(meanProcessGapMs === 0 ? [] : draw(processSeedOffset, meanProcessGapMs, processKinds)),
+    ];
+}
+
 async function injectFault(cluster: Cluster, fault: Fault, disturbances: FaultSpan[]): Promise<void> {
     await sleep(fault.at);
     const daemon = affectedDaemon(cluster, fault);
@@ -113,7 +126,7 @@
     const until = performance.now() + readinessTimeoutMs;
     for (const daemon of cluster.daemons) {
         for (;;) {
-            const isReady = await request(`http://${daemon.callersAddress}/look/1`, {
+            const isReady = await request(`http://${daemon.listen.callers}/look/1`, {
                 reset: true,
                 signal: AbortSignal.timeout(readinessTimeoutMs),
                 headers: { "host": "a.example", "x-request-id": readinessRequestId, "x-deadline-ms": "500" },
