feat(soak): pace many callers, end at a program error

Change: no more than 300 requests a second; long answers read more slowly; an attempt needs time left; errors exit.

--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -44,7 +44,7 @@
 const lookupTimeoutMs = 1_000;
 const maxPauseMs = 60;
 /** Pauses of many callers are longer, so that they send no more than about this many requests a second. */
-const maxRequestsPerSecond = 1_000;
+const maxRequestsPerSecond = 300;
 /** One in this many requests that are not idempotent has a body of up to this length. */
 const bodyInterval = 10;
 const maxBodyBytes = 4_000_000;
@@ -52,12 +52,17 @@
 /** Time for a long answer that is read slowly, and the pause after each of its chunks. */
 const slowReadMs = 10_000;
 const chunkPauseMs = 4;
+/** The same where callers are many, so that more long answers are read at a time. */
+const manyChunkPauseMs = 16;
+const manyCallers = 100;
 const slowReadInterval = 60;
 /** One in this many requests is abandoned early, probes the configuration, or uses a new connection, respectively. */
 const abandonInterval = 25;
 const probeInterval = 12;
 const newConnectionInterval = 5;
 const maxRetries = 1;
+/** A caller makes no attempt with less time left. */
+const minAttemptMs = 50;
 const crashingPath = `/look/${crashMarker}`;
 const crashingIntervalMs = 200;
 const crashingAddressCount = 40;
@@ -79,12 +84,12 @@
     new Promise((resolve, reject) => httpRequest(url, options, resolve).once("error", reject).end());
 
 /** Reads an answer in chunks with pauses between them; leaves out the padding of a long one. */
-async function readSlowly(answer: IncomingMessage, onBegun: () => void): Promise<ReadAnswer> {
+async function readSlowly(answer: IncomingMessage, pauseMs: number, onBegun: () => void): Promise<ReadAnswer> {
     const chunks: Buffer[] = [];
     onBegun();
     for await (const chunk of answer) {
         chunks.push(chunk as Buffer);
-        await sleep(chunkPauseMs);
+        await sleep(pauseMs);
     }
     const bytes = Buffer.concat(chunks);
     const textBytes = answer.statusCode === 200 ? bytes.length - longPadding.length : bytes.length;
@@ -97,6 +102,7 @@
     const { daemons, random, outcomes } = options;
     const lookupAgent = new Agent();
     let sequence = 0;
+    let readPauseMs = chunkPauseMs;
     const oneIn = (count: number): boolean => random.below(count) === 0;
 
     const lookupEntries = async (caller: number): Promise<readonly string[]> => {
@@ -145,7 +151,11 @@
             const method = plan.isIdempotent ? "GET" : "POST";
             const headers = { "host": standinHost, "x-request-id": id, "x-deadline-ms": String(Math.floor(leftMs)) };
             const answer = plan.isSlowlyRead
-                ? await readSlowly(await beginSlowly(url, { method, headers, signal: abortSignal, agent: false }), onBegun)
+                ? await readSlowly(
+                    await beginSlowly(url, { method, headers, signal: abortSignal, agent: false }),
+                    readPauseMs,
+                    onBegun,
+                )
                 : await readAtOnce(
                     await request(url, { method, headers, body: plan.body, dispatcher, signal: abortSignal }),
                     onBegun,
@@ -207,10 +217,14 @@
             }
             const leftMs = giveUpAt - performance.now();
             const waitMs = Math.min(outcome.retryAfterMs ?? 0, leftMs / 3);
-            if (leftMs < 50) {
+            if (leftMs < minAttemptMs) {
                 return false;
             }
             await sleep(Math.max(0, waitMs));
+            // A busy machine may wake it long after that.
+            if (performance.now() > giveUpAt - minAttemptMs) {
+                return false;
+            }
         }
         return false;
     };
@@ -255,7 +269,12 @@
         },
         run: async (callers, until) => {
             const pauseMs = Math.max(maxPauseMs, Math.round(2_000 * callers / maxRequestsPerSecond));
-            await Promise.all(Array.from({ length: callers }, (_, caller) => runCaller(caller, until, pauseMs)));
+            readPauseMs = callers < manyCallers ? chunkPauseMs : manyChunkPauseMs;
+            await Promise.all(Array.from({ length: callers }, async (_, caller) => {
+                // Callers don't begin all at once.
+                await sleep(pauseMs * caller / callers);
+                await runCaller(caller, until, pauseMs);
+            }));
             await lookupAgent.destroy();
         },
     };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -78,5 +78,6 @@
 }
 catch (error) {
     printError(results.badArguments, (error as Error).message);
-    process.exitCode = exitCodes.usage;
+    // Daemons and connections of a soak that failed would keep the process alive.
+    process.exit(exitCodes.usage);
 }
