--- a/packages/soak/src/cluster/daemons.ts
+++ b/packages/soak/src/cluster/daemons.ts
@@ -16,6 +16,8 @@
     start(): void;
     /** Sends a signal to the latest process, if it is running. */
     signal(name: EndingSignal | OtherSignal): void;
+    /** Suspends the latest process; returns a function that resumes it. */
+    pause(): () => void;
     /** Changes the settings and rewrites their file. */
     rewriteSettings(change: SettingsChange): void;
     /** Rewrites the settings file with a part of its text, as a reader sees it while it is written. */
@@ -76,6 +78,16 @@
                 latest.signal(name);
             }
         },
+        pause: () => {
+            const paused = processes.at(-1)!;
+            const send = (name: OtherSignal): void => {
+                if (isLeft(paused.run)) {
+                    paused.signal(name);
+                }
+            };
+            send("SIGSTOP");
+            return () => send("SIGCONT");
+        },
         rewriteSettings: change => {
             settings = { ...settings, ...change };
             writeFileSync(settingsFile, render());
--- a/packages/soak/src/faults/faultInjectors.ts
+++ b/packages/soak/src/faults/faultInjectors.ts
@@ -33,9 +33,9 @@
 });
 
 const pause = onDaemon(async (daemon, cluster, fault) => {
-    daemon.signal("SIGSTOP");
+    const resume = daemon.pause();
     await cluster.sleep(fault.forMs);
-    daemon.signal("SIGCONT");
+    resume();
 });
 
 const reload = onDaemon(async (daemon, cluster, fault) => {
--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -44,17 +44,23 @@
 const lookupTimeoutMs = 1_000;
 const maxPauseMs = 60;
 /** Pauses of many callers are longer, so that they send no more than about this many requests a second. */
-const maxRequestsPerSecond = 300;
+const maxRequestsPerSecond = 150;
 /** One in this many requests that are not idempotent has a body of up to this length. */
 const bodyInterval = 10;
 const maxBodyBytes = 4_000_000;
 const bodyBytes = Buffer.alloc(maxBodyBytes, "b");
-/** Time for a long answer that is read slowly, and the pause after each of its chunks. */
-const slowReadMs = 10_000;
-const chunkPauseMs = 4;
-/** The same where callers are many, so that more long answers are read at a time. */
-const manyChunkPauseMs = 16;
+/** Pause after each chunk of a long answer, and the time for all of it. */
+interface ReadingPace {
+    readonly chunkPauseMs: number;
+    readonly maxMs: number;
+}
+
+const fewCallersPace: ReadingPace = { chunkPauseMs: 4, maxMs: 10_000 };
+const manyCallersPace: ReadingPace = { chunkPauseMs: 40, maxMs: 40_000 };
+/** From this number of callers on, some of them read nothing but long answers, at the slower pace. */
 const manyCallers = 100;
+const slowCallerInterval = 8;
+/** One in this many requests of few callers has a long answer. */
 const slowReadInterval = 60;
 /** One in this many requests is abandoned early, probes the configuration, or uses a new connection, respectively. */
 const abandonInterval = 25;
@@ -84,12 +90,12 @@
     new Promise((resolve, reject) => httpRequest(url, options, resolve).once("error", reject).end());
 
 /** Reads an answer in chunks with pauses between them; leaves out the padding of a long one. */
-async function readSlowly(answer: IncomingMessage, pauseMs: number, onBegun: () => void): Promise<ReadAnswer> {
+async function readSlowly(answer: IncomingMessage, { chunkPauseMs }: ReadingPace, onBegun: () => void): Promise<ReadAnswer> {
     const chunks: Buffer[] = [];
     onBegun();
     for await (const chunk of answer) {
         chunks.push(chunk as Buffer);
-        await sleep(pauseMs);
+        await sleep(chunkPauseMs);
     }
     const bytes = Buffer.concat(chunks);
     const textBytes = answer.statusCode === 200 ? bytes.length - longPadding.length : bytes.length;
@@ -102,7 +108,7 @@
     const { daemons, random, outcomes } = options;
     const lookupAgent = new Agent();
     let sequence = 0;
-    let readPauseMs = chunkPauseMs;
+    let pace = fewCallersPace;
     const oneIn = (count: number): boolean => random.below(count) === 0;
 
     const lookupEntries = async (caller: number): Promise<readonly string[]> => {
@@ -140,7 +146,7 @@
             sentAt,
             timeoutMs: Math.min(plan.timeoutMs, leftMs),
         };
-        const patienceMs = Math.ceil(leftMs) + (plan.isSlowlyRead ? slowReadMs : lookupTimeoutMs);
+        const patienceMs = Math.ceil(leftMs) + (plan.isSlowlyRead ? pace.maxMs : lookupTimeoutMs);
         const abortSignal = AbortSignal.timeout(plan.abandonAfterMs ?? patienceMs);
         let begunAt: number | undefined;
         const onBegun = (): void => {
@@ -153,7 +159,7 @@
             const answer = plan.isSlowlyRead
                 ? await readSlowly(
                     await beginSlowly(url, { method, headers, signal: abortSignal, agent: false }),
-                    readPauseMs,
+                    pace,
                     onBegun,
                 )
                 : await readAtOnce(
@@ -179,14 +185,14 @@
             return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned, begunAt, isCut: begunAt !== undefined };
         }
     };
-    const planRequest = (): RequestPlan => {
+    const planRequest = (caller: number): RequestPlan => {
         if (oneIn(probeInterval)) {
             const path = options.probePath();
             const timeoutMs = options.probeTimeoutMs;
             return { path, isIdempotent: true, timeoutMs, abandonAfterMs: undefined, isSlowlyRead: false };
         }
         const route = options.routes[random.below(options.routes.length)]!;
-        const isSlowlyRead = oneIn(slowReadInterval);
+        const isSlowlyRead = pace === fewCallersPace ? oneIn(slowReadInterval) : caller % slowCallerInterval === 0;
         const hasBody = !route.isIdempotent && options.bodyRandom.below(bodyInterval) === 0;
         return {
             path: `${route.prefix}${isSlowlyRead ? longMarker : ""}${random.below(20)}`,
@@ -203,8 +209,8 @@
         }
         return outcome.status === 503 || (outcome.isIdempotent && outcome.status >= 500);
     };
-    const sendWithRetry = async (addresses: readonly string[], keptAgent: Agent): Promise<boolean> => {
-        const plan = planRequest();
+    const sendWithRetry = async (caller: number, addresses: readonly string[], keptAgent: Agent): Promise<boolean> => {
+        const plan = planRequest(caller);
         const giveUpAt = performance.now() + deadlineMs;
         for (let turn = 0; turn <= maxRetries; turn++) {
             const newAgent = oneIn(newConnectionInterval) || turn > 0 ? new Agent() : undefined;
@@ -236,7 +242,7 @@
             if (addresses.length === 0) {
                 addresses = await lookupEntries(caller);
             }
-            if (addresses.length === 0 || !(await sendWithRetry(addresses, keptAgent))) {
+            if (addresses.length === 0 || !(await sendWithRetry(caller, addresses, keptAgent))) {
                 addresses = [];
             }
             await sleep(random.below(pauseMs));
@@ -269,7 +275,7 @@
         },
         run: async (callers, until) => {
             const pauseMs = Math.max(maxPauseMs, Math.round(2_000 * callers / maxRequestsPerSecond));
-            readPauseMs = callers < manyCallers ? chunkPauseMs : manyChunkPauseMs;
+            pace = callers < manyCallers ? fewCallersPace : manyCallersPace;
             await Promise.all(Array.from({ length: callers }, async (_, caller) => {
                 // Callers don't begin all at once.
                 await sleep(pauseMs * caller / callers);
