--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -11,6 +11,8 @@
 export interface CallersOptions {
     readonly daemons: readonly Daemon[];
     readonly random: Random;
+    /** Draws the bodies of requests, apart from what else is drawn. */
+    readonly bodyRandom: Random;
     readonly outcomes: AttemptOutcome[];
     /** Routes of the ordinary load. */
     readonly routes: readonly { readonly prefix: string; readonly isIdempotent: boolean; readonly timeoutMs: number; }[];
@@ -35,20 +37,38 @@
     readonly abandonAfterMs: number | undefined;
     /** Whether the answer is long and read slowly. */
     readonly isSlowlyRead: boolean;
+    readonly body?: Buffer | undefined;
 }
 
 const deadlineMs = 2_500;
 const lookupTimeoutMs = 1_000;
 const maxPauseMs = 60;
-/** Time for a long answer that is read slowly, and the pause after each of its chunks. */
-const slowReadMs = 10_000;
-const chunkPauseMs = 4;
+/** Pauses of many callers are longer, so that they send no more than about this many requests a second. */
+const maxRequestsPerSecond = 100;
+/** One in this many requests that are not idempotent has a body of up to this length. */
+const bodyInterval = 10;
+const maxBodyBytes = 4_000_000;
+const bodyBytes = Buffer.alloc(maxBodyBytes, "b");
+/** Pause after each chunk of a long answer, and the time for all of it. */
+interface ReadingPace {
+    readonly chunkPauseMs: number;
+    readonly maxMs: number;
+}
+
+const fewCallersPace: ReadingPace = { chunkPauseMs: 4, maxMs: 10_000 };
+const manyCallersPace: ReadingPace = { chunkPauseMs: 40, maxMs: 40_000 };
+/** From this number of callers on, some of them read nothing but long answers, at the slower pace. */
+export const manyCallers = 100;
+const slowCallerInterval = 8;
+/** One in this many requests of few callers has a long answer. */
 const slowReadInterval = 60;
 /** One in this many requests is abandoned early, probes the configuration, or uses a new connection, respectively. */
 const abandonInterval = 25;
 const probeInterval = 12;
 const newConnectionInterval = 5;
 const maxRetries = 1;
+/** A caller makes no attempt with less time left. */
+const minAttemptMs = 50;
 const crashingPath = `/look/${crashMarker}`;
 const crashingIntervalMs = 200;
 const crashingAddressCount = 40;
@@ -70,7 +90,7 @@
     new Promise((resolve, reject) => httpRequest(url, options, resolve).once("error", reject).end());
 
 /** Reads an answer in chunks with pauses between them; leaves out the padding of a long one. */
-async function readSlowly(answer: IncomingMessage, onBegun: () => void): Promise<ReadAnswer> {
+async function readSlowly(answer: IncomingMessage, { chunkPauseMs }: ReadingPace, onBegun: () => void): Promise<ReadAnswer> {
     const chunks: Buffer[] = [];
     onBegun();
     for await (const chunk of answer) {
@@ -88,13 +108,14 @@
     const { daemons, random, outcomes } = options;
     const lookupAgent = new Agent();
     let sequence = 0;
+    let pace = fewCallersPace;
     const oneIn = (count: number): boolean => random.below(count) === 0;
 
     const lookupEntries = async (caller: number): Promise<readonly string[]> => {
         for (let turn = 0; turn < daemons.length; turn++) {
-            const { directoryAddress, placement } = daemons[(caller + turn) % daemons.length]!;
+            const { listen, placement } = daemons[(caller + turn) % daemons.length]!;
             try {
-                const url = `http://${directoryAddress}/resolve?name=a&region=${placement.region}&zone=${placement.dataCentre}`;
+                const url = `http://${listen.directory}/resolve?name=a&region=${placement.region}&zone=${placement.dataCentre}`;
                 const answer = await request(url, { signal: AbortSignal.timeout(lookupTimeoutMs), dispatcher: lookupAgent });
                 const body = (await answer.body.json()) as { readonly addresses?: readonly string[]; };
                 if (answer.statusCode === 200 && body.addresses !== undefined) {
@@ -113,7 +134,7 @@
         dispatcher: Dispatcher,
         leftMs: number,
     ): Promise<AttemptOutcome> => {
-        const daemon = daemons.find(candidate => candidate.callersAddress === address)!;
+        const daemon = daemons.find(candidate => candidate.listen.callers === address)!;
         const id = `r${++sequence}`;
         const sentAt = performance.now();
         const common = {
@@ -121,11 +142,11 @@
             path: plan.path,
             isIdempotent: plan.isIdempotent,
             daemon: daemon.placement.name,
-            daemonRun: daemon.runs.length - 1,
+            daemonRun: daemon.servingRun(),
             sentAt,
             timeoutMs: Math.min(plan.timeoutMs, leftMs),
         };
-        const patienceMs = Math.ceil(leftMs) + (plan.isSlowlyRead ? slowReadMs : lookupTimeoutMs);
+        const patienceMs = Math.ceil(leftMs) + (plan.isSlowlyRead ? pace.maxMs : lookupTimeoutMs);
         const abortSignal = AbortSignal.timeout(plan.abandonAfterMs ?? patienceMs);
         let begunAt: number | undefined;
         const onBegun = (): void => {
@@ -136,8 +157,15 @@
             const method = plan.isIdempotent ? "GET" : "POST";
             const headers = { "host": standinHost, "x-request-id": id, "x-deadline-ms": String(Math.floor(leftMs)) };
             const answer = plan.isSlowlyRead
-                ? await readSlowly(await beginSlowly(url, { method, headers, signal: abortSignal, agent: false }), onBegun)
-                : await readAtOnce(await request(url, { method, headers, dispatcher, signal: abortSignal }), onBegun);
+                ? await readSlowly(
+                    await beginSlowly(url, { method, headers, signal: abortSignal, agent: false }),
+                    pace,
+                    onBegun,
+                )
+                : await readAtOnce(
+                    await request(url, { method, headers, body: plan.body, dispatcher, signal: abortSignal }),
+                    onBegun,
+                );
             const retryAfter = answer.headers["retry-after"];
             return {
                 ...common,
@@ -157,20 +185,22 @@
             return { ...ended, status: undefined, retryAfterMs: undefined, isAbandoned, begunAt, isCut: begunAt !== undefined };
         }
     };
-    const planRequest = (): RequestPlan => {
+    const planRequest = (caller: number): RequestPlan => {
         if (oneIn(probeInterval)) {
             const path = options.probePath();
             const timeoutMs = options.probeTimeoutMs;
             return { path, isIdempotent: true, timeoutMs, abandonAfterMs: undefined, isSlowlyRead: false };
         }
         const route = options.routes[random.below(options.routes.length)]!;
-        const isSlowlyRead = oneIn(slowReadInterval);
+        const isSlowlyRead = pace === fewCallersPace ? oneIn(slowReadInterval) : caller % slowCallerInterval === 0;
+        const hasBody = !route.isIdempotent && options.bodyRandom.below(bodyInterval) === 0;
         return {
             path: `${route.prefix}${isSlowlyRead ? longMarker : ""}${random.below(20)}`,
             isIdempotent: route.isIdempotent,
             timeoutMs: route.timeoutMs,
             abandonAfterMs: oneIn(abandonInterval) ? 20 + random.below(200) : undefined,
             isSlowlyRead,
+            body: hasBody ? bodyBytes.subarray(0, options.bodyRandom.below(maxBodyBytes)) : undefined,
         };
     };
     const isRetryable = (outcome: AttemptOutcome): boolean => {
@@ -179,8 +209,8 @@
         }
         return outcome.status === 503 || (outcome.isIdempotent && outcome.status >= 500);
     };
-    const sendWithRetry = async (addresses: readonly string[], keptAgent: Agent): Promise<boolean> => {
-        const plan = planRequest();
+    const sendWithRetry = async (caller: number, addresses: readonly string[], keptAgent: Agent): Promise<boolean> => {
+        const plan = planRequest(caller);
         const giveUpAt = performance.now() + deadlineMs;
         for (let turn = 0; turn <= maxRetries; turn++) {
             const newAgent = oneIn(newConnectionInterval) || turn > 0 ? new Agent() : undefined;
@@ -193,14 +223,18 @@
             }
             const leftMs = giveUpAt - performance.now();
             const waitMs = Math.min(outcome.retryAfterMs ?? 0, leftMs / 3);
-            if (leftMs < 50) {
+            if (leftMs < minAttemptMs) {
                 return false;
             }
             await sleep(Math.max(0, waitMs));
+            // A busy machine may wake it long after that.
+            if (performance.now() > giveUpAt - minAttemptMs) {
+                return false;
+            }
         }
         return false;
     };
-    const runCaller = async (caller: number, until: number): Promise<void> => {
+    const runCaller = async (caller: number, until: number, pauseMs: number): Promise<void> => {
         // Connections are reused for as long as they work, also while their entry is shutting down.
         const keptAgent = new Agent({ connections: 2, keepAliveTimeout: 10_000 });
         let addresses: readonly string[] = [];
@@ -208,10 +242,10 @@
             if (addresses.length === 0) {
                 addresses = await lookupEntries(caller);
             }
-            if (addresses.length === 0 || !(await sendWithRetry(addresses, keptAgent))) {
+            if (addresses.length === 0 || !(await sendWithRetry(caller, addresses, keptAgent))) {
                 addresses = [];
             }
-            await sleep(random.below(maxPauseMs));
+            await sleep(random.below(pauseMs));
         }
         await keptAgent.destroy();
     };
@@ -225,8 +259,8 @@
             abandonAfterMs: undefined,
             isSlowlyRead: false,
         };
-        const { callersAddress } = daemons[copy % daemons.length]!;
-        outcomes.push(await attempt(callersAddress, plan, agent, deadlineMs));
+        const { listen } = daemons[copy % daemons.length]!;
+        outcomes.push(await attempt(listen.callers, plan, agent, deadlineMs));
         await agent.destroy();
     };
     return {
@@ -240,7 +274,13 @@
             await Promise.all(copies);
         },
         run: async (callers, until) => {
-            await Promise.all(Array.from({ length: callers }, (_, caller) => runCaller(caller, until)));
+            const pauseMs = Math.max(maxPauseMs, Math.round(2_000 * callers / maxRequestsPerSecond));
+            pace = callers < manyCallers ? fewCallersPace : manyCallersPace;
+            await Promise.all(Array.from({ length: callers }, async (_, caller) => {
+                // Callers don't begin all at once.
+                await sleep(pauseMs * caller / callers);
+                await runCaller(caller, until, pauseMs);
+            }));
             await lookupAgent.destroy();
         },
     };
