fix(steer): memory that the allocator keeps does not make a daemon refuse every request

Near its limit a daemon refused all requests until its resident size fell below 70% of the limit. Freed memory that the allocator keeps stays resident, so that it could refuse for good. It refuses, and collects garbage, only while two fifths of the limit are really in use.

--- a/packages/steer/src/observe/memoryMonitor.ts
+++ b/packages/steer/src/observe/memoryMonitor.ts
@@ -12,7 +12,7 @@
     readonly log: Log;
     readonly maxResidentBytes: number;
     readonly readResidentBytes: () => number;
-    /** Called for a log line only. */
+    /** Called only near the limit. */
     readonly readUsage: () => MemoryUsage;
     /** What the daemon itself counts, by kind. */
     readonly heldBytes: () => Readonly<Record<string, number>>;
@@ -26,8 +26,10 @@
 
 export interface MemoryMonitor {
     start(): void;
-    /** Whether the resident size is near its limit, so that requests are to be refused. */
+    /** Whether the resident size is near its limit. */
     isHigh(): boolean;
+    /** Whether requests are to be refused: the resident size is near its limit, and much of it is in use. */
+    isScarce(): boolean;
 }
 
 const checkIntervalMs = 250;
@@ -41,10 +43,13 @@
 const criticalFraction = 0.9;
 /** Fraction of the limit below which the memory is normal again. */
 const normalFraction = 0.7;
+/** Fraction of the limit in use below which the rest is free memory that the allocator keeps: refusals would not reduce it. */
+const usedFraction = 0.4;
 
 export function createMemoryMonitor(options: MemoryMonitorOptions): MemoryMonitor {
     const { timer, log, maxResidentBytes } = options;
     let isHigh = false;
+    let isScarce = false;
     let collectedAt = -Infinity;
     let abortsLoggedAt = -Infinity;
     let loggedAborts = 0;
@@ -58,6 +63,10 @@
             logMemory(isHigh ? logEvents.memoryHigh : logEvents.memoryNormal);
         }
     };
+    const isMuchUsed = (): boolean => {
+        const { heapUsedBytes, externalBytes } = options.readUsage();
+        return heapUsedBytes + externalBytes >= maxResidentBytes * usedFraction;
+    };
     const collect = (): void => {
         if (timer.now() >= collectedAt + collectionIntervalMs) {
             collectedAt = timer.now();
@@ -78,13 +87,16 @@
         if (residentBytes >= maxResidentBytes * criticalFraction) {
             options.abortUnreadResponse(`resident size of ${residentBytes} bytes near the limit of ${maxResidentBytes}`);
         }
-        if (residentBytes >= maxResidentBytes * collectFraction) {
+        const isNearLimit = (isHigh || residentBytes >= maxResidentBytes * collectFraction) && isMuchUsed();
+        if (isNearLimit) {
             collect();
         }
+        isScarce = isHigh && isNearLimit;
         logAborts();
     };
     return {
         start: () => void timer.subscribe(checkIntervalMs, check),
         isHigh: () => isHigh,
+        isScarce: () => isScarce,
     };
 }
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -210,7 +210,7 @@
         timer,
         maxBufferedBytes: settings.limits.memoryBytes * requestMemoryFraction,
         maxConnections: maxCallerConnections(settings.limits.fileDescriptors),
-        isMemoryScarce: () => memoryMonitor.isHigh() || responseBuffers.isScarce(),
+        isMemoryScarce: () => memoryMonitor.isScarce() || responseBuffers.isScarce(),
         responseBuffers,
         onRequest: requestHandler.handle,
     });
