fix(steer): the resident size stays within its limit without the allocator's variables

With slow readers and uploads of 20 MB the daemon had 370 MB resident once the deploy file set no allocator's variable: buffers that were freed leave gaps.

--- a/packages/steer/src/observe/memoryMonitor.ts
+++ b/packages/steer/src/observe/memoryMonitor.ts
@@ -32,25 +32,28 @@
     isScarce(): boolean;
 }
 
-const checkIntervalMs = 250;
+const checkIntervalMs = 100;
 /** Time between two collections, which stop the process. */
 const collectionIntervalMs = 1_000;
+/** Time between two aborted responses, so that the first is collected before another is chosen. */
+const abortIntervalMs = 500;
 /** Time between two log lines on aborted responses. */
 const abortLogIntervalMs = 2_000;
 /** Fractions of the limit: from the first garbage is collected, from the next two requests are refused and responses aborted. */
-const collectFraction = 0.7;
-const highFraction = 0.8;
-const criticalFraction = 0.9;
+const collectFraction = 0.5;
+const highFraction = 0.65;
+const criticalFraction = 0.75;
 /** Fraction of the limit below which the memory is normal again. */
-const normalFraction = 0.7;
+const normalFraction = 0.6;
 /** Fraction of the limit in use below which the rest is free memory that the allocator keeps: refusals would not reduce it. */
-const usedFraction = 0.4;
+const usedFraction = 0.3;
 
 export function createMemoryMonitor(options: MemoryMonitorOptions): MemoryMonitor {
     const { timer, log, maxResidentBytes } = options;
     let isHigh = false;
     let isScarce = false;
     let collectedAt = -Infinity;
+    let abortedAt = -Infinity;
     let abortsLoggedAt = -Infinity;
     let loggedAborts = 0;
 
@@ -84,7 +87,8 @@
     const check = (): void => {
         const residentBytes = options.readResidentBytes();
         updateHigh(residentBytes);
-        if (residentBytes >= maxResidentBytes * criticalFraction) {
+        if (residentBytes >= maxResidentBytes * criticalFraction && timer.now() >= abortedAt + abortIntervalMs) {
+            abortedAt = timer.now();
             options.abortUnreadResponse(`resident size of ${residentBytes} bytes near the limit of ${maxResidentBytes}`);
         }
         const isNearLimit = (isHigh || residentBytes >= maxResidentBytes * collectFraction) && isMuchUsed();
