--- a/packages/runtime/src/program/processSignals.ts
+++ b/packages/runtime/src/program/processSignals.ts
@@ -12,6 +12,26 @@
     readonly reload: () => void;
 }
 
+const stopSignals = ["SIGTERM", "SIGINT"] as const;
+
+/**
+ * Signals that would end the process although they don't ask for it; SIGUSR1 would open Node's inspector. SIGQUIT and SIGABRT are
+ * left alone: they ask for an end at once, with a core dump. Those of a faulty instruction or access can't be survived.
+ */
+const ignoredSignals = [
+    "SIGUSR1",
+    "SIGUSR2",
+    "SIGALRM",
+    "SIGVTALRM",
+    "SIGPROF",
+    "SIGIO",
+    "SIGPWR",
+    "SIGSTKFLT",
+    "SIGXCPU",
+    "SIGXFSZ",
+    "SIGPIPE",
+] as const;
+
 /** Handles the signals from now on. Handlers stay: without one, a second signal would end the process at once. */
 export function handleProcessSignals({ log, stop, reload }: ProcessSignalsOptions): void {
     let isStopping = false;
@@ -21,10 +41,16 @@
         }
         isStopping = true;
         log().write(logEvents.stopping, { signal });
-        const abortedCount = await stop();
-        log().write(abortedCount === 0 ? logEvents.stopped : logEvents.stoppedHard, { cut: abortedCount });
+        try {
+            const abortedCount = await stop();
+            log().write(abortedCount === 0 ? logEvents.stopped : logEvents.stoppedHard, { cut: abortedCount });
+        }
+        catch (error) {
+            endProcess(log(), exitCodes.failed, `the stop after ${signal} failed: ${(error as Error).message}`);
+        }
         endProcess(log(), exitCodes.ok, `stopped by ${signal}`);
     };
-    process.on("SIGTERM", signal => void stopOn(signal));
+    stopSignals.forEach(signal => process.on(signal, () => void stopOn(signal)));
+    ignoredSignals.forEach(signal => process.on(signal, () => log().write(logEvents.signalIgnored, { signal })));
     process.on("SIGHUP", reload);
 }
