--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,6 +3,8 @@
  * else in a second file, so that the entry point's signal handlers don't wait for it.
  */
 import { build } from "esbuild";
+import { mkdirSync, renameSync, writeFileSync } from "node:fs";
+import { basename, dirname, join } from "node:path";
 
 const options = {
     outdir: "target",
@@ -12,8 +14,9 @@
     target: "node20",
     conditions: ["source"],
     logLevel: "warning",
+    write: false,
 };
-await build({
+const daemon = await build({
     ...options,
     format: "esm",
     entryPoints: { main: "platform/src/main.ts" },
@@ -22,7 +25,7 @@
         js: "import { createRequire as moduleRequire } from \"node:module\"; const require = moduleRequire(import.meta.url);",
     },
 });
-await build({
+const entryPoint = await build({
     ...options,
     // Node runs a CommonJS entry point before it loads anything for ES modules.
     format: "cjs",
@@ -30,3 +33,14 @@
     outExtension: { ".js": ".cjs" },
     external: ["./main.js"],
 });
+
+/** A process that starts meanwhile reads the program of before or the new one, never a part. */
+function replaceFile(path, contents) {
+    mkdirSync(dirname(path), { recursive: true });
+    const temporaryPath = join(dirname(path), `.${basename(path)}.${process.pid}`);
+    writeFileSync(temporaryPath, contents);
+    renameSync(temporaryPath, path);
+}
+
+// The entry point last: it loads the other file.
+[...daemon.outputFiles, ...entryPoint.outputFiles].forEach(({ path, contents }) => replaceFile(path, contents));
