fix(soak): a cut settings file lasts until a starting program reads it

Change: 0.8 s around a start; signals to be survived wait for 4 s of age where nothing has answered.

--- a/packages/soak/src/cluster/daemonProcess.ts
+++ b/packages/soak/src/cluster/daemonProcess.ts
@@ -37,7 +37,7 @@
 /** Id of requests that are left out of the record. */
 export const readinessRequestId = "readiness";
 /** Time in which a program is loaded; before that it can't handle signals. */
-const loadMs = 2_000;
+const loadMs = 4_000;
 const lastLineCount = 3;
 const maxLineLength = 300;
 const bytesPerMb = 1_000_000;
--- a/packages/soak/src/faults/processFaults.ts
+++ b/packages/soak/src/faults/processFaults.ts
@@ -8,8 +8,9 @@
 
 /** Time between the end of a process that was told to stop and the start of the next one. */
 export const restartDelayMs = 250;
-/** Time for which a settings file is not whole. */
-const cutSettingsMs = 150;
+/** Time for which a settings file is not whole; around a start it lasts until the program is loaded and reads it. */
+const cutAtReloadMs = 150;
+const cutAtStartMs = 800;
 const maxHoldMs = 2_500;
 const secondSignalDelayMs = 600;
 const straySignals = ["SIGUSR1", "SIGUSR2", "SIGALRM", "SIGHUP", "SIGPIPE"] as const;
@@ -50,11 +51,11 @@
 });
 
 /** Rewrites the settings file in two halves, and acts before the second one. */
-async function cutSettings(daemon: Daemon, cluster: Cluster, fault: Fault, act: () => void): Promise<void> {
+async function cutSettings(daemon: Daemon, cluster: Cluster, fault: Fault, forMs: number, act: () => void): Promise<void> {
     const from = performance.now();
     daemon.cutSettings(pickVariant(keptFractions, cluster, fault));
     act();
-    await cluster.sleep(cutSettingsMs);
+    await cluster.sleep(forMs);
     daemon.rewriteSettings({});
     cluster.recordObstacle(daemon, "cutSettings", from);
 }
@@ -62,11 +63,11 @@
 const cutSettingsStart: FaultInjector = onDaemon(async (daemon, cluster, fault) => {
     requestStop(daemon, cluster, "SIGTERM");
     await daemon.waitForExit();
-    await cutSettings(daemon, cluster, fault, () => cluster.restart(daemon));
+    await cutSettings(daemon, cluster, fault, cutAtStartMs, () => cluster.restart(daemon));
 });
 
 const cutSettingsReload: FaultInjector = onDaemon(async (daemon, cluster, fault) => {
-    await cutSettings(daemon, cluster, fault, () => daemon.signal("SIGHUP"));
+    await cutSettings(daemon, cluster, fault, cutAtReloadMs, () => daemon.signal("SIGHUP"));
     daemon.signal("SIGHUP");
 });
 
