--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -31,17 +31,17 @@
         cause: "a response with a control character in its status line left its request without an answer",
     },
     {
-        seed: 20003,
+        seed: 20015,
         faultPhaseMs: 8_000,
         meanGapMs: 400,
         meanProcessGapMs: 800,
-        cause: "a daemon ended as its predecessor still held its ports",
+        cause: "a daemon ended at a cut settings file, at a taken metrics port, at SIGUSR2 and SIGALRM",
     },
     {
-        seed: 20004,
+        seed: 20019,
         faultPhaseMs: 8_000,
         meanGapMs: 400,
         meanProcessGapMs: 800,
-        cause: "a daemon ended at names of data centres that need quotes in its settings file",
+        cause: "a daemon ended as its predecessor held its ports, and at names of data centres that need quotes",
     },
 ];
