--- a/packages/soak/src/load/callers.ts
+++ b/packages/soak/src/load/callers.ts
@@ -49,6 +49,7 @@
 const bodyInterval = 10;
 const maxBodyBytes = 4_000_000;
 const bodyBytes = Buffer.alloc(maxBodyBytes, "b");
+
 /** Pause after each chunk of a long answer, and the time for all of it. */
 interface ReadingPace {
     readonly chunkPauseMs: number;
