refactor(platform): the signals that are not acted on are listed once

The entry point and the daemon's own handlers had a list each. SIGPIPE leaves it: Node ignores it already, and a handler would log a line for each write to a connection that its peer has closed.

--- a/packages/runtime/src/program/processSignals.ts
+++ b/packages/runtime/src/program/processSignals.ts
@@ -1,6 +1,7 @@
 /** Signals of a program that runs until it is told to stop. */
 import type { Log } from "../logs/log.js";
 import { logEvents } from "../logs/logEvents.js";
+import { ignoredSignals } from "./ignoredSignals.js";
 import { endProcess } from "./processEnd.js";
 import { exitCodes } from "./program.js";
 
@@ -14,24 +15,6 @@
 
 const stopSignals = ["SIGTERM", "SIGINT"] as const;
 
-/**
- * Signals that would end the process although they don't ask for it; SIGUSR1 would open Node's inspector. SIGQUIT and SIGABRT are
- * left alone: they ask for an end at once, with a core dump. Those of a faulty instruction or access can't be survived.
- */
-const ignoredSignals = [
-    "SIGUSR1",
-    "SIGUSR2",
-    "SIGALRM",
-    "SIGVTALRM",
-    "SIGPROF",
-    "SIGIO",
-    "SIGPWR",
-    "SIGSTKFLT",
-    "SIGXCPU",
-    "SIGXFSZ",
-    "SIGPIPE",
-] as const;
-
 /** Handles the signals from now on. Handlers stay: without one, a second signal would end the process at once. */
 export function handleProcessSignals({ log, stop, reload }: ProcessSignalsOptions): void {
     let isStopping = false;
