--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,7 +1,9 @@
 /** Bundles the steering daemon (`platform/`) into a single file, which starts faster than separate modules. */
 import { build } from "esbuild";
+import { mkdirSync, renameSync, writeFileSync } from "node:fs";
+import { basename, dirname, join } from "node:path";
 
-await build({
+const { outputFiles } = await build({
     entryPoints: { "pimento-steer": "platform/src/main.ts" },
     outdir: "target",
     outExtension: { ".js": ".mjs" },
@@ -16,4 +18,15 @@
         js: "import { createRequire as moduleRequire } from \"node:module\"; const require = moduleRequire(import.meta.url);",
     },
     logLevel: "warning",
+    write: false,
 });
+
+/** A process that starts meanwhile reads the program of before or the new one, never a part. */
+function replaceFile(path, contents) {
+    mkdirSync(dirname(path), { recursive: true });
+    const temporaryPath = join(dirname(path), `.${basename(path)}.${process.pid}`);
+    writeFileSync(temporaryPath, contents);
+    renameSync(temporaryPath, path);
+}
+
+outputFiles.forEach(({ path, contents }) => replaceFile(path, contents));
