fix(steer): the memory is watched by the bytes received too

Without the allocator's variables, which the platform refuses, a daemon passed its limit between two checks: a quarter of a second, longer while its event loop is busy, in which a fast network brings tens of megabytes, most of them garbage at once. The resident size is now checked after every 8 MB received, garbage is collected up to ten times a second from nine tenths of the limit on, and responses get 15% of the machine's memory instead of 20%.

The monitor's test of the order of acts now expects the two collections that the critical range adds.

--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -40,6 +40,8 @@
     readonly timer: Timer;
     /** Limit on the memory of all request bodies together, in bytes. */
     readonly maxBufferedBytes: number;
+    /** Told of bytes of request bodies as they arrive. */
+    readonly onBodyBytes?: (bytes: number) => void;
     /** Connections beyond this number are closed as they arrive. */
     readonly maxConnections: number;
     /** Whether requests are to be refused as memory is short. */
@@ -98,7 +100,7 @@
 
 export function createCallerServer(options: CallerServerOptions): CallerServer {
     const { log, timer, responseBuffers, onRequest } = options;
-    const memoryQuota = createMemoryQuota(options.maxBufferedBytes);
+    const memoryQuota = createMemoryQuota(options.maxBufferedBytes, options.onBodyBytes);
     const bodyAllocations = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
--- a/packages/steer/src/callers/memoryQuota.ts
+++ b/packages/steer/src/callers/memoryQuota.ts
@@ -7,7 +7,8 @@
     usedBytes(): number;
 }
 
-export function createMemoryQuota(maxBytes: number): MemoryQuota {
+/** `onTaken` is told of bytes taken. */
+export function createMemoryQuota(maxBytes: number, onTaken: (bytes: number) => void = () => {}): MemoryQuota {
     let used = 0;
     return {
         tryTake: bytes => {
@@ -15,6 +16,7 @@
                 return false;
             }
             used += bytes;
+            onTaken(bytes);
             return true;
         },
         giveBack: bytes => {
--- a/packages/steer/src/observe/__tests__/memoryMonitor.test.ts
+++ b/packages/steer/src/observe/__tests__/memoryMonitor.test.ts
@@ -49,7 +49,7 @@
         residentBytes = next;
         timer.advance(250);
     }
-    assert.deepEqual(acts, ["collect", "collect", "memoryHigh", "responsesCut 1", "memoryNormal"]);
+    assert.deepEqual(acts, ["collect", "collect", "memoryHigh", "collect", "responsesCut 1", "collect", "memoryNormal"]);
     assert.equal(aborted, 2);
     timer.advance(2_000);
     assert.equal(acts.at(-1), "responsesCut 1");
@@ -80,3 +80,28 @@
     timer.advance(5_000);
     assert.equal(collections, 1);
 });
+
+test("the memory is checked between two checks if much was received, and collected again soon where it is critical", () => {
+    const timer = createVirtualTimer();
+    let collections = 0;
+    const monitor = createMemoryMonitor({
+        timer,
+        log: { write: () => {} },
+        maxResidentBytes: 100,
+        readResidentBytes: () => 92,
+        readUsage: () => ({ residentBytes: 92, heapUsedBytes: 0, externalBytes: 60, bufferBytes: 60 }),
+        heldBytes: () => ({}),
+        collectGarbage: () => void collections++,
+        abortUnreadResponse: () => {},
+        abortedResponses: () => 0,
+    });
+    monitor.recordBytes(7_000_000);
+    assert.equal(monitor.isHigh(), false);
+    monitor.recordBytes(1_000_000);
+    assert.deepEqual([monitor.isHigh(), collections], [true, 1]);
+    monitor.recordBytes(8_000_000);
+    assert.equal(collections, 1);
+    timer.advance(100);
+    monitor.recordBytes(8_000_000);
+    assert.equal(collections, 2);
+});
--- a/packages/steer/src/observe/memoryMonitor.ts
+++ b/packages/steer/src/observe/memoryMonitor.ts
@@ -26,6 +26,8 @@
 
 export interface MemoryMonitor {
     start(): void;
+    /** Counts bytes received, as the memory may reach its limit between two checks. */
+    recordBytes(bytes: number): void;
     /** Whether the resident size is near its limit. */
     isHigh(): boolean;
     /** Whether requests are to be refused: the resident size is near its limit, and much of it is in use. */
@@ -33,8 +35,11 @@
 }
 
 const checkIntervalMs = 250;
-/** Time between two collections, which stop the process. */
+/** Bytes received between two checks at most. */
+const checkIntervalBytes = 8_000_000;
+/** Time between two collections, which stop the process; the second one where it would soon be killed. */
 const collectionIntervalMs = 1_000;
+const criticalCollectionIntervalMs = 100;
 /** Time between two log lines on aborted responses. */
 const abortLogIntervalMs = 2_000;
 /** Fractions of the limit: from the first garbage is collected, from the next two requests are refused and responses aborted. */
@@ -50,6 +55,7 @@
     const { timer, log, maxResidentBytes } = options;
     let isHigh = false;
     let isScarce = false;
+    let uncheckedBytes = 0;
     let collectedAt = -Infinity;
     let abortsLoggedAt = -Infinity;
     let loggedAborts = 0;
@@ -67,8 +73,8 @@
         const { heapUsedBytes, externalBytes } = options.readUsage();
         return heapUsedBytes + externalBytes >= maxResidentBytes * usedFraction;
     };
-    const collect = (): void => {
-        if (timer.now() >= collectedAt + collectionIntervalMs) {
+    const collect = (intervalMs: number): void => {
+        if (timer.now() >= collectedAt + intervalMs) {
             collectedAt = timer.now();
             options.collectGarbage();
         }
@@ -84,18 +90,26 @@
     const check = (): void => {
         const residentBytes = options.readResidentBytes();
         updateHigh(residentBytes);
-        if (residentBytes >= maxResidentBytes * criticalFraction) {
+        const isCritical = residentBytes >= maxResidentBytes * criticalFraction;
+        uncheckedBytes = 0;
+        if (isCritical) {
             options.abortUnreadResponse(`resident size of ${residentBytes} bytes near the limit of ${maxResidentBytes}`);
         }
         const isNearLimit = (isHigh || residentBytes >= maxResidentBytes * collectFraction) && isMuchUsed();
         if (isNearLimit) {
-            collect();
+            collect(isCritical ? criticalCollectionIntervalMs : collectionIntervalMs);
         }
         isScarce = isHigh && isNearLimit;
         logAborts();
     };
     return {
         start: () => void timer.subscribe(checkIntervalMs, check),
+        recordBytes: bytes => {
+            uncheckedBytes += bytes;
+            if (uncheckedBytes >= checkIntervalBytes) {
+                check();
+            }
+        },
         isHigh: () => isHigh,
         isScarce: () => isScarce,
     };
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -77,7 +77,7 @@
 /** Largest response accepted from a target. */
 const maxResponseBytes = 32 * 1024 * 1024;
 /** Part of the process's memory for all responses together, from their first byte until their callers have read them. */
-const responseMemoryFraction = 0.2;
+const responseMemoryFraction = 0.15;
 /** Part of the process's memory for all request bodies together. */
 const requestMemoryFraction = 0.2;
 /** Descriptors that connections can't use. */
@@ -121,7 +121,7 @@
         onRefusable: () => dispatcher.stopPoisonRequests(),
     });
     const maxBufferedBytes = settings.limits.memoryBytes * responseMemoryFraction;
-    const responseBuffers = createResponseBuffers(maxBufferedBytes);
+    const responseBuffers = createResponseBuffers(maxBufferedBytes, bytes => memoryMonitor.recordBytes(bytes));
     const connections = createTargetConnections({
         timer,
         maxResponseBytes,
@@ -209,6 +209,7 @@
         log,
         timer,
         maxBufferedBytes: settings.limits.memoryBytes * requestMemoryFraction,
+        onBodyBytes: bytes => memoryMonitor.recordBytes(bytes),
         maxConnections: maxCallerConnections(settings.limits.fileDescriptors),
         isMemoryScarce: () => memoryMonitor.isScarce() || responseBuffers.isScarce(),
         responseBuffers,
--- a/packages/steer/src/targets/responseBuffers.ts
+++ b/packages/steer/src/targets/responseBuffers.ts
@@ -39,7 +39,8 @@
 
 const scarceFraction = 0.5;
 
-export function createResponseBuffers(maxBytes: number): ResponseBuffers {
+/** `onReceived` is told of bytes received. */
+export function createResponseBuffers(maxBytes: number, onReceived: (bytes: number) => void = () => {}): ResponseBuffers {
     const received: BufferGroup = { buffers: new Set(), bytes: 0 };
     const unread: BufferGroup = { buffers: new Set(), bytes: 0 };
     let abortedCount = 0;
@@ -84,6 +85,7 @@
         recordBytes: bytes => {
             received.bytes += bytes;
             abortExcess();
+            onReceived(bytes);
         },
         remove,
         abortUnread,
