--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -6,7 +6,7 @@
 import net from "node:net";
 import { Client, type Dispatcher } from "undici";
 import type { MemoryQuota } from "../callers/memoryQuota.js";
-import { createBodyBuffer } from "./bodyBuffer.js";
+import { type BodyBuffer, createBodyBuffer } from "./bodyBuffer.js";
 import type { ResponseBuffer, ResponseBuffers } from "./responseBuffers.js";
 import { declaredBytes, type TargetResponse } from "./targetResponse.js";
 
@@ -257,7 +257,7 @@
     let rawHeaders: string[] = [];
     let size = 0;
     let interimCount = 0;
-    let body = createBodyBuffer(0, options.allocations);
+    let body: BodyBuffer | undefined;
     let isAborted = false;
     let requestController: Dispatcher.DispatchController | undefined;
     const buffer: ResponseBuffer = {
@@ -265,7 +265,7 @@
         unsentBytes: () => size,
         abort: reason => {
             isAborted = true;
-            body.clear();
+            body?.clear();
             options.onNoMemory(reason);
             requestController?.abort(new Error(reason));
         },
@@ -294,7 +294,7 @@
             if (isAborted) {
                 return;
             }
-            body.add(chunk);
+            body?.add(chunk);
             size += chunk.length;
             buffers.recordBytes(chunk.length);
             if (size > maxResponseBytes) {
@@ -306,11 +306,11 @@
                 return;
             }
             buffers.remove(buffer);
-            options.onResponse({ status, statusText, rawHeaders, body: body.take() });
+            options.onResponse({ status, statusText, rawHeaders, body: body?.take() ?? Buffer.alloc(0) });
         },
         onResponseError: (_controller, error) => {
             buffers.remove(buffer);
-            body.clear();
+            body?.clear();
             options.onFailure(error.message);
         },
     };
