feat(soak): seeds come after each start, with SIGHUP, and other signals are no longer held back until a daemon answers

The soak held back every signal until a process had answered, so that it could not see one end a daemon that starts. Where the processes have faults, each start now has settings without seeds; 300 ms later, as the sites state, the file is whole and SIGHUP comes. Other signals come from then on.

--- a/packages/soak/src/cluster/cluster.ts
+++ b/packages/soak/src/cluster/cluster.ts
@@ -55,6 +55,8 @@
     /** Third byte of the loopback addresses; parallel runs need different ones. */
     readonly loopbackSubnet: number;
     readonly folder: string;
+    /** Whether the seeds come after each start, as on a platform that starts all machines at once. */
+    readonly haveLateSeeds: boolean;
 }
 
 const retrySlack = 50;
@@ -147,6 +149,7 @@
             createDaemon({
                 settings: { placement, storeAddress: link.address, seeds, retrySlack },
                 folder: options.folder,
+                haveLateSeeds: options.haveLateSeeds,
                 onUnaskedEnd: daemon => void setTimeout(() => restart(daemon), restartDelayMs),
             }),
         );
--- a/packages/soak/src/cluster/daemonProcess.ts
+++ b/packages/soak/src/cluster/daemonProcess.ts
@@ -36,8 +36,8 @@
 const probeTimeoutMs = 1_000;
 /** Id of requests that are left out of the record. */
 export const readinessRequestId = "readiness";
-/** Time in which a program is loaded; before that it can't handle signals. */
-const loadMs = 4_000;
+/** Time from a start to the first signal of a platform, which tells of seeds. */
+export const lateSeedsMs = 300;
 const lastLineCount = 3;
 const maxLineLength = 300;
 const bytesPerMb = 1_000_000;
@@ -102,7 +102,7 @@
         run.toldToEndAt ??= now;
         run.stopRequestedAt ??= name === "SIGKILL" ? undefined : now;
     }
-    else if (name !== "SIGSTOP" && name !== "SIGCONT" && run.answeredAt === undefined && now < run.startedAt + loadMs) {
+    else if (name !== "SIGSTOP" && name !== "SIGCONT" && now < run.startedAt + lateSeedsMs) {
         return;
     }
     child.kill(name);
--- a/packages/soak/src/cluster/daemons.ts
+++ b/packages/soak/src/cluster/daemons.ts
@@ -2,7 +2,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import type { DaemonRun } from "../promises/records.js";
-import { type DaemonProcess, type EndingSignal, type OtherSignal, startDaemonProcess } from "./daemonProcess.js";
+import { type DaemonProcess, type EndingSignal, lateSeedsMs, type OtherSignal, startDaemonProcess } from "./daemonProcess.js";
 import { type DaemonSettings, type ListenAddresses, listenAddressesOf, renderSettings } from "./daemonSettings.js";
 import { readDeployment } from "./deployment.js";
 
@@ -33,6 +33,8 @@
 export interface DaemonOptions {
     readonly settings: DaemonSettings;
     readonly folder: string;
+    /** Whether each process starts with settings without seeds, and gets them and SIGHUP a moment later. */
+    readonly haveLateSeeds: boolean;
     /** Called when a process has ended although no fault told it to. */
     readonly onUnaskedEnd: (daemon: Daemon) => void;
 }
@@ -45,11 +47,23 @@
     const runs: DaemonRun[] = [];
     const settingsFile = join(folder, `${placement.name}.toml`);
     let settings = options.settings;
+    let isCut = false;
     const render = (): string => renderSettings(deployment.template, settings);
     const listen = listenAddressesOf(render());
     const isLeft = (run: DaemonRun): boolean => run.endedAt === undefined;
+    const writeSettings = (changed: Partial<DaemonSettings> = {}): void =>
+        writeFileSync(settingsFile, renderSettings(deployment.template, { ...settings, ...changed }));
+    const sendSeeds = (started: DaemonProcess): void => {
+        if (!isLeft(started.run)) {
+            return;
+        }
+        if (!isCut) {
+            writeSettings();
+        }
+        started.signal("SIGHUP");
+    };
     mkdirSync(folder, { recursive: true });
-    writeFileSync(settingsFile, render());
+    writeSettings();
     const daemon: Daemon = {
         placement,
         listen,
@@ -57,6 +71,9 @@
         servingRun: () => runs.find(isLeft)?.number ?? runs.length - 1,
         start: () => {
             const number = runs.length;
+            if (options.haveLateSeeds && !isCut) {
+                writeSettings({ seeds: [] });
+            }
             const started = startDaemonProcess({
                 deployment,
                 daemon: placement.name,
@@ -73,6 +90,9 @@
             });
             processes.push(started);
             runs.push(started.run);
+            if (options.haveLateSeeds) {
+                setTimeout(() => sendSeeds(started), lateSeedsMs);
+            }
         },
         signal: name => {
             const latest = processes.at(-1)!;
@@ -92,10 +112,12 @@
         },
         rewriteSettings: change => {
             settings = { ...settings, ...change };
-            writeFileSync(settingsFile, render());
+            isCut = false;
+            writeSettings();
         },
         cutSettings: keptFraction => {
             const text = render();
+            isCut = true;
             writeFileSync(settingsFile, text.slice(0, keptFraction * text.length));
         },
         waitForExit: () => processes.at(-1)!.ended,
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -55,7 +55,11 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const { seed, faultPhaseMs: lengthMs, folder } = options;
     const faults = drawFaults(options);
-    const cluster = await startCluster({ loopbackSubnet: options.loopbackSubnet, folder });
+    const cluster = await startCluster({
+        loopbackSubnet: options.loopbackSubnet,
+        folder,
+        haveLateSeeds: options.meanProcessGapMs > 0,
+    });
     const outcomes: AttemptOutcome[] = [];
     const disturbances: FaultSpan[] = [];
     try {
