fix(steer): connections that callers leave half used are closed

A response given up for memory behind another one on its connection reset nothing, as it has no socket of its own yet; it was counted as gone and never answered.

--- a/packages/runtime/src/http/serverConnections.ts
+++ b/packages/runtime/src/http/serverConnections.ts
@@ -14,6 +14,8 @@
     closeIdle(): void;
     /** Closes the first-opened of the idle connections; false if none is idle. */
     closeOneIdle(): boolean;
+    /** Closes the connections on which a request's head is being received; returns how many. */
+    closeReceiving(): number;
     /** Accepts no further connections and leaves the open ones alone. Calls `onClosed` once all of them have ended. */
     stopListening(onClosed?: () => void): void;
     /** Requests whose head was received and whose response is not yet with the operating system. */
@@ -81,6 +83,13 @@
             }
             return false;
         },
+        closeReceiving: () => {
+            const receiving = [...states].filter(([socket, { openRequests: count, idleAtBytes }]) =>
+                count === 0 && socket.bytesRead !== idleAtBytes
+            );
+            receiving.forEach(([socket]) => socket.destroy());
+            return receiving.length;
+        },
         stopListening: onClosed => void NetServer.prototype.close.call(server, onClosed),
         openRequestCount: () => openRequests,
         openCount: () => states.size,
--- a/packages/steer/src/callers/__tests__/slowCallers.test.ts
+++ b/packages/steer/src/callers/__tests__/slowCallers.test.ts
@@ -115,3 +115,27 @@
     assert.ok(receivedBytes < body.length, `${receivedBytes} bytes`);
     assert.equal(callers.openRequestCount(), 0);
 });
+
+// A response that waits behind another one on its connection has no socket of its own yet.
+test("a response that is given up for memory behind another one on its connection resets the connection", async context => {
+    const { callers, connectCaller } = await startServer(context);
+    const socket = connectCaller();
+    const closed = new Promise(resolve => socket.once("close", resolve));
+    socket.write(request.replace("/a/", "/long/").repeat(2));
+    await Promise.race([closed, pause(5_000)]);
+    assert.equal(callers.openConnectionCount(), 0);
+});
+
+// Refused for its timeout, it kept its connection, of which there is a limited number.
+test("a caller that sends half a request and never closes loses its connection", async context => {
+    const { callers } = await startServer(context);
+    callers.setLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 300, idleTimeoutMs: 15_000 });
+    const { port } = callers.server.address() as AddressInfo;
+    const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true }).on("error", () => {});
+    context.after(() => socket.destroy());
+    socket.write("GET /a/1 HTTP/1.1\r\nHost:");
+    await pause(300);
+    assert.equal(callers.openConnectionCount(), 1);
+    await pause(4_000);
+    assert.equal(callers.openConnectionCount(), 0);
+});
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -62,6 +62,8 @@
     disableKeepAlive(): void;
     /** Closes the connections on which no request is received, handled or answered. */
     closeIdleConnections(): void;
+    /** Closes the connections on which a request's head is being received; returns how many. */
+    closeUnfinishedHeads(): number;
     /** Accepts no further connections and leaves the open ones alone. */
     stopListening(): void;
     /** Requests whose head was received and whose response is not yet with the operating system. */
@@ -192,6 +194,9 @@
         log.write(logEvents.callerError, { reason: error.code ?? error.message });
         if (socket.writable) {
             socket.end(`HTTP/1.1 ${statusLineFor(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+            // A caller that never closes its side would keep the connection.
+            const cancel = timer.after(lingerMs, () => socket.destroy());
+            socket.once("close", cancel);
         }
         else {
             socket.destroy();
@@ -208,6 +213,7 @@
             isKeepAliveDisabled = true;
         },
         closeIdleConnections: connections.closeIdle,
+        closeUnfinishedHeads: connections.closeReceiving,
         stopListening: connections.stopListening,
         openRequestCount: connections.openRequestCount,
         openConnectionCount: connections.openCount,
--- a/packages/steer/src/callers/countedResponse.ts
+++ b/packages/steer/src/callers/countedResponse.ts
@@ -15,7 +15,8 @@
         abort: () => {
             isAborted = true;
             // A reset: a response without a length ends where its connection is closed, and would look complete.
-            response.socket?.resetAndDestroy();
+            // Not the response's own socket, which it has only once earlier responses on the connection are sent.
+            response.req.socket.resetAndDestroy();
         },
     };
     const sendParts = (): void => {
