fix(steer): the heap and what is in use decide what is cut and refused, not the resident size alone

A response of 27 MB that stalled had every other request refused (15 of 15): what is being received counts only while the memory is high. Responses were cut for as long as the allocator kept freed memory (120 in 60 s, on the module): they are cut only while much is in use.

--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -73,9 +73,15 @@
         115,
         "memoryHigh",
         "warn",
-        "The process's memory is near its limit; requests are refused until it is normal again. The line tells its parts, in bytes.",
+        "The process's memory is near its limit; while much of it is in use, requests are refused. The line tells its parts, in bytes.",
     ),
     memoryNormal: defineEvent(116, "memoryNormal", "info", "The process's memory is no longer near its limit."),
+    headsCut: defineEvent(
+        119,
+        "headsCut",
+        "warn",
+        "The heap is near its limit: connections on which requests were being received were closed. The line counts them.",
+    ),
     responsesCut: defineEvent(
         117,
         "responsesCut",
--- a/packages/steer/src/observe/__tests__/memoryMonitor.test.ts
+++ b/packages/steer/src/observe/__tests__/memoryMonitor.test.ts
@@ -13,10 +13,11 @@
         log: { write: ({ name }, fields) => void lines.push(`${name} ${fields?.["residentBytes"]} ${fields?.["heldBytes"]}`) },
         maxResidentBytes: 100,
         readResidentBytes: () => residentBytes,
-        readUsage: () => ({ residentBytes, heapUsedBytes: 1, externalBytes: 1, bufferBytes: 1 }),
+        readUsage: () => ({ residentBytes, heapUsedBytes: 1, heapLimitBytes: 1_000, externalBytes: 1, bufferBytes: 1 }),
         heldBytes: () => ({ heldBytes: 7 }),
         collectGarbage: () => {},
         abortUnreadResponse: () => {},
+        closeUnfinishedHeads: () => 0,
         abortedResponses: () => 0,
     });
     monitor.start();
@@ -38,10 +39,11 @@
         log: { write: ({ name }, fields) => void acts.push(`${name} ${fields?.["count"] ?? ""}`.trim()) },
         maxResidentBytes: 100,
         readResidentBytes: () => residentBytes,
-        readUsage: () => ({ residentBytes, heapUsedBytes: 10, externalBytes: 30, bufferBytes: 30 }),
+        readUsage: () => ({ residentBytes, heapUsedBytes: 10, heapLimitBytes: 1_000, externalBytes: 30, bufferBytes: 30 }),
         heldBytes: () => ({}),
         collectGarbage: () => void acts.push("collect"),
         abortUnreadResponse: () => void aborted++,
+        closeUnfinishedHeads: () => 0,
         abortedResponses: () => aborted,
     });
     monitor.start();
@@ -74,10 +76,17 @@
         log: { write: () => {} },
         maxResidentBytes: 100,
         readResidentBytes: () => 70,
-        readUsage: () => ({ residentBytes: 70, heapUsedBytes: 0, externalBytes: usedBytes, bufferBytes: usedBytes }),
+        readUsage: () => ({
+            residentBytes: 70,
+            heapUsedBytes: 0,
+            heapLimitBytes: 1_000,
+            externalBytes: usedBytes,
+            bufferBytes: usedBytes,
+        }),
         heldBytes: () => ({}),
         collectGarbage: () => void collections++,
         abortUnreadResponse: () => {},
+        closeUnfinishedHeads: () => 0,
         abortedResponses: () => 0,
     });
     monitor.start();
@@ -98,10 +107,11 @@
         log: { write: () => {} },
         maxResidentBytes: 100,
         readResidentBytes: () => 92,
-        readUsage: () => ({ residentBytes: 92, heapUsedBytes: 0, externalBytes: 60, bufferBytes: 60 }),
+        readUsage: () => ({ residentBytes: 92, heapUsedBytes: 0, heapLimitBytes: 1_000, externalBytes: 60, bufferBytes: 60 }),
         heldBytes: () => ({}),
         collectGarbage: () => void collections++,
         abortUnreadResponse: () => {},
+        closeUnfinishedHeads: () => 0,
         abortedResponses: () => 0,
     });
     monitor.recordBytes(7_000_000);
@@ -114,3 +124,52 @@
     monitor.recordBytes(8_000_000);
     assert.equal(collections, 2);
 });
+
+// The allocator may keep what was freed; ordinary responses were cut for as long.
+test("no response is aborted near the limit when little of the memory is in use", () => {
+    const timer = createVirtualTimer();
+    let aborted = 0;
+    const monitor = createMemoryMonitor({
+        timer,
+        log: { write: () => {} },
+        maxResidentBytes: 100,
+        readResidentBytes: () => 95,
+        readUsage: () => ({ residentBytes: 95, heapUsedBytes: 0, heapLimitBytes: 1_000, externalBytes: 10, bufferBytes: 10 }),
+        heldBytes: () => ({}),
+        collectGarbage: () => {},
+        abortUnreadResponse: () => void aborted++,
+        closeUnfinishedHeads: () => 0,
+        abortedResponses: () => 0,
+    });
+    monitor.start();
+    timer.advance(5_000);
+    assert.equal(aborted, 0);
+});
+
+test("a heap that stays full after a collection closes unfinished heads and refuses requests; garbage alone does not", () => {
+    const timer = createVirtualTimer();
+    let heapUsedBytes = 75;
+    let heapInUseBytes = 20;
+    let closed = 0;
+    const monitor = createMemoryMonitor({
+        timer,
+        log: { write: () => {} },
+        maxResidentBytes: 1_000,
+        readResidentBytes: () => 100,
+        readUsage: () => ({ residentBytes: 100, heapUsedBytes, heapLimitBytes: 100, externalBytes: 0, bufferBytes: 0 }),
+        heldBytes: () => ({}),
+        collectGarbage: () => {
+            heapUsedBytes = heapInUseBytes;
+        },
+        abortUnreadResponse: () => {},
+        closeUnfinishedHeads: () => ++closed,
+        abortedResponses: () => 0,
+    });
+    monitor.start();
+    timer.advance(250);
+    assert.deepEqual([closed, monitor.isScarce()], [0, false]);
+    heapInUseBytes = 75;
+    heapUsedBytes = 80;
+    timer.advance(250);
+    assert.deepEqual([closed, monitor.isScarce()], [1, true]);
+});
--- a/packages/steer/src/observe/memoryMonitor.ts
+++ b/packages/steer/src/observe/memoryMonitor.ts
@@ -12,7 +12,6 @@
     readonly log: Log;
     readonly maxResidentBytes: number;
     readonly readResidentBytes: () => number;
-    /** Called only near the limit. */
     readonly readUsage: () => MemoryUsage;
     /** What the daemon itself counts, by kind. */
     readonly heldBytes: () => Readonly<Record<string, number>>;
@@ -20,6 +19,8 @@
     readonly collectGarbage: () => void;
     /** Aborts the response that is read most slowly, if there is any. */
     readonly abortUnreadResponse: (reason: string) => void;
+    /** Closes connections on which requests' heads are being received, which nothing else counts. */
+    readonly closeUnfinishedHeads: () => number;
     /** Responses that were aborted so far for lack of memory. */
     readonly abortedResponses: () => number;
 }
@@ -30,7 +31,7 @@
     recordBytes(bytes: number): void;
     /** Whether the resident size is near its limit. */
     isHigh(): boolean;
-    /** Whether requests are to be refused: the resident size is near its limit, and much of it is in use. */
+    /** Whether requests are to be refused: the heap, or the resident size and what of it is in use, is near its limit. */
     isScarce(): boolean;
 }
 
@@ -50,9 +51,14 @@
 const criticalFraction = 0.75;
 /** Fraction of the limit below which the memory is normal again. */
 const normalFraction = 0.6;
+/** Fraction of the heap's own limit from which garbage is collected and, if that does not help, requests are refused. */
+const highHeapFraction = 0.7;
 /** Fraction of the limit in use below which the rest is free memory that the allocator keeps: refusals would not reduce it. */
 const usedFraction = 0.3;
 
+const isHeapHigh = ({ heapUsedBytes, heapLimitBytes }: MemoryUsage): boolean =>
+    heapUsedBytes >= heapLimitBytes * highHeapFraction;
+
 export function createMemoryMonitor(options: MemoryMonitorOptions): MemoryMonitor {
     const { timer, log, maxResidentBytes } = options;
     let isHigh = false;
@@ -72,16 +78,28 @@
             logMemory(isHigh ? logEvents.memoryHigh : logEvents.memoryNormal);
         }
     };
-    const isMuchUsed = (): boolean => {
-        const { heapUsedBytes, externalBytes } = options.readUsage();
-        return heapUsedBytes + externalBytes >= maxResidentBytes * usedFraction;
-    };
+    const isMuchUsed = ({ heapUsedBytes, externalBytes }: MemoryUsage): boolean =>
+        heapUsedBytes + externalBytes >= maxResidentBytes * usedFraction;
     const collect = (intervalMs: number): void => {
         if (timer.now() >= collectedAt + intervalMs) {
             collectedAt = timer.now();
             options.collectGarbage();
         }
     };
+    /** Whether the heap stays full although garbage has been collected. */
+    const checkHeap = (usage: MemoryUsage): boolean => {
+        if (!isHeapHigh(usage)) {
+            return false;
+        }
+        collect(criticalCollectionIntervalMs);
+        const collected = options.readUsage();
+        if (!isHeapHigh(collected)) {
+            return false;
+        }
+        const count = options.closeUnfinishedHeads();
+        log.write(logEvents.headsCut, { count, ...collected, ...options.heldBytes() });
+        return true;
+    };
     const logAborts = (): void => {
         const count = options.abortedResponses() - loggedAborts;
         if (count > 0 && timer.now() >= abortsLoggedAt + abortLogIntervalMs) {
@@ -93,17 +111,19 @@
     const check = (): void => {
         const residentBytes = options.readResidentBytes();
         updateHigh(residentBytes);
-        const isCritical = residentBytes >= maxResidentBytes * criticalFraction;
         uncheckedBytes = 0;
+        const usage = options.readUsage();
+        const isNearLimit = (isHigh || residentBytes >= maxResidentBytes * collectFraction) && isMuchUsed(usage);
+        const isCritical = isNearLimit && residentBytes >= maxResidentBytes * criticalFraction;
         if (isCritical && timer.now() >= abortedAt + abortIntervalMs) {
             abortedAt = timer.now();
             options.abortUnreadResponse(`resident size of ${residentBytes} bytes near the limit of ${maxResidentBytes}`);
         }
-        const isNearLimit = (isHigh || residentBytes >= maxResidentBytes * collectFraction) && isMuchUsed();
         if (isNearLimit) {
             collect(isCritical ? criticalCollectionIntervalMs : collectionIntervalMs);
         }
-        isScarce = isHigh && isNearLimit;
+        const isHeapScarce = checkHeap(usage);
+        isScarce = isHeapScarce || (isHigh && isNearLimit);
         logAborts();
     };
     return {
--- a/packages/steer/src/observe/memoryUsage.ts
+++ b/packages/steer/src/observe/memoryUsage.ts
@@ -1,27 +1,33 @@
 /** What the process's memory consists of, as the runtime and the system count it. */
 import { readdirSync } from "node:fs";
+import { getHeapStatistics } from "node:v8";
 
 export interface MemoryUsage {
     readonly residentBytes: number;
     readonly heapUsedBytes: number;
+    /** Heap size at which the runtime ends the process. */
+    readonly heapLimitBytes: number;
     /** Memory of objects outside the heap, buffers included. */
     readonly externalBytes: number;
     readonly bufferBytes: number;
 }
 
-/** All 0 where the system does not tell, as while no descriptor is free. */
+const heapLimitBytes = getHeapStatistics().heap_size_limit;
+
+/** All 0, but for the limit, where the system does not tell, as while no descriptor is free. */
 export function readMemoryUsage(): MemoryUsage {
     try {
         const usage = process.memoryUsage();
         return {
             residentBytes: usage.rss,
             heapUsedBytes: usage.heapUsed,
+            heapLimitBytes,
             externalBytes: usage.external,
             bufferBytes: usage.arrayBuffers,
         };
     }
     catch {
-        return { residentBytes: 0, heapUsedBytes: 0, externalBytes: 0, bufferBytes: 0 };
+        return { residentBytes: 0, heapUsedBytes: 0, heapLimitBytes, externalBytes: 0, bufferBytes: 0 };
     }
 }
 
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -211,7 +211,7 @@
         maxBufferedBytes: settings.limits.memoryBytes * requestMemoryFraction,
         onBodyBytes: bytes => memoryMonitor.recordBytes(bytes),
         maxConnections: maxCallerConnections(settings.limits.fileDescriptors),
-        isMemoryScarce: () => memoryMonitor.isScarce() || responseBuffers.isScarce(),
+        isMemoryScarce: () => memoryMonitor.isScarce() || (memoryMonitor.isHigh() && responseBuffers.isScarce()),
         responseBuffers,
         onRequest: requestHandler.handle,
     });
@@ -301,6 +301,7 @@
         heldBytes: () => ({ ...heldBytes() }),
         collectGarbage,
         abortUnreadResponse: responseBuffers.abortUnread,
+        closeUnfinishedHeads: callerServer.closeUnfinishedHeads,
         abortedResponses: responseBuffers.abortedCount,
     });
     registerGauges(metrics, {
--- a/scripts/src/__tests__/memoryDeployment.ts
+++ b/scripts/src/__tests__/memoryDeployment.ts
@@ -15,12 +15,11 @@
 import { waitUntil } from "./steeringFleet.js";
 
 const root = fileURLToPath(new URL("../../../", import.meta.url));
-const daemonMain = join(root, "platform/dist/main.js");
 const listeners = ["callers", "readiness", "directory", "control", "mesh", "metrics"] as const;
 const firstPort = 17_710;
 const targetCount = 4;
 const slotsPerTarget = 1_000;
-const kilobytesPerMegabyte = 1_024;
+const bytesPerKilobyte = 1_024;
 const requestTimeoutMs = 10_000;
 
 export interface MemoryDeployment {
@@ -28,14 +27,16 @@
     readonly child: ChildProcess;
     readonly log: () => string;
     readonly metrics: () => Promise<string>;
-    /** Largest resident size so far, in units of 2^20 bytes; throws if the process has ended. */
-    readonly peakResidentMb: () => number;
+    /** Largest resident size so far; throws if the process has ended. */
+    readonly peakResidentBytes: () => number;
     /** Status of a small request. */
     readonly sendSmall: () => Promise<number>;
     /** Reads answers of `answerBytes` until `until`, each at `bytesPerTick` every 20 ms, and counts how they end. */
     readonly readSlowly: (callers: number, answerBytes: number, bytesPerTick: number, until: number) => Promise<AnswerCounts>;
     /** Sends requests with bodies of `bodyBytes` until `until`. */
     readonly upload: (callers: number, bodyBytes: number, until: number) => Promise<AnswerCounts>;
+    /** Sends a request whose answer stays incomplete. */
+    readonly sendStalled: () => void;
     /** Opens connections to the callers' listener without sending anything. */
     readonly openConnections: (count: number) => Promise<readonly Socket[]>;
     close(): void;
@@ -102,14 +103,18 @@
         child,
         log: () => log,
         metrics: async () => await (await request(`http://${addressOf("metrics")}/metrics`)).body.text(),
-        peakResidentMb: () => {
+        peakResidentBytes: () => {
             const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
-            return Number(/VmHWM:\s+(\d+)/.exec(status)![1]) / kilobytesPerMegabyte;
+            return Number(/VmHWM:\s+(\d+)/.exec(status)![1]) * bytesPerKilobyte;
         },
         sendSmall,
         readSlowly: (callers, answerBytes, bytesPerTick, until) =>
             repeatCalls(callers, until, id => callSlowly(connectCaller(), `/a/${answerBytes}/${id}`, id, bytesPerTick)),
         upload: (callers, bodyBytes, until) => repeatCalls(callers, until, id => callWithBody(connectCaller(), id, bodyBytes)),
+        sendStalled: () => {
+            const fields = `Host: ${standinHost}\r\nX-Request-Id: stalled\r\nX-Deadline-Ms: 8000`;
+            connectCaller().write(`GET /a/stalled HTTP/1.1\r\n${fields}\r\n\r\n`);
+        },
         openConnections: async count => {
             const sockets = Array.from({ length: count }, connectCaller);
             await sleep(1_000);
@@ -133,12 +138,12 @@
     const limitLines = maxDescriptors === undefined ? [] : ["[limits]", `fileDescriptors = ${maxDescriptors}`];
     writeFileSync(file, [...topLines, "[listen]", ...listenLines, "[regions]", "cpt-a = \"cpt\"", ...limitLines].join("\n"));
     const role = readDeployedRole();
-    const flags = role.run.split(" ").filter(word => word.startsWith("--"));
-    const command = [process.execPath, ...flags, daemonMain];
+    const command = [process.execPath, ...role.run.split(" ").slice(1)];
     const limited = maxDescriptors === undefined
         ? command
         : ["sh", "-c", `ulimit -n ${maxDescriptors}; exec ${command.join(" ")}`];
     return spawn(limited[0]!, limited.slice(1), {
+        cwd: root,
         env: { PATH: process.env["PATH"], PIMENTOSPRING_CONFIG: file, ...role.env },
         stdio: ["ignore", "pipe", "inherit"],
     });
@@ -146,7 +151,9 @@
 
 const maxAnswer = Buffer.alloc(20_000_000, "x");
 
-/** Answers `/a/<bytes>`, which may be followed by an id, with as many bytes. */
+const stalledBytes = 27_000_000;
+
+/** Answers `/a/<bytes>`, which may be followed by an id, with as many bytes, and `/a/stalled` with a part of its answer. */
 function answerAs(id: string, received: IncomingMessage, response: ServerResponse): void {
     received.resume();
     received.once("end", () => {
@@ -154,6 +161,11 @@
             response.writeHead(200, { "X-Instance-Id": id }).end();
             return;
         }
+        if (received.url === "/a/stalled") {
+            response.writeHead(200, { "Content-Length": stalledBytes + 1 });
+            response.write(Buffer.alloc(stalledBytes));
+            return;
+        }
         const body = maxAnswer.subarray(0, Number(received.url!.split("/")[2]));
         response.writeHead(200, {
             "X-Server-Stamp": "stamp",
--- a/scripts/src/__tests__/memoryLimit.test.ts
+++ b/scripts/src/__tests__/memoryLimit.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { type MemoryDeployment, startMemoryDeployment } from "./memoryDeployment.js";
 
-const maxResidentMb = 350;
+const maxResidentBytes = 350_000_000;
 const loadMs = 15_000;
 
 async function start(context: TestContext, network: string, maxDescriptors?: number): Promise<MemoryDeployment> {
@@ -13,10 +13,10 @@
     return deployment;
 }
 
-function assertWithinMemory({ child, peakResidentMb }: MemoryDeployment): void {
+function assertWithinMemory({ child, peakResidentBytes }: MemoryDeployment): void {
     assert.equal(child.exitCode, null, "the daemon ended by itself");
-    const peakMb = peakResidentMb();
-    assert.ok(peakMb < maxResidentMb, `${Math.round(peakMb)} MB resident`);
+    const peakBytes = peakResidentBytes();
+    assert.ok(peakBytes < maxResidentBytes, `${Math.round(peakBytes / 1_000_000)} MB resident`);
 }
 
 // Guards against FAULT: responses that callers had yet to read were not counted, and the process was killed.
@@ -59,3 +59,31 @@
     assert.doesNotMatch(deployment.log(), /"event":(742|900)/);
     assert.ok(statuses.filter(status => status === 200).length >= 15, statuses.join(" "));
 });
+
+// Guards against FAULT: the heads of unfinished requests are counted nowhere, and filled the heap until the runtime ended the process.
+test("callers that send large heads and never finish them do not end the daemon", async context => {
+    const deployment = await start(context, "127.0.145");
+    const sockets = await deployment.openConnections(2_900);
+    context.after(() => sockets.forEach(socket => socket.destroy()));
+    const fields = Array.from({ length: 1_050 }, (_, index) => `x-field-${index}: ${"v".repeat(40)}\r\n`).join("");
+    for (const socket of sockets) {
+        socket.write(`GET /a/1 HTTP/1.1\r\n${fields}`);
+        if (socket.writableNeedDrain) {
+            await sleep(1);
+        }
+    }
+    await sleep(5_000);
+    assertWithinMemory(deployment);
+    sockets.forEach(socket => socket.destroy());
+    await sleep(1_500);
+    assert.equal(await deployment.sendSmall(), 200);
+});
+
+// A response that is being received took half of the memory for responses, so that every other request was refused.
+test("a large response that stalls does not have other requests refused", async context => {
+    const deployment = await start(context, "127.0.146");
+    deployment.sendStalled();
+    await sleep(1_000);
+    assert.match(await deployment.metrics(), /pimento_received_response_bytes 2\d{7}/);
+    assert.equal(await deployment.sendSmall(), 200);
+});
