--- a/packages/steer/src/observe/memoryMonitor.ts
+++ b/packages/steer/src/observe/memoryMonitor.ts
@@ -1,6 +1,7 @@
 /**
- * Watches the process's resident size: a process that exceeds its limit is killed without any other sign. Near the limit garbage
- * is collected and requests are refused; nearer still, responses that callers read slowly are aborted.
+ * Watches the process's resident size and heap: a process that exceeds a limit ends without any other sign. Near the limit garbage
+ * is collected and requests are refused; nearer still, responses that callers read slowly are aborted. A heap that stays full closes
+ * the connections on which heads are being received.
  */
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
