--- a/packages/steer/src/callers/__tests__/callerServer.test.ts
+++ b/packages/steer/src/callers/__tests__/callerServer.test.ts
@@ -6,7 +6,8 @@
 import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
 import { createResponseBuffers } from "../../targets/responseBuffers.js";
-import { type CallerResponder, createCallerServer } from "../callerServer.js";
+import type { CallerResponder } from "../callerResponder.js";
+import { createCallerServer } from "../callerServer.js";
 
 /**
  * Sends raw bytes to a server that responds with `respond`. Resolves to all bytes received until the connection closed.
--- a/packages/steer/src/callers/__tests__/requestBodies.test.ts
+++ b/packages/steer/src/callers/__tests__/requestBodies.test.ts
@@ -6,7 +6,8 @@
 import { afterEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { createResponseBuffers } from "../../targets/responseBuffers.js";
-import { type CallerRequest, type CallerResponder, type CallerServer, createCallerServer } from "../callerServer.js";
+import type { CallerResponder } from "../callerResponder.js";
+import { type CallerRequest, type CallerServer, createCallerServer } from "../callerServer.js";
 
 const maxBufferedBytes = 200_000;
 const upload = (bytes: number): string => `POST /a/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bytes}\r\n\r\n`;
--- /dev/null
+++ b/packages/steer/src/callers/callerResponder.ts
@@ -0,0 +1,85 @@
+/** Writes the final response to a caller: a target's, or a refusal. */
+import type { Result } from "@pimentospring/core/results/resultCode";
+import { type ServerResponse, STATUS_CODES } from "node:http";
+import { endToEndHeaders } from "../targets/hopHeaders.js";
+import type { ResponseBuffers } from "../targets/responseBuffers.js";
+import { hasDeclaredLength, type TargetResponse } from "../targets/targetResponse.js";
+import { endCounted } from "./countedResponse.js";
+
+/** Sends the final response to a request. Calls have no effect once one has been sent. */
+export interface CallerResponder {
+    /** Throws if the response can't be written to the caller, who then has to be refused. */
+    respond(targetResponse: TargetResponse): void;
+    /** A response that has been sent in part is cut, so that its caller does not take it for complete. */
+    refuse(result: Result, retryAfterMs: number | undefined): void;
+}
+
+const isContentLength = (name: string): boolean => name === "content-length";
+
+/** `endRefusal` ends the response to a refused request with its body. */
+export function createResponder(
+    response: ServerResponse,
+    isKeepAliveDisabled: () => boolean,
+    responseBuffers: ResponseBuffers,
+    endRefusal: (body: string) => void = body => response.end(body),
+): CallerResponder {
+    let isSent = false;
+    const isFinished = (): boolean => isSent || response.destroyed || response.writableEnded;
+    return {
+        respond: targetResponse => {
+            if (isFinished()) {
+                return;
+            }
+            const headers = endToEndHeaders(targetResponse.rawHeaders, isContentLength);
+            if (response.req.method === "HEAD") {
+                headers.push(...declaredLength(targetResponse));
+            }
+            else if (targetResponse.status !== 204 && targetResponse.status !== 304 && hasDeclaredLength(targetResponse)) {
+                headers.push("Content-Length", String(targetResponse.body.length));
+            }
+            else if (targetResponse.status >= 200 && targetResponse.status !== 204 && targetResponse.status !== 304) {
+                // Without Content-Length and chunked encoding, closing the connection marks the end of the response.
+                response.useChunkedEncodingByDefault = false;
+                response.shouldKeepAlive = false;
+            }
+            if (isKeepAliveDisabled()) {
+                response.shouldKeepAlive = false;
+            }
+            response.writeHead(targetResponse.status, reasonPhraseOf(targetResponse), headers);
+            isSent = true;
+            endCounted(response, targetResponse.body, responseBuffers);
+        },
+        refuse: (result, retryAfterMs) => {
+            if (isFinished()) {
+                return;
+            }
+            if (response.headersSent) {
+                response.destroy();
+                return;
+            }
+            const body = JSON.stringify({ error: result.name, code: result.code, text: result.text });
+            const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(body))];
+            headers.push("X-Pimento-Result", String(result.code));
+            if (retryAfterMs !== undefined) {
+                headers.push("Retry-After", (retryAfterMs / 1_000).toFixed(3));
+            }
+            if (isKeepAliveDisabled()) {
+                response.shouldKeepAlive = false;
+            }
+            // Named, as a response that could not be written may have left its own reason phrase.
+            response.writeHead(result.status, STATUS_CODES[result.status], headers);
+            endRefusal(body);
+        },
+    };
+}
+
+const printablePattern = /^[\t\x20-\x7e]*$/;
+
+/** The target's reason phrase, or the status's usual one in place of a phrase with letters that the server can't write. */
+const reasonPhraseOf = ({ status, statusText }: TargetResponse): string =>
+    printablePattern.test(statusText) ? statusText : STATUS_CODES[status] ?? "";
+
+function declaredLength(targetResponse: TargetResponse): string[] {
+    const at = targetResponse.rawHeaders.findIndex((text, index) => index % 2 === 0 && text.toLowerCase() === "content-length");
+    return at === -1 ? [] : ["Content-Length", targetResponse.rawHeaders[at + 1]!];
+}
--- a/packages/steer/src/callers/requestHandler.ts
+++ b/packages/steer/src/callers/requestHandler.ts
@@ -8,7 +8,8 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { TargetResponse } from "../targets/targetResponse.js";
 import type { HeaderCodec } from "../wire/headerCodec.js";
-import type { CallerRequest, CallerResponder } from "./callerServer.js";
+import type { CallerResponder } from "./callerResponder.js";
+import type { CallerRequest } from "./callerServer.js";
 import { createRequestFingerprint } from "./requestFingerprint.js";
 
 export interface RequestHandlerOptions {
