fix(steer): a request's head is received up to twice the operator's limit

The parser keeps such heads, up to 64 KB each whatever the operator allows, 16 KB by default. It now receives twice the operator's limit, so that what is just too long still gets our own refusal; the watch stays behind it.

--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -67,7 +67,11 @@
     droppedConnectionCount(): number;
 }
 
-/** Hard limit on the size of a request head. The operator's limit may be lower and is checked separately. */
+/**
+ * Factor on the operator's limit on a request head up to which a head is received, so that its request gets our own refusal. Larger
+ * ones are refused as they arrive: unfinished heads are kept by the parser and counted nowhere.
+ */
+const receivedHeaderFactor = 2;
 const maxHeaderBytes = 64 * 1024;
 /** Timeout for receiving a complete request, body included. */
 const requestTimeoutMs = 60_000;
@@ -159,7 +163,7 @@
         });
     };
     const server = createServer({
-        maxHeaderSize: maxHeaderBytes,
+        maxHeaderSize: receivedHeaderBytes(limits),
         keepAliveTimeout: limits.idleTimeoutMs + keepAliveMarginMs,
         headersTimeout: limits.headerTimeoutMs,
         requestTimeout: requestTimeoutMs,
@@ -196,6 +200,8 @@
         server,
         setLimits: next => {
             limits = next;
+            // Read by Node at each new connection.
+            Object.assign(server, { maxHeaderSize: receivedHeaderBytes(next) });
             server.keepAliveTimeout = next.idleTimeoutMs + keepAliveMarginMs;
             server.headersTimeout = next.headerTimeoutMs;
         },
@@ -213,6 +219,9 @@
     };
 }
 
+const receivedHeaderBytes = (limits: CallerLimits): number =>
+    Math.min(maxHeaderBytes, receivedHeaderFactor * limits.maxHeaderBytes);
+
 /**
  * Calls `done` after the event loop has polled the sockets again: the second immediate runs after the next poll phase.
  */
--- a/scripts/src/__tests__/memoryLimit.test.ts
+++ b/scripts/src/__tests__/memoryLimit.test.ts
@@ -14,7 +14,7 @@
 }
 
 function assertWithinMemory({ child, peakResidentBytes }: MemoryDeployment): void {
-    assert.equal(child.exitCode, null, "the daemon ended by itself");
+    assert.equal(child.exitCode ?? child.signalCode, null, "the daemon ended by itself");
     const peakBytes = peakResidentBytes();
     assert.ok(peakBytes < maxResidentBytes, `${Math.round(peakBytes / 1_000_000)} MB resident`);
 }
