--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -77,7 +77,7 @@
 /** Largest response accepted from a target. */
 const maxResponseBytes = 32 * 1024 * 1024;
 /** Part of the process's memory for all responses together, from their first byte until their callers have read them. */
-const responseMemoryFraction = 0.25;
+const responseMemoryFraction = 0.2;
 /** Part of the process's memory for all request bodies together. */
 const requestMemoryFraction = 0.2;
 /** Descriptors that connections can't use. */
