--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -15,6 +15,8 @@
 export type RegionId = Branded<string, "RegionId">;
 export type DataCentreId = Branded<string, "DataCentreId">;
 export type ServiceId = Branded<string, "ServiceId">;
+/** Name of a workspace, a customer of the deployment's operator. */
+export type WorkspaceId = Branded<string, "WorkspaceId">;
 /** Identifies a request class of a service, such as a lookup or a redeem. */
 export type ClassId = Branded<string, "ClassId">;
 export type TargetId = Branded<string, "TargetId">;
@@ -41,6 +43,7 @@
 export const toRegionId = (text: string): RegionId => text as RegionId;
 export const toDataCentreId = (text: string): DataCentreId => text as DataCentreId;
 export const toServiceId = (text: string): ServiceId => text as ServiceId;
+export const toWorkspaceId = (text: string): WorkspaceId => text as WorkspaceId;
 export const toClassId = (text: string): ClassId => text as ClassId;
 export const toTargetId = (text: string): TargetId => text as TargetId;
 export const toTargetIncarnationId = (text: string): TargetIncarnationId => text as TargetIncarnationId;
--- a/packages/core/src/results/resultCode.ts
+++ b/packages/core/src/results/resultCode.ts
@@ -65,6 +65,28 @@
         "This entry can't read the route's configuration; the operator finds the fault in the entry's log and status.",
     ),
     noMemory: result(2013, "noMemory", "notRun", 503, "The bodies of requests in progress use all of the entry's memory; retry."),
+    unreadableWorkspace: result(
+        2014,
+        "unreadableWorkspace",
+        "notRun",
+        503,
+        "This entry can't read the workspace's configuration; the operator finds the fault in the entry's log and status.",
+    ),
+    noCommonRegion: result(
+        2015,
+        "noCommonRegion",
+        "notRun",
+        503,
+        "The route and the workspace have no region in common in which the request may run.",
+    ),
+    staleKeys: result(
+        2016,
+        "staleKeys",
+        "notRun",
+        503,
+        "This entry can't tell whether the key is still valid, as it is cut off; use another entry.",
+    ),
+    overQuota: result(2017, "overQuota", "notRun", 429, "The workspace has used up its quota; retry later."),
     outcomeUnknown: result(
         3001,
         "outcomeUnknown",
@@ -153,6 +175,13 @@
         "The request line and headers are larger than the configured limit.",
     ),
     unknownRoute: result(4014, "unknownRoute", "notRun", 404, "No route of the configuration matches the host and path."),
+    unauthorised: result(
+        4016,
+        "unauthorised",
+        "notRun",
+        401,
+        "The request has no key, or one that belongs to no workspace of the configuration.",
+    ),
     applied: result(5000, "applied", "ran", 200, "The change is in the store."),
     invalidDocument: result(
         5001,
