feat(steer): keys of workspaces, their homes and priorities, and X-Tenant

Cause: the operator's document names workspaces (kind tenants), whose requests have to carry a key. Retries of callers are told apart by key digest; fingerprints of requests that crash targets stay shared between workspaces.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -17,6 +17,8 @@
 export type ServiceId = Branded<string, "ServiceId">;
 /** Name of a workspace, a customer of the deployment's operator. */
 export type WorkspaceId = Branded<string, "WorkspaceId">;
+/** SHA-256 digest of a workspace's key; keys themselves are not kept. */
+export type KeyDigest = Branded<string, "KeyDigest">;
 /** Identifies a request class of a service, such as a lookup or a redeem. */
 export type ClassId = Branded<string, "ClassId">;
 export type TargetId = Branded<string, "TargetId">;
--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -1,5 +1,15 @@
 /** Routes, targets and a request dispatcher on virtual time, for tests of steering decisions. */
-import { type Fingerprint, toDataCentreId, toInstanceId, toRegionId, toRequestId, toServiceId, toTargetId } from "../../ids.js";
+import {
+    type Fingerprint,
+    toDataCentreId,
+    toInstanceId,
+    toRegionId,
+    toRequestId,
+    toServiceId,
+    toTargetId,
+    type WorkspaceId,
+} from "../../ids.js";
+import type { SharedLimit } from "../../limits/sharedLimit.js";
 import { createPoisonList } from "../../poison/poisonList.js";
 import { createRandom } from "../../random/random.js";
 import { createVirtualTimer, type VirtualTimer } from "../../time/virtualTimer.js";
@@ -15,7 +25,7 @@
 import { createRouteTable } from "../routeTable.js";
 import { createSlotPressure } from "../slotPressure.js";
 import { createSpillover } from "../spillover.js";
-import type { Route, SteeringDocument } from "../steeringDocument.js";
+import type { Route, SteeringDocument, Workspace } from "../steeringDocument.js";
 import type { SteeringEvents } from "../steeringEvents.js";
 import type { Target } from "../target.js";
 import { createTargetHealth, type HealthCheckResult, type TargetHealth } from "../targetHealth.js";
@@ -23,6 +33,7 @@
 import { createTargetRegistry, type TargetRegistry } from "../targetRegistry.js";
 import { createTargetSelector } from "../targetSelector.js";
 import { createWeightedRoundRobin } from "../weightedRoundRobin.js";
+import { emptyWorkspaceDirectory, type WorkspaceDirectory } from "../workspaceDirectory.js";
 import { createWorkTimes } from "../workTimes.js";
 
 export const service = toServiceId("tokens");
@@ -42,11 +53,16 @@
         isSticky: false,
         homeRegions: [],
         weightedServices: [{ service, weight: 1 }],
+        isPublic: false,
         ...fields,
     };
 }
 
-export function documentOf(routes: readonly Route[], version = 1): SteeringDocument {
+export function documentOf(
+    routes: readonly Route[],
+    version = 1,
+    workspaces: readonly Workspace[] = [],
+): SteeringDocument {
     const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
     const services = [{
         id: service,
@@ -55,7 +71,7 @@
         coldMs: 3_000,
         maxColdRequestsPerSecond: 5.8,
     }];
-    return { version, routes, unreadableRoutes: [], services, limits, faults: [] };
+    return { version, routes, unreadableRoutes: [], services, workspaces, hasUnreadableKeys: false, limits, faults: [] };
 }
 
 export function record(id: string, fields: Partial<TargetRecord> = {}): TargetRecord {
@@ -124,6 +140,9 @@
     readonly coldRateLimit?: number;
     readonly remoteFraction?: number;
     readonly roundTripMs?: number;
+    readonly workspaces?: () => WorkspaceDirectory;
+    readonly areKeysStale?: () => boolean;
+    readonly quotaLimit?: SharedLimit<WorkspaceId>;
     readonly events?: Partial<SteeringEvents<string>>;
 }
 
@@ -204,6 +223,9 @@
         timer,
         random,
         routeTable: () => routeTable,
+        workspaces: options.workspaces ?? (() => emptyWorkspaceDirectory),
+        areKeysStale: options.areKeysStale ?? (() => false),
+        quotaLimit: options.quotaLimit ?? { tryTake: () => ({ kind: "admitted", giveBack: () => {} }) },
         roundRobin: createWeightedRoundRobin(),
         targetSelector,
         regionShift,
@@ -231,6 +253,7 @@
             onWorkCompleted: () => {},
             onPoisonCleared: () => {},
             onPoisonRefused: () => {},
+            onWorkspaceRefused: () => {},
             onEnded: () => {},
             ...options.events,
         },
@@ -250,6 +273,7 @@
                 host: "a.example",
                 path: "/look/1",
                 objectId: undefined,
+                keyDigest: undefined,
                 callerAddress: "100.64.0.1",
                 arrivedAt: timer.now(),
                 deadlineAt: timer.now() + 2_000,
--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -19,8 +19,9 @@
 
 export function createCallerRetryTracker(timer: Timer): CallerRetryTracker {
     const refusedAt = new Map<string, number>();
-    /** The same request of another caller is no retry. */
-    const keyOf = ({ callerAddress, fingerprint }: SteeringRequest): string => `${callerAddress} ${fingerprint()}`;
+    /** The same request of another caller, or with the key of another workspace, is no retry. */
+    const keyOf = ({ callerAddress, keyDigest, fingerprint }: SteeringRequest): string =>
+        `${callerAddress} ${keyDigest ?? ""} ${fingerprint()}`;
     return {
         recordRefusal: request => {
             const key = keyOf(request);
--- a/packages/core/src/steering/job.ts
+++ b/packages/core/src/steering/job.ts
@@ -1,10 +1,11 @@
 /** A caller's request while this entry handles it, and its attempts at targets. */
-import type { AttemptId, Fingerprint, RequestId, ServiceId, TargetId } from "../ids.js";
+import type { AttemptId, Fingerprint, KeyDigest, RequestId, ServiceId, TargetId } from "../ids.js";
 import type { Result } from "../results/resultCode.js";
 import type { Cancel } from "../time/timer.js";
 import type { Route } from "./steeringDocument.js";
 import type { Target } from "./target.js";
 import type { LoadReport, TargetNotice } from "./targetRecord.js";
+import type { RequestTerms } from "./workspaceTerms.js";
 
 /** The parts of a caller's request that decisions depend on. Times are on the entry's clock. */
 export interface SteeringRequest {
@@ -13,6 +14,8 @@
     readonly path: string;
     /** Identifies the object that the request is about, if the caller names one. */
     readonly objectId: string | undefined;
+    /** Digest of the key that the request carries; `undefined` without one, or where the document has no workspaces. */
+    readonly keyDigest: KeyDigest | undefined;
     /** Network address that the request came from; copies of a request may come from several. */
     readonly callerAddress: string;
     readonly arrivedAt: number;
@@ -29,6 +32,10 @@
     readonly request: SteeringRequest;
     readonly route: Route;
     readonly service: ServiceId;
+    /** Those of the document in force when the request was last sent or queued. */
+    terms: RequestTerms;
+    /** Returns what the request took out of its workspace's quota. */
+    readonly giveBackQuota: () => void;
     /** Time at which the final response is due: the deadline or the route's timeout, whichever is sooner. */
     readonly responseDueAt: number;
     /** Latest time at which a response meets the latency objective. */
@@ -96,6 +103,8 @@
     readonly request: SteeringRequest;
     readonly route: Route;
     readonly service: ServiceId;
+    readonly terms: RequestTerms;
+    readonly giveBackQuota: () => void;
     readonly isCallerRetry: boolean;
 }
 
--- a/packages/core/src/steering/jobCompletion.ts
+++ b/packages/core/src/steering/jobCompletion.ts
@@ -46,6 +46,9 @@
         options.onEnding(job);
         job.state = "ended";
         job.cancelTimeout();
+        if (response.kind === "refusal" && response.result.outcome === "notRun" && !job.mayHaveRun) {
+            job.giveBackQuota();
+        }
         const respond = finishers.get(job)!;
         finishers.delete(job);
         // First, so that no error in a log or metric keeps the response from the caller.
@@ -65,6 +68,9 @@
         else if (result === results.poisonRequest) {
             refuse(job, result, why, poisonRetryAfterMs);
         }
+        else if (result === results.unauthorised) {
+            endUnanswered(job, result, why);
+        }
         else {
             callerRetries.recordRefusal(job.request);
             const wait = retryAfterMs({
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -2,7 +2,8 @@
  * Dispatches requests to targets, from arrival to the final response. Makes decisions only; sending, reading and
  * responding are done by functions that are passed in.
  */
-import { type AttemptId, type DataCentreId, type ServiceId, toAttemptId } from "../ids.js";
+import { type AttemptId, type DataCentreId, type ServiceId, toAttemptId, type WorkspaceId } from "../ids.js";
+import type { SharedLimit } from "../limits/sharedLimit.js";
 import type { PoisonList } from "../poison/poisonList.js";
 import type { Random } from "../random/random.js";
 import { results } from "../results/resultCode.js";
@@ -30,6 +31,8 @@
 import type { TargetHealth } from "./targetHealth.js";
 import type { ScoredTarget, TargetSelector } from "./targetSelector.js";
 import type { WeightedRoundRobin } from "./weightedRoundRobin.js";
+import type { WorkspaceDirectory } from "./workspaceDirectory.js";
+import { decideWorkspace } from "./workspaceTerms.js";
 import type { WorkTimes } from "./workTimes.js";
 
 export interface RequestDispatcher<Answer> {
@@ -58,6 +61,9 @@
     readonly timer: Timer;
     readonly random: Random;
     readonly routeTable: () => RouteTable | undefined;
+    readonly workspaces: () => WorkspaceDirectory;
+    readonly areKeysStale: () => boolean;
+    readonly quotaLimit: SharedLimit<WorkspaceId>;
     readonly roundRobin: WeightedRoundRobin;
     readonly targetSelector: TargetSelector<Answer>;
     readonly regionShift: RegionShiftLimiter;
@@ -187,8 +193,26 @@
     /** The objective of a caller retry counts from its first arrival and has therefore passed already. */
     const latestStartOf = (job: Job<Answer>): number =>
         job.isCallerRetry ? job.request.arrivedAt : job.objectiveAt - targetSelector.minWorkMs(job);
+    /** Refuses a job whose key a newer document no longer contains; returns whether it did. */
+    const isRefusedByNewDocument = (job: Job<Answer>): boolean => {
+        const directory = options.workspaces();
+        if (job.terms.directory === directory) {
+            return false;
+        }
+        const { route, request } = job;
+        const decision = decideWorkspace({ directory, route, key: request.keyDigest, areKeysStale: false });
+        if (decision.kind === "refused") {
+            rejectJob(job, decision.result, "the document in force no longer admits the request's key");
+            return true;
+        }
+        job.terms = decision.terms;
+        return false;
+    };
     const trySend = (queued: QueuedRequest<Answer>): "sent" | "full" | "deferred" | "held" | "refused" => {
         const { job } = queued;
+        if (isRefusedByNewDocument(job)) {
+            return "refused";
+        }
         const admission = poisonGate.admit(job);
         if (admission !== "admitted") {
             if (admission === "refused") {
@@ -386,6 +410,7 @@
                 }
                 if (attempt !== undefined) {
                     abort(attempt);
+                    job.mayHaveRun ||= attempt.isWritten;
                 }
                 endUnanswered(job, results.cancelled, "the caller disconnected");
                 dispatchService(job.service);
--- a/packages/core/src/steering/requestQueue.ts
+++ b/packages/core/src/steering/requestQueue.ts
@@ -65,7 +65,7 @@
     if (isLateA && a.job.isCallerRetry !== b.job.isCallerRetry) {
         return a.job.isCallerRetry ? -1 : 1;
     }
-    const rank = a.job.route.priority - b.job.route.priority;
+    const rank = a.job.terms.priority - b.job.terms.priority;
     if (rank !== 0) {
         return rank;
     }
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -2,7 +2,8 @@
  * Wires the decision-making parts of one entry. Communication with callers, targets, other entries and the store is
  * passed in.
  */
-import type { DataCentreId, RegionId, ServiceId } from "../ids.js";
+import type { DataCentreId, RegionId, ServiceId, WorkspaceId } from "../ids.js";
+import type { SharedLimit } from "../limits/sharedLimit.js";
 import type { PoisonList } from "../poison/poisonList.js";
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
@@ -28,6 +29,7 @@
 import { createTargetSelector, type TransferPrices } from "./targetSelector.js";
 import { createTopology, roundTripsMs, type Topology } from "./topology.js";
 import { createWeightedRoundRobin, type WeightedRoundRobin } from "./weightedRoundRobin.js";
+import type { WorkspaceDirectory } from "./workspaceDirectory.js";
 import { createWorkTimes, type WorkTimes } from "./workTimes.js";
 
 /** Operator settings; read for each decision, except for the prices and the retry window. */
@@ -50,6 +52,9 @@
     readonly poisonList: PoisonList;
     readonly bounds: () => SteeringBounds;
     readonly routeTable: () => RouteTable | undefined;
+    readonly workspaces: () => WorkspaceDirectory;
+    /** Whether requests that need a key are refused, since this entry may not know that it was removed. */
+    readonly areKeysStale: () => boolean;
     readonly findService: (id: ServiceId) => Service | undefined;
     readonly isEvacuated: (dataCentre: DataCentreId) => boolean;
     readonly onTargetChanged: TargetRegistryOptions["onChanged"];
@@ -80,6 +85,9 @@
     readonly peerAttempts: PeerAttempts;
 }
 
+/** Admits every request; stands in for the limit that all entries share. */
+const unlimitedQuota: SharedLimit<WorkspaceId> = { tryTake: () => ({ kind: "admitted", giveBack: () => {} }) };
+
 export function createSteering<Answer>(options: SteeringOptions<Answer>): Steering<Answer> {
     const { timer, random, self, members, poisonList, bounds } = options;
     const roundRobin = createWeightedRoundRobin();
@@ -156,6 +164,9 @@
         timer,
         random,
         routeTable: options.routeTable,
+        workspaces: options.workspaces,
+        areKeysStale: options.areKeysStale,
+        quotaLimit: unlimitedQuota,
         roundRobin,
         targetSelector,
         regionShift,
--- a/packages/core/src/steering/steeringDocument.ts
+++ b/packages/core/src/steering/steeringDocument.ts
@@ -1,8 +1,9 @@
 /**
- * Operators' configuration of a deployment that routes by host and path: routes, services and caller limits. A platform
- * adapter decodes its own format into these types.
+ * Operators' configuration of a deployment that routes by host and path: routes, services, workspaces and caller limits. A
+ * platform adapter decodes its own format into these types.
  */
-import type { RegionId, ServiceId } from "../ids.js";
+import type { KeyDigest, RegionId, ServiceId, WorkspaceId } from "../ids.js";
+import type { Quota } from "../limits/sharedLimit.js";
 
 /** A service that receives part of a route's requests. */
 export interface WeightedService {
@@ -32,6 +33,22 @@
     readonly homeRegions: readonly RegionId[];
     /** At least one; several split the traffic by weight. */
     readonly weightedServices: readonly WeightedService[];
+    /** Whether requests need no key where the document has workspaces. */
+    readonly isPublic: boolean;
+}
+
+/** A customer of the deployment's operator, whose requests carry one of its keys. */
+export interface Workspace {
+    readonly id: WorkspaceId;
+    readonly keys: readonly KeyDigest[];
+    /** Replaces the priority of the route; `undefined` leaves it. */
+    readonly priority: number | undefined;
+    /** Regions in which the workspace's requests may run; empty means all. */
+    readonly homeRegions: readonly RegionId[];
+    /** Limit on the workspace's requests over all entries; `undefined` means none. */
+    readonly quota: Quota | undefined;
+    /** Whether too much could not be decoded to serve the workspace, such as its quota. Its requests are refused. */
+    readonly isUnreadable: boolean;
 }
 
 export interface Service {
@@ -79,6 +96,10 @@
     readonly routes: readonly Route[];
     readonly unreadableRoutes: readonly UnreadableRoute[];
     readonly services: readonly Service[];
+    /** If there are any, requests need a key. */
+    readonly workspaces: readonly Workspace[];
+    /** Whether a key that is not listed may be one that could not be decoded. */
+    readonly hasUnreadableKeys: boolean;
     readonly limits: CallerLimits;
     readonly faults: readonly DocumentFault[];
 }
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -90,7 +90,7 @@
 
 /** Value of a late response as a fraction of one that meets the objective. */
 const lateResponseValue = 0.2;
-/** Routes of this priority or more urgent ones have a higher value, which justifies a more expensive transfer. */
+/** Requests of this priority or more urgent ones have a higher value, which justifies a more expensive transfer. */
 const urgentPriority = 1;
 const urgentWeight = 2;
 /** Standard deviation of the work, as a fraction of the expected work. */
@@ -159,7 +159,7 @@
         && remoteObjects.isRemote(job.service, objectKey(job.route, job.request.objectId));
     const mayUseDataCentre = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
-        const homes = job.route.homeRegions;
+        const homes = job.terms.homeRegions;
         if (options.isEvacuated(dataCentre) || (homes.length > 0 && (region === undefined || !homes.includes(region)))) {
             return false;
         }
@@ -245,7 +245,7 @@
     };
     const transferPriceOf = (job: Job<Answer>, perKilobyte: number): number => {
         const kilobytes = workTimes.transferBytes(job.route) / 1_000;
-        return (kilobytes * perKilobyte) / (job.route.priority <= urgentPriority ? urgentWeight : 1);
+        return (kilobytes * perKilobyte) / (job.terms.priority <= urgentPriority ? urgentWeight : 1);
     };
     const reachableTargets = (job: Job<Answer>): ReachableTargets => {
         const found: ReachableTargets = { local: [], sameRegion: [], remote: [], dataCentres: new Set() };
--- a/packages/harness/src/steering/simulatedCallers.ts
+++ b/packages/harness/src/steering/simulatedCallers.ts
@@ -91,6 +91,7 @@
             host: simulatedHost,
             path: `/${caller.trafficClass.name}/${caller.object}`,
             objectId: caller.object,
+            keyDigest: undefined,
             arrivedAt: timer.now(),
             deadlineAt,
             bodyBytes: 0,
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -17,6 +17,7 @@
 import { createSteering, type Steering, type SteeringBounds } from "@pimentospring/core/steering/steering";
 import type { Route, Service } from "@pimentospring/core/steering/steeringDocument";
 import { noNotice, targetIncarnationOf, type TargetNotice, type TargetRecord } from "@pimentospring/core/steering/targetRecord";
+import { emptyWorkspaceDirectory } from "@pimentospring/core/steering/workspaceDirectory";
 import { createVirtualTimer, type VirtualTimer } from "@pimentospring/core/time/virtualTimer";
 import { oneWayDelayMs, regionOf } from "./network.js";
 import { createSharedTarget, type SharedTarget } from "./sharedTarget.js";
@@ -90,6 +91,8 @@
         services,
         limits: { maxHeaderBytes: 0, maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 },
         unreadableRoutes: [],
+        workspaces: [],
+        hasUnreadableKeys: false,
         faults: [],
     });
     const targets = new Map<string, SharedTarget>();
@@ -195,6 +198,8 @@
                 poisonList: createPoisonList({ timer }),
                 bounds: () => ({ ...bounds, regions }),
                 routeTable: () => table,
+                workspaces: () => emptyWorkspaceDirectory,
+                areKeysStale: () => false,
                 findService: id => services.find(service => service.id === id),
                 isEvacuated: () => false,
                 onTargetChanged: () => {},
@@ -211,6 +216,7 @@
                     onWorkCompleted: () => {},
                     onPoisonCleared: () => {},
                     onPoisonRefused: () => {},
+                    onWorkspaceRefused: () => {},
                     onEnded: () => {},
                 },
             }),
@@ -369,5 +375,6 @@
         isSticky: true,
         homeRegions: [],
         weightedServices: [{ service: toServiceId(trafficClass.service), weight: 1 }],
+        isPublic: false,
     };
 }
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -141,6 +141,13 @@
         "warn",
         "A request was refused on arrival, as targets died while they ran it; at most five lines a second.",
     ),
+    workspaceRefused: defineEvent(
+        404,
+        "workspaceRefused",
+        "warn",
+        "A request was refused on arrival because of its key, or of its workspace's regions or quota; the line names the request, the route, "
+            + "the result and the workspace, if the key tells it. At most five lines a second; the next one counts those dropped.",
+    ),
     callerError: defineEvent(
         500,
         "callerError",
--- a/packages/steer/src/callers/__tests__/requestHandler.test.ts
+++ b/packages/steer/src/callers/__tests__/requestHandler.test.ts
@@ -31,6 +31,7 @@
                 },
             }) as unknown as RequestDispatcher<TargetResponse>,
         register: () => () => {},
+        needsKeys: () => false,
         isAccepting: () => true,
         stopDeadline: () => Infinity,
     });
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -27,6 +27,8 @@
     readonly header: (name: string) => string | undefined;
     readonly body: Buffer;
     readonly callerAddress: string;
+    /** Removes the headers for whose lower-case name `isRemoved` holds from memory. */
+    readonly removeHeaders: (isRemoved: (name: string) => boolean) => void;
 }
 
 export interface CallerServerOptions {
@@ -327,6 +329,17 @@
             return Array.isArray(value) ? value[0] : value;
         },
         body,
+        removeHeaders: isRemoved => removeHeaders(request, isRemoved),
         callerAddress: request.socket.remoteAddress ?? "",
     };
 }
+
+function removeHeaders({ rawHeaders, headers }: IncomingMessage, isRemoved: (name: string) => boolean): void {
+    for (let at = rawHeaders.length - 2; at >= 0; at -= 2) {
+        const name = rawHeaders[at]!.toLowerCase();
+        if (isRemoved(name)) {
+            rawHeaders.splice(at, 2);
+            delete headers[name];
+        }
+    }
+}
--- a/packages/steer/src/callers/requestHandler.ts
+++ b/packages/steer/src/callers/requestHandler.ts
@@ -1,5 +1,6 @@
 /** Turns a caller's HTTP request into a steering request, and its outcome into the final HTTP response. */
-import { toRequestId } from "@pimentospring/core/ids";
+import { digestKey } from "@pimentospring/core/hash/keyDigest";
+import { type KeyDigest, toRequestId } from "@pimentospring/core/ids";
 import { results } from "@pimentospring/core/results/resultCode";
 import type { SteeringRequest } from "@pimentospring/core/steering/job";
 import type { RequestDispatcher } from "@pimentospring/core/steering/requestDispatcher";
@@ -22,6 +23,8 @@
      * its response.
      */
     readonly register: (request: SteeringRequest, caller: CallerRequest, onNoMemory: () => void) => () => void;
+    /** Whether requests need the key of a workspace. */
+    readonly needsKeys: () => boolean;
     /** Whether new requests are accepted. */
     readonly isAccepting: () => boolean;
     /** Time at which the process exits, on the timer's clock. */
@@ -52,6 +55,16 @@
             responder.refuse(results.unexpectedError, undefined);
         }
     };
+    /** Only the digest of the key is kept, and neither the key nor a workspace that the caller names is forwarded. */
+    const takeKey = (caller: CallerRequest): KeyDigest | undefined => {
+        if (!options.needsKeys()) {
+            return undefined;
+        }
+        const key = headerCodec.decodeKey(caller.header);
+        caller.removeHeaders(headerCodec.isWorkspaceHeader);
+        // Header values are received as Latin-1, one character for each byte.
+        return key === undefined ? undefined : digestKey(Buffer.from(key, "latin1"));
+    };
     return {
         handle: (caller, responder) => {
             if (!options.isAccepting()) {
@@ -61,12 +74,14 @@
             const arrivedAt = timer.now();
             const head = headerCodec.decodeCallerHeaders(caller.header);
             const deadlineAt = arrivedAt + (head.deadlineMs ?? defaultDeadlineMs);
+            const keyDigest = takeKey(caller);
             const fingerprint = createRequestFingerprint(caller, head.objectId);
             const request: SteeringRequest = {
                 id: toRequestId(head.id ?? ""),
                 host: caller.host,
                 path: caller.path,
                 objectId: head.objectId,
+                keyDigest,
                 callerAddress: caller.callerAddress,
                 arrivedAt,
                 deadlineAt: Math.min(deadlineAt, options.stopDeadline() - responseMarginMs),
--- a/packages/steer/src/observe/requestLog.ts
+++ b/packages/steer/src/observe/requestLog.ts
@@ -40,6 +40,8 @@
 /** Lines beyond this rate are dropped; the next line reports their number. */
 const maxLinesPerSecond = 40;
 const burstWindowMs = 1_000;
+/** Limit on the lines on requests refused for their workspace. */
+const maxRefusalLinesPerSecond = 5;
 
 export function createRequestLog(options: RequestLogOptions): RequestLog {
     const { timer, log, metrics, routeStatistics } = options;
@@ -47,7 +49,9 @@
     const answeredRequests = createAnsweredRequests(timer, log);
     const stepsByJob = new Map<Job<ReceivedResponse>, string[]>();
     const lastTargets = new Map<Job<ReceivedResponse>, TargetId>();
+    const refusalLineBudget = createTokenBucket(timer, maxRefusalLinesPerSecond, burstWindowMs);
     let droppedLines = 0;
+    let droppedRefusalLines = 0;
 
     const addStep = (job: Job<ReceivedResponse>, step: string): void => {
         const line = `${Math.round(timer.now() - job.request.arrivedAt)}ms ${step}`;
@@ -71,6 +75,7 @@
             request: job.request.id,
             route: job.route.name,
             service: job.service,
+            workspace: job.terms.workspace?.id,
             object: job.request.objectId,
             status,
             result: finalResponse.kind === "answer" ? undefined : finalResponse.result.code,
@@ -113,6 +118,22 @@
             metrics.recordRun(attempt, wasQuick);
             routeStatistics.recordRun(attempt, wasQuick);
         },
+        onWorkspaceRefused: ({ request, route, result, workspace }) => {
+            if (!refusalLineBudget.take(1)) {
+                droppedRefusalLines++;
+                metrics.recordDroppedLogLine();
+                return;
+            }
+            log.write(logEvents.workspaceRefused, {
+                request: request.id,
+                route: route.name,
+                workspace,
+                result: result.code,
+                reason: result.name,
+                notLogged: droppedRefusalLines === 0 ? undefined : droppedRefusalLines,
+            });
+            droppedRefusalLines = 0;
+        },
         onPoisonRefused: options.onPoisonRefused,
         onPoisonCleared: (job, cleared) => options.onPoisonCleared(job.request, cleared),
         onEnded: (job, finalResponse, reason) => {
--- a/packages/steer/src/poison/__tests__/poisonFleet.ts
+++ b/packages/steer/src/poison/__tests__/poisonFleet.ts
@@ -20,6 +20,7 @@
 import { createSteering, type Steering } from "@pimentospring/core/steering/steering";
 import type { Route, Service } from "@pimentospring/core/steering/steeringDocument";
 import type { TargetRecord } from "@pimentospring/core/steering/targetRecord";
+import { emptyWorkspaceDirectory } from "@pimentospring/core/steering/workspaceDirectory";
 import type { Timer } from "@pimentospring/core/time/timer";
 import { createVirtualTimer } from "@pimentospring/core/time/virtualTimer";
 import { silentLog } from "@pimentospring/runtime/logs/log";
@@ -101,6 +102,7 @@
     isSticky: false,
     homeRegions: [],
     weightedServices: [{ service: service.id, weight: 1 }],
+    isPublic: false,
 };
 const table = createRouteTable({
     version: 1,
@@ -108,6 +110,8 @@
     services: [service],
     limits: { maxHeaderBytes: 0, maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 },
     unreadableRoutes: [],
+    workspaces: [],
+    hasUnreadableKeys: false,
     faults: [],
 });
 
@@ -251,6 +255,8 @@
                 prices: { dataCentre: 0.02, region: 0.01 },
             }),
             routeTable: () => table,
+            workspaces: () => emptyWorkspaceDirectory,
+            areKeysStale: () => false,
             findService: () => service,
             isEvacuated: () => false,
             onTargetChanged: () => {},
@@ -277,6 +283,7 @@
                 onWorkCompleted: () => {},
                 onPoisonCleared: (job, cleared) => poisonReporting.onCleared(job.request, cleared),
                 onPoisonRefused: poisonReporting.onRefused,
+                onWorkspaceRefused: () => {},
                 onEnded: () => {},
             },
         });
@@ -335,6 +342,7 @@
             bodyBytes: 0,
             fingerprint: () => fingerprint,
             describeFingerprint: () => "",
+            keyDigest: undefined,
         };
         entry.steering.dispatcher.submit(request, onResponse);
     };
--- a/packages/steer/src/settings/settings.ts
+++ b/packages/steer/src/settings/settings.ts
@@ -23,6 +23,10 @@
     readonly cold: { readonly overshoot: number; readonly slack: number; };
     /** Largest change, from one 2 s window to the next, of the share of a region's requests that run elsewhere. */
     readonly regionShift: number;
+    /** When requests that need a key are refused for lack of contact: removed keys may be unknown to this entry. */
+    readonly revocation: { readonly maxContactAgeMs: number; readonly isStrict: boolean; };
+    /** Tolerance of the quotas of workspaces in any window: a share of the quota, and a number of requests. */
+    readonly quota: { readonly windowMs: number; readonly overshoot: number; readonly slack: number; };
     /** Time from the stop request until the process is killed. */
     readonly stopGraceMs: number;
     /** Fraction of the time for which the event loop may be busy before it is logged. */
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -8,6 +8,7 @@
 import { createSteering, type Steering } from "@pimentospring/core/steering/steering";
 import type { Service, SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { Target } from "@pimentospring/core/steering/target";
+import { createWorkspaceDirectory, emptyWorkspaceDirectory } from "@pimentospring/core/steering/workspaceDirectory";
 import { createRouter, listenOn } from "@pimentospring/runtime/http/jsonServer";
 import { type ListenerOptions, openListener } from "@pimentospring/runtime/http/openListener";
 import type { Log } from "@pimentospring/runtime/logs/log";
@@ -104,6 +105,7 @@
     };
     let document: SteeringDocument | undefined;
     let routeTable: RouteTable | undefined;
+    let workspaces = emptyWorkspaceDirectory;
     let services = new Map<ServiceId, Service>();
     let stopDeadline = Infinity;
     let stopRequestedAt: number | undefined;
@@ -141,6 +143,7 @@
         timer,
         headerCodec,
         connections,
+        needsKeys: () => workspaces.needsKeys,
         roundTripMs: dataCentre => steering.topology.roundTripMs(dataCentre),
         dispatcher: () => dispatcher,
     });
@@ -162,6 +165,8 @@
         poisonList,
         bounds: () => settings,
         routeTable: () => routeTable,
+        workspaces: () => workspaces,
+        areKeysStale: () => settings.revocation.isStrict && replication.contactAgeMs() > settings.revocation.maxContactAgeMs,
         findService: id => services.get(id),
         isEvacuated: dataCentre => projection.isEvacuated(dataCentre),
         onTargetChanged: (target, change) => {
@@ -192,6 +197,7 @@
         onDocumentAccepted: next => {
             document = next;
             routeTable = createRouteTable(next);
+            workspaces = createWorkspaceDirectory(next);
             services = new Map(next.services.map(service => [service.id, service]));
             steering.roundRobin.retainRoutes(next.routes);
             callerServer.setLimits(next.limits);
@@ -203,6 +209,7 @@
         headerCodec,
         dispatcher: () => dispatcher,
         register: targetSender.register,
+        needsKeys: () => workspaces.needsKeys,
         isAccepting: () => timer.now() < (stopRequestedAt ?? Infinity) + acceptGraceMs,
         stopDeadline: () => stopDeadline,
     });
--- a/packages/steer/src/store/__tests__/deploymentItems.ts
+++ b/packages/steer/src/store/__tests__/deploymentItems.ts
@@ -1,5 +1,6 @@
 /** Keys and values of the items in the store of a simulated deployment. */
 import { type TargetId, toDataCentreId, toRegionId, toServiceId, toTargetId } from "@pimentospring/core/ids";
+import type { SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { StoreItemDecoder } from "../storeItems.js";
 
 export const configurationKey = "config";
@@ -9,6 +10,17 @@
 export const formatTarget = (isDraining: boolean): string => (isDraining ? "draining" : "ready");
 export const formatConfiguration = (version: number): string => String(version);
 
+/** What a document holds besides its version. */
+export const emptyDocument: Omit<SteeringDocument, "version"> = {
+    routes: [],
+    unreadableRoutes: [],
+    services: [],
+    workspaces: [],
+    hasUnreadableKeys: false,
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    faults: [],
+};
+
 export const deploymentItemDecoder: StoreItemDecoder = {
     parseKey: key =>
         key === configurationKey
@@ -18,14 +30,7 @@
             : { kind: "other" },
     decodeDocument: value => ({
         isValid: true,
-        value: {
-            version: Number(value.toString()),
-            routes: [],
-            unreadableRoutes: [],
-            services: [],
-            limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-            faults: [],
-        },
+        value: { ...emptyDocument, version: Number(value.toString()) },
     }),
     decodeTarget: (id, value) => ({
         isValid: true,
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -17,6 +17,7 @@
 import { createStoreProjection } from "../storeProjection.js";
 import { createStoreReplica, type StoreReplica } from "../storeReplica.js";
 import { createWatcherElection } from "../watcherElection.js";
+import { emptyDocument } from "./deploymentItems.js";
 import { createFakeStore, type FakeStore } from "./fakeStore.js";
 
 const location = { dataCentre: toDataCentreId("cpt-a"), region: toRegionId("cpt") };
@@ -400,10 +401,9 @@
             : { kind: "target", id: toTargetId(key) },
     decodeDocument: value => {
         const version = Number(value.toString());
-        const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
         return Number.isNaN(version)
             ? { isValid: false, reason: "no number" }
-            : { isValid: true, value: { version, routes: [], unreadableRoutes: [], services: [], limits, faults: [] } };
+            : { isValid: true, value: { ...emptyDocument, version } };
     },
     decodeTarget: (id, value) =>
         value.length === 0
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -51,6 +51,8 @@
     /** Takes the heartbeat of an entry that is not a known member. */
     onUnknownHeartbeat(heartbeat: Heartbeat): void;
     freshness(): Freshness;
+    /** Time since the store last responded or a peer was last heard from, in milliseconds. */
+    contactAgeMs(): number;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     storeFailureAgeMs(): number | undefined;
     /** Writes this entry's record again. */
@@ -79,6 +81,7 @@
     const watcherElection = createWatcherElection({ timer, self, members });
     const startedAt = timer.now();
     let lastSilenceAt = -Infinity;
+    let lastPeerAt = -Infinity;
     /** Whether calls of other entries may still hang from a failure of the store. */
     const isRecovering = (): boolean => timer.now() - Math.max(startedAt, lastSilenceAt, replica.lastTroubleAt()) < recoveryMs;
     const announceRevision = (): void => options.announceRevision(isRecovering() ? "everywhere" : "dataCentre");
@@ -145,6 +148,7 @@
             registration.start();
         },
         onHeartbeat: (heartbeat, sender) => {
+            lastPeerAt = timer.now();
             freshness.recordPeerRevision(heartbeat.revision);
             replica.recordPeerRevision(heartbeat.revision);
             if (heartbeat.isWatching && !heartbeat.isLeaving) {
@@ -154,6 +158,7 @@
         },
         onUnknownHeartbeat: ({ revision }) => freshness.recordUnknownPeerRevision(revision),
         freshness: freshness.current,
+        contactAgeMs: () => timer.now() - Math.max(startedAt, lastPeerAt, store.lastResponseAt()),
         storeFailureAgeMs: failures.ageMs,
         markRegistrationLost: registration.markLost,
         deregister: registration.deregister,
--- a/packages/steer/src/targets/__tests__/foreignResponses.test.ts
+++ b/packages/steer/src/targets/__tests__/foreignResponses.test.ts
@@ -66,7 +66,14 @@
         handleConnectionFailure: (attempt: Attempt<ReceivedResponse>, reason: string) =>
             waiting.get(attempt.id)!(`failed: ${reason}`),
     } as unknown as RequestDispatcher<ReceivedResponse>;
-    const sender = createTargetSender({ timer, headerCodec, connections, roundTripMs: () => 100, dispatcher: () => dispatcher });
+    const sender = createTargetSender({
+        timer,
+        headerCodec,
+        connections,
+        needsKeys: () => false,
+        roundTripMs: () => 100,
+        dispatcher: () => dispatcher,
+    });
     let attempts = 0;
     const ask = (id: string): Promise<string> => {
         const request = { id: toRequestId(id) };
@@ -75,7 +82,7 @@
         sender.register(request, caller as unknown as CallerRequest, () => {});
         const attempt = {
             id: toAttemptId(++attempts),
-            job: { request, route: { isIdempotent: false }, responseDueAt: timer.now() + 2_000 },
+            job: { request, route: { isIdempotent: false }, terms: {}, responseDueAt: timer.now() + 2_000 },
             target: {
                 record: { address, id: toTargetId("t"), dataCentre: toDataCentreId("cpt-a") },
                 noConnectionReuseUntil: -Infinity,
--- a/packages/steer/src/targets/targetSender.ts
+++ b/packages/steer/src/targets/targetSender.ts
@@ -14,6 +14,8 @@
     readonly timer: Timer;
     readonly headerCodec: HeaderCodec;
     readonly connections: TargetConnections;
+    /** Whether requests need the key of a workspace. */
+    readonly needsKeys: () => boolean;
     readonly roundTripMs: (dataCentre: DataCentreId) => number;
     readonly dispatcher: () => RequestDispatcher<ReceivedResponse>;
 }
@@ -35,7 +37,6 @@
 
 interface RegisteredRequest {
     readonly caller: CallerRequest;
-    readonly headers: readonly string[];
     readonly onNoMemory: () => void;
 }
 
@@ -45,17 +46,21 @@
     const cancels = new Map<AttemptId, () => void>();
 
     const isReplacedHeader = (name: string): boolean => name === "content-length" || headerCodec.isReservedHeader(name);
-    const headersFor = (job: Job<ReceivedResponse>, registeredRequest: RegisteredRequest, target: string): string[] => {
+    /** The document may have got its workspaces only after the request arrived, so that this depends on each attempt. */
+    const isDroppedHeader = (name: string): boolean =>
+        isReplacedHeader(name) || (options.needsKeys() && headerCodec.isWorkspaceHeader(name));
+    const headersFor = (job: Job<ReceivedResponse>, caller: CallerRequest, target: string): string[] => {
         const remainingMs = Math.max(1, Math.floor(job.responseDueAt - timer.now() - responseTransitMs));
-        const headers = [...registeredRequest.headers];
-        headerCodec.encodeTargetHeaders(remainingMs, target).forEach(([name, value]) => headers.push(name, value));
+        const headers = endToEndHeaders(caller.rawHeaders, isDroppedHeader);
+        headerCodec.encodeTargetHeaders(remainingMs, target, job.terms.workspace?.id)
+            .forEach(([name, value]) => headers.push(name, value));
         return headers;
     };
     const decodeHead = (response: TargetResponse): TargetResponseHead =>
         headerCodec.decodeResponse(response.status, headerReader(response.rawHeaders), response.body.length);
     return {
         register: (request, caller, onNoMemory) => {
-            registered.set(request, { caller, onNoMemory, headers: endToEndHeaders(caller.rawHeaders, isReplacedHeader) });
+            registered.set(request, { caller, onNoMemory });
             return () => registered.delete(request);
         },
         send: attempt => {
@@ -71,7 +76,7 @@
                     id: job.request.id,
                     method: caller.method,
                     path: caller.path,
-                    headers: headersFor(job, registeredRequest, target.record.id),
+                    headers: headersFor(job, caller, target.record.id),
                     body: hasBody ? caller.body : undefined,
                 },
                 needsNewConnection,
--- a/packages/steer/src/wire/headerCodec.ts
+++ b/packages/steer/src/wire/headerCodec.ts
@@ -21,13 +21,17 @@
 
 export interface HeaderCodec {
     decodeCallerHeaders(header: HeaderReader): CallerHeaders;
+    /** The key of the caller's workspace, as it was received. Keys are secrets: only its digest may be kept. */
+    decodeKey(header: HeaderReader): string | undefined;
+    /** Whether the header carries a key or names a workspace, so that where requests need keys no caller's value is forwarded. */
+    isWorkspaceHeader(name: string): boolean;
     /** Whether the daemon sets this header on requests to targets, so that a caller's value is not forwarded. */
     isReservedHeader(name: string): boolean;
     /**
      * Headers of a request to a target: remaining time in whole milliseconds, and the id of the target that must handle
-     * it.
+     * it, and the name of the request's workspace, if it has one.
      */
-    encodeTargetHeaders(deadlineMs: number, target: string): readonly (readonly [string, string])[];
+    encodeTargetHeaders(deadlineMs: number, target: string, workspace?: string): readonly (readonly [string, string])[];
     decodeResponse(status: number, header: HeaderReader, bodyBytes: number): TargetResponseHead;
     decodeHealthResponse(status: number, header: HeaderReader, target: string): HealthCheckResult;
 }
--- a/scripts/src/__tests__/docs.test.ts
+++ b/scripts/src/__tests__/docs.test.ts
@@ -81,6 +81,8 @@
             repeats: { ratio: 0, slack: 0, windowMs: 1 },
             cold: { overshoot: 1, slack: 0 },
             regionShift: 0,
+            revocation: { maxContactAgeMs: 1, isStrict: false },
+            quota: { windowMs: 1, overshoot: 0, slack: 0 },
             maxLoopUtilization: 0.9,
             stopGraceMs: 1,
             prices: defaultTransferPrices,
