test(steer): jobs of the request log have terms

Cause: requestLog reads the workspace of a job from its terms, which the jobs of its test lacked; the test could not run when that was written. Change: the test's jobs have terms.

--- a/packages/steer/src/observe/__tests__/requestLog.test.ts
+++ b/packages/steer/src/observe/__tests__/requestLog.test.ts
@@ -42,6 +42,7 @@
             const job = {
                 request: { id, arrivedAt: timer.now(), deadlineAt: timer.now() + 1_000 },
                 route: { name: "r", priority: 1 },
+                terms: {},
                 service: "s",
                 objectiveAt: timer.now() + 500,
                 writtenAttempts: 1,
