feat(core): workspaces take turns while targets are full; removed keys are refused in the queue

Cause: among queued requests of equal urgency and priority, a workspace with a long queue delayed all others. A queued request whose key a newer document removed waited for a slot before it was refused. A request that was queued before the first document with workspaces got 401 whatever its key, and a queued one was sent though keys may be stale. Change: requests that are equally late and of equal priority take turns by workspace (start-time fair queueing, weighted by the quota's rate over the mean); countAhead uses the same order in one pass. An arrival of a workspace gets a free slot after the requests before it; workspaces with other homes are no obstacle to each other. All queued requests are checked when a newer document comes. The key digest is kept whether or not requests need keys; retries of callers are told apart by it only where they do. Without workspaces the order is the one before.

--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -5,34 +5,38 @@
  */
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
-import type { Job, SteeringRequest } from "./job.js";
+import type { Job } from "./job.js";
 
 export interface CallerRetryTracker {
     /** Records that a request was refused and may be sent again. */
-    recordRefusal(request: SteeringRequest): void;
+    recordRefusal(asked: AskedRequest): void;
     /** Whether the request was refused recently; each refusal counts for one retry. */
-    consumeRefusal(request: SteeringRequest): boolean;
+    consumeRefusal(asked: AskedRequest): boolean;
 }
 
+type AskedRequest = Pick<Job<unknown>, "request" | "terms">;
+
 const refusalRetentionMs = 8_000;
 const maxRefusals = 4_000;
 
 export function createCallerRetryTracker(timer: Timer): CallerRetryTracker {
     const refusedAt = new Map<string, number>();
-    /** The same request of another caller, or with the key of another workspace, is no retry. */
-    const keyOf = ({ callerAddress, keyDigest, fingerprint }: SteeringRequest): string =>
-        `${callerAddress} ${keyDigest ?? ""} ${fingerprint()}`;
+    /** The same request of another caller is no retry, nor is the one with another key where requests need keys. */
+    const keyOf = ({ request, terms }: AskedRequest): string => {
+        const { callerAddress, keyDigest, fingerprint } = request;
+        return `${callerAddress} ${(terms.directory.needsKeys ? keyDigest : undefined) ?? ""} ${fingerprint()}`;
+    };
     return {
-        recordRefusal: request => {
-            const key = keyOf(request);
+        recordRefusal: asked => {
+            const key = keyOf(asked);
             refusedAt.delete(key);
             refusedAt.set(key, timer.now());
             if (refusedAt.size > maxRefusals) {
                 refusedAt.delete(refusedAt.keys().next().value!);
             }
         },
-        consumeRefusal: request => {
-            const key = keyOf(request);
+        consumeRefusal: asked => {
+            const key = keyOf(asked);
             const at = refusedAt.get(key);
             return at !== undefined && refusedAt.delete(key) && timer.now() - at < refusalRetentionMs;
         },
--- a/packages/core/src/steering/job.ts
+++ b/packages/core/src/steering/job.ts
@@ -14,7 +14,7 @@
     readonly path: string;
     /** Identifies the object that the request is about, if the caller names one. */
     readonly objectId: string | undefined;
-    /** Digest of the key that the request carries; `undefined` without one, or where the document has no workspaces. */
+    /** Digest of the key that the request carries, whether or not requests need one. */
     readonly keyDigest: KeyDigest | undefined;
     /** Network address that the request came from; copies of a request may come from several. */
     readonly callerAddress: string;
--- a/packages/core/src/steering/jobCompletion.ts
+++ b/packages/core/src/steering/jobCompletion.ts
@@ -72,7 +72,7 @@
             endUnanswered(job, result, why);
         }
         else {
-            callerRetries.recordRefusal(job.request);
+            callerRetries.recordRefusal(job);
             const wait = retryAfterMs({
                 job,
                 now: timer.now(),
--- a/packages/core/src/steering/jobIntake.ts
+++ b/packages/core/src/steering/jobIntake.ts
@@ -87,7 +87,7 @@
         }
         const service = options.roundRobin.nextService(route);
         options.retryBudget.deposit(service);
-        const isCallerRetry = options.callerRetries.consumeRefusal(request);
+        const isCallerRetry = options.callerRetries.consumeRefusal({ request, terms });
         const job = createJob<Answer>({ request, route, service, terms, giveBackQuota: admission.giveBack, isCallerRetry });
         if (route.isSticky && request.objectId !== undefined) {
             objectAffinity.recordUse(service, objectKey(route, request.objectId));
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -32,7 +32,7 @@
 import type { ScoredTarget, TargetSelector } from "./targetSelector.js";
 import type { WeightedRoundRobin } from "./weightedRoundRobin.js";
 import type { WorkspaceDirectory } from "./workspaceDirectory.js";
-import { decideWorkspace } from "./workspaceTerms.js";
+import { createWorkspaceReview } from "./workspaceReview.js";
 import type { WorkTimes } from "./workTimes.js";
 
 export interface RequestDispatcher<Answer> {
@@ -108,6 +108,7 @@
         jobs: completion.openJobs,
         onPoisonCleared: events.onPoisonCleared,
     });
+    const workspaceReview = createWorkspaceReview<Answer>({ ...options, openJobs: completion.openJobs, reject: rejectJob });
     const inFlight = createInFlightCounts();
     let attempts = 0;
 
@@ -187,30 +188,16 @@
         target.recentArrivals.add();
         target.isUntried = false;
         options.regionShift.recordSent(!options.isOwnRegion(target));
+        queue.recordSent(job);
         events.onAttemptStarted(attempt, selected);
         options.send(attempt);
     };
     /** The objective of a caller retry counts from its first arrival and has therefore passed already. */
     const latestStartOf = (job: Job<Answer>): number =>
         job.isCallerRetry ? job.request.arrivedAt : job.objectiveAt - targetSelector.minWorkMs(job);
-    /** Refuses a job whose key a newer document no longer contains; returns whether it did. */
-    const isRefusedByNewDocument = (job: Job<Answer>): boolean => {
-        const directory = options.workspaces();
-        if (job.terms.directory === directory) {
-            return false;
-        }
-        const { route, request } = job;
-        const decision = decideWorkspace({ directory, route, key: request.keyDigest, areKeysStale: false });
-        if (decision.kind === "refused") {
-            rejectJob(job, decision.result, "the document in force no longer admits the request's key");
-            return true;
-        }
-        job.terms = decision.terms;
-        return false;
-    };
     const trySend = (queued: QueuedRequest<Answer>): "sent" | "full" | "deferred" | "held" | "refused" => {
         const { job } = queued;
-        if (isRefusedByNewDocument(job)) {
+        if (workspaceReview.rejectIfNotAdmitted(job)) {
             return "refused";
         }
         const admission = poisonGate.admit(job);
@@ -238,19 +225,38 @@
         send(job, bestFree);
         return "sent";
     };
-    /** Tries only the first few requests: if none of them finds a slot, those behind them rarely do. */
+    /**
+     * Tries only the first few requests: if none of them finds a slot, those behind them rarely do. Workspaces with other
+     * home regions are counted by themselves, since one whose regions are full must not hold up the others.
+     */
     const dispatchService = (service: ServiceId): void => {
-        let attemptsLeft = maxFailedPlacements;
+        if (!targetSelector.hasFreeSlot(service)) {
+            return;
+        }
+        const failuresByHomes = new Map<string, number>();
         for (const queued of queue.inServiceOrder(service, timer.now())) {
-            if (attemptsLeft === 0 || !targetSelector.hasFreeSlot(service)) {
+            const homes = queued.job.terms.workspace?.homeRegions.join() ?? "";
+            const failures = failuresByHomes.get(homes) ?? 0;
+            if (failures >= maxFailedPlacements) {
+                continue;
+            }
+            if (!targetSelector.hasFreeSlot(service)) {
                 return;
             }
             const outcome = queued.job.state === "waiting" ? trySend(queued) : "sent";
             if (outcome === "full" || outcome === "deferred") {
-                attemptsLeft--;
+                failuresByHomes.set(homes, failures + 1);
             }
         }
     };
+    /** Requests that are served before an arrival get free slots before it, if they can use them. */
+    const placeArrival = (queued: QueuedRequest<Answer>): ReturnType<typeof trySend> => {
+        const { job } = queued;
+        if (job.terms.workspace !== undefined && queue.queuedCount(job.service) > 1) {
+            dispatchService(job.service);
+        }
+        return job.state === "waiting" ? trySend(queued) : job.state === "sent" ? "sent" : "refused";
+    };
     /** Rejects a job that found no slot, or schedules the next review at the time when the decision could change. */
     const keepOrReject = (queued: QueuedRequest<Answer>): void => {
         const { job } = queued;
@@ -296,10 +302,9 @@
         }
     };
     const enqueue = (job: Job<Answer>): void => {
-        const queued = { job, latestStartAt: latestStartOf(job) };
         job.state = "waiting";
-        queue.add(queued);
-        const outcome = trySend(queued);
+        const queued = queue.add(job, latestStartOf(job));
+        const outcome = placeArrival(queued);
         pressure.record(job.service, outcome === "full");
         if (outcome !== "sent" && outcome !== "refused") {
             events.onQueued(job, pressure.levelOf(job.service));
@@ -441,6 +446,7 @@
             }
         },
         dispatchQueued: () => {
+            workspaceReview.reviewQueuedJobs();
             for (const service of queue.services()) {
                 dispatchService(service);
             }
--- a/packages/core/src/steering/requestQueue.ts
+++ b/packages/core/src/steering/requestQueue.ts
@@ -1,30 +1,43 @@
 /**
  * Requests that wait for a slot, in the order in which they get one. Requests that can still meet their latency
- * objective come first, ordered by the route's priority and then by latest start time. Late requests follow: caller
- * retries first, then by the route's priority and then by arrival time.
+ * objective come first, ordered by their priority and then by latest start time. Late requests follow: caller retries
+ * first, then by priority and then by arrival time. Where requests have workspaces, `workspaceOrder.ts` interleaves them.
  */
 import type { ServiceId } from "../ids.js";
 import type { Job } from "./job.js";
+import { countAheadInTurns, sortByTurns } from "./workspaceOrder.js";
+import { createWorkspaceTurns } from "./workspaceTurns.js";
 
 export interface QueuedRequest<Answer> {
     readonly job: Job<Answer>;
     /** Latest start time that still meets the latency objective. */
     readonly latestStartAt: number;
+    /** Increases with each request that is queued. */
+    readonly sequence: number;
+}
+
+/** Number of requests served before one, and how many of them can still meet their objective. */
+export interface QueuePosition {
+    readonly ahead: number;
+    readonly aheadInTime: number;
 }
 
 export interface RequestQueue<Answer> {
-    add(queued: QueuedRequest<Answer>): void;
+    add(job: Job<Answer>, latestStartAt: number): QueuedRequest<Answer>;
     remove(job: Job<Answer>): void;
+    /** Records that a job was sent to a target, whether or not it had waited. */
+    recordSent(job: Job<Answer>): void;
     /** Queued requests of a service in the order in which they are served at `now`. */
     inServiceOrder(service: ServiceId, now: number): readonly QueuedRequest<Answer>[];
-    /** Number of requests served before this one, and how many of them can still meet their objective. */
-    countAhead(queued: QueuedRequest<Answer>, now: number): { readonly ahead: number; readonly aheadInTime: number; };
+    countAhead(queued: QueuedRequest<Answer>, now: number): QueuePosition;
     queuedCount(service: ServiceId): number;
     services(): Iterable<ServiceId>;
 }
 
 export function createRequestQueue<Answer>(): RequestQueue<Answer> {
     const queues = new Map<ServiceId, QueuedRequest<Answer>[]>();
+    const turns = createWorkspaceTurns();
+    let sequence = 0;
     const queueOf = (service: ServiceId): QueuedRequest<Answer>[] => {
         let list = queues.get(service);
         if (list === undefined) {
@@ -34,8 +47,10 @@
         return list;
     };
     return {
-        add: queued => {
-            queueOf(queued.job.service).push(queued);
+        add: (job, latestStartAt) => {
+            const queued = { job, latestStartAt, sequence: ++sequence };
+            queueOf(job.service).push(queued);
+            return queued;
         },
         remove: job => {
             const list = queueOf(job.service);
@@ -44,9 +59,18 @@
                 list.splice(at, 1);
             }
         },
-        inServiceOrder: (service, now) => queueOf(service).slice().sort((a, b) => compareQueuedRequests(a, b, now)),
+        recordSent: turns.recordSent,
+        inServiceOrder: (service, now) => {
+            const list = queueOf(service);
+            return list.some(hasWorkspace)
+                ? sortByTurns(list, turns, now)
+                : list.slice().sort((a, b) => compareQueuedRequests(a, b, now));
+        },
         countAhead: (queued, now) => {
             const list = queueOf(queued.job.service);
+            if (list.some(hasWorkspace)) {
+                return countAheadInTurns(queued, list, turns, now);
+            }
             const before = list.filter(other => other !== queued && compareQueuedRequests(other, queued, now) < 0);
             return { ahead: before.length, aheadInTime: before.filter(other => other.latestStartAt >= now).length };
         },
@@ -55,7 +79,9 @@
     };
 }
 
-/** Negative if `a` is served before `b`. */
+const hasWorkspace = ({ job }: QueuedRequest<unknown>): boolean => job.terms.workspace !== undefined;
+
+/** Negative if `a` is served before `b`, without regard to workspaces. */
 export function compareQueuedRequests(a: QueuedRequest<unknown>, b: QueuedRequest<unknown>, now: number): number {
     const isLateA = a.latestStartAt < now;
     const isLateB = b.latestStartAt < now;
--- a/packages/core/src/steering/workspaceDirectory.ts
+++ b/packages/core/src/steering/workspaceDirectory.ts
@@ -15,8 +15,13 @@
     /** Whether requests need keys, since the document has workspaces. */
     readonly needsKeys: boolean;
     ownerOf(key: KeyDigest | undefined): KeyOwner;
+    /** Weight of a workspace's requests among those of others, 1 on average. Requests without a workspace share one weight. */
+    weightOf(workspace: Workspace | undefined): number;
 }
 
+/** Smallest weight. A workspace whose quota is far below the average still gets slots for a few requests at a time. */
+const minWeight = 0.1;
+
 const unknownOwner: KeyOwner = { kind: "unknown" };
 const undecidedOwner: KeyOwner = { kind: "undecided" };
 
@@ -30,11 +35,14 @@
             owners.set(key, owners.has(key) ? undecidedOwner : { kind: "workspace", workspace });
         }
     }
+    const rates = workspaces.flatMap(({ quota }) => quota === undefined ? [] : [quota.ratePerSecond]);
+    const meanRate = rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
     const unlistedOwner = document.hasUnreadableKeys ? undecidedOwner : unknownOwner;
     return {
         workspaces,
         needsKeys: workspaces.length > 0,
         ownerOf: key => key === undefined ? unknownOwner : owners.get(key) ?? unlistedOwner,
+        weightOf: workspace => workspace?.quota === undefined ? 1 : Math.max(minWeight, workspace.quota.ratePerSecond / meanRate),
     };
 }
 
--- a/packages/core/src/steering/workspaceTerms.ts
+++ b/packages/core/src/steering/workspaceTerms.ts
@@ -14,6 +14,8 @@
     readonly priority: number;
     /** Regions in which the request may run; empty means all. */
     readonly homeRegions: readonly RegionId[];
+    /** Slots that the workspace gets while requests wait, relative to other workspaces. */
+    readonly weight: number;
 }
 
 export type WorkspaceDecision =
@@ -63,6 +65,7 @@
         workspace,
         priority: workspace?.priority ?? route.priority,
         homeRegions: commonRegions(route.homeRegions, workspace?.homeRegions ?? []),
+        weight: directory.weightOf(workspace),
     };
 }
 
--- /dev/null
+++ b/packages/core/src/steering/workspaceTurns.ts
@@ -0,0 +1,65 @@
+/**
+ * Turns of workspaces by weighted fair queueing, for each service and priority. A request that is sent uses its
+ * workspace's next turn, and the turn after it comes later by the inverse of the workspace's weight. Requests that are
+ * refused or leave while they wait use no turn.
+ */
+import type { ServiceId, WorkspaceId } from "../ids.js";
+import type { Job } from "./job.js";
+
+export interface WorkspaceTurns {
+    /** Next turn of the job's workspace, in virtual time. */
+    nextTurn(job: TurnTaker): number;
+    recordSent(job: TurnTaker): void;
+}
+
+export type TurnTaker = Pick<Job<unknown>, "service" | "terms">;
+
+interface VirtualClock {
+    /** Latest turn that was used. Workspaces start there after a pause, so that unused turns are not saved up. */
+    now: number;
+    readonly nextTurns: Map<WorkspaceId | undefined, number>;
+}
+
+/** Workspaces for which a clock keeps turns before it drops those that have passed. */
+const maxWorkspaces = 1_000;
+
+/** Virtual time between two turns of the job's workspace. */
+export const turnInterval = ({ terms }: TurnTaker): number => 1 / terms.weight;
+
+export function createWorkspaceTurns(): WorkspaceTurns {
+    const clocks = new Map<ServiceId, Map<number, VirtualClock>>();
+    const findClock = ({ service, terms }: TurnTaker): VirtualClock | undefined => clocks.get(service)?.get(terms.priority);
+    const clockOf = (job: TurnTaker): VirtualClock => {
+        const found = findClock(job);
+        if (found !== undefined) {
+            return found;
+        }
+        const clock: VirtualClock = { now: 0, nextTurns: new Map() };
+        clocks.set(job.service, (clocks.get(job.service) ?? new Map<number, VirtualClock>()).set(job.terms.priority, clock));
+        return clock;
+    };
+    const turnAt = (clock: VirtualClock, { terms }: TurnTaker): number =>
+        Math.max(clock.now, clock.nextTurns.get(terms.workspace?.id) ?? 0);
+    return {
+        nextTurn: job => {
+            const clock = findClock(job);
+            return clock === undefined ? 0 : turnAt(clock, job);
+        },
+        recordSent: job => {
+            const clock = clockOf(job);
+            clock.now = turnAt(clock, job);
+            clock.nextTurns.set(job.terms.workspace?.id, clock.now + turnInterval(job));
+            if (clock.nextTurns.size > maxWorkspaces) {
+                dropPassedTurns(clock);
+            }
+        },
+    };
+}
+
+function dropPassedTurns({ now, nextTurns }: VirtualClock): void {
+    for (const [workspace, turn] of nextTurns) {
+        if (turn <= now) {
+            nextTurns.delete(workspace);
+        }
+    }
+}
--- a/packages/steer/src/callers/__tests__/requestHandler.test.ts
+++ b/packages/steer/src/callers/__tests__/requestHandler.test.ts
@@ -21,6 +21,7 @@
         log: { write: (event, fields) => lines.push([event.number, fields]) },
         headerCodec: {
             decodeCallerHeaders: () => ({ id: "one", deadlineMs: 1_000, objectId: undefined }),
+            decodeKey: () => undefined,
         } as unknown as HeaderCodec,
         dispatcher: () =>
             ({
--- a/packages/steer/src/callers/requestHandler.ts
+++ b/packages/steer/src/callers/requestHandler.ts
@@ -55,13 +55,15 @@
             responder.refuse(results.unexpectedError, undefined);
         }
     };
-    /** Only the digest of the key is kept, and neither the key nor a workspace that the caller names is forwarded. */
+    /**
+     * Only the digest of the key is kept, and neither the key nor a workspace that the caller names is forwarded. Where
+     * requests need no key both headers stay, but the digest is needed if that changes while the request waits.
+     */
     const takeKey = (caller: CallerRequest): KeyDigest | undefined => {
-        if (!options.needsKeys()) {
-            return undefined;
-        }
         const key = headerCodec.decodeKey(caller.header);
-        caller.removeHeaders(headerCodec.isWorkspaceHeader);
+        if (options.needsKeys()) {
+            caller.removeHeaders(headerCodec.isWorkspaceHeader);
+        }
         // Header values are received as Latin-1, one character for each byte.
         return key === undefined ? undefined : digestKey(Buffer.from(key, "latin1"));
     };
