feat(steer): redacted documents, and workspaces in status, metrics and on call pages

Cause: plain keys stayed in the replica's raw document, from which peers synchronise. Workspaces were in no status or metric. Change: a document is redacted as it enters the replica, from the store or a peer: keys become {"sha256": DIGEST}, which is decoded like a key. GET /status lists workspaces with quota and requests; two counters show the 20 busiest; pimento_requests_total has the priority by which requests are ordered. Pages for operators, a design note, terms.

--- a/packages/core/src/steering/steeringStatus.ts
+++ b/packages/core/src/steering/steeringStatus.ts
@@ -1,5 +1,6 @@
 /** Status that a steering entry reports to operators as JSON on its control address. */
-import type { DataCentreId, InstanceId, RegionId, ServiceId, TargetId } from "../ids.js";
+import type { DataCentreId, InstanceId, RegionId, ServiceId, TargetId, WorkspaceId } from "../ids.js";
+import type { Quota } from "../limits/sharedLimit.js";
 import type { DocumentFault } from "./steeringDocument.js";
 
 export interface TargetStatus {
@@ -26,6 +27,17 @@
     readonly targets: readonly TargetStatus[];
 }
 
+/** A workspace of the active configuration, and its requests at this entry since the start of the process. */
+export interface WorkspaceStatus {
+    readonly workspace: WorkspaceId;
+    /** Limit over all entries; `undefined` without one. */
+    readonly quota: Quota | undefined;
+    readonly priority: number | undefined;
+    readonly homes: readonly RegionId[];
+    readonly requests: number;
+    readonly refused: number;
+}
+
 /** How current an entry's copy of the store is; times in milliseconds, `undefined` ones are left out. */
 export interface ReplicaFreshnessStatus {
     /** Highest store revision announced by a member, and by an entry that is not a known member. */
@@ -58,6 +70,8 @@
     /** Other live entries. */
     readonly entries: readonly { readonly instance: InstanceId; readonly control: string; }[];
     readonly services: readonly ServiceStatus[];
+    /** `undefined` from entries of versions before it was reported. */
+    readonly workspaces: readonly WorkspaceStatus[] | undefined;
 }
 
 /** How an entry would handle a request; fields are `undefined` if no route matches. */
--- a/packages/standin/src/direct/operatorStandin.ts
+++ b/packages/standin/src/direct/operatorStandin.ts
@@ -21,8 +21,15 @@
     readonly startedAt: number;
 }
 
+export interface WorkspaceItem {
+    readonly name: string;
+    readonly keys: readonly unknown[];
+    readonly homeRegions?: readonly string[];
+    readonly ratePerSecond?: number;
+}
+
 export interface Operator {
-    configure(version: number, routes: readonly RouteItem[]): void;
+    configure(version: number, routes: readonly RouteItem[], workspaces?: readonly WorkspaceItem[]): void;
     announce(target: TargetItem): void;
     withdraw(targetId: string): void;
     /** Starts or ends the evacuation of a data centre, during which its targets get no requests. */
@@ -50,14 +57,22 @@
             homeRegions: [],
         },
     });
+    const workspaceItem = ({ name, keys, homeRegions, ratePerSecond }: WorkspaceItem): object => ({
+        resourceKind: "tenants",
+        metadata: { name },
+        specification: { apiKeys: keys, homeRegions, ratePerS: ratePerSecond, burst: ratePerSecond },
+    });
     return {
-        configure: (version, routes) => {
+        configure: (version, routes, workspaces = []) => {
             const services = [...new Set(routes.flatMap(route => Object.keys(route.parts)))].map(name => ({
                 resourceKind: "services",
                 metadata: { name },
                 specification: { healthCheckPath: "/health" },
             }));
-            store.put("op/config", { version, resources: [...routes.map(routeItem), ...services] });
+            store.put("op/config", {
+                version,
+                resources: [...routes.map(routeItem), ...services, ...workspaces.map(workspaceItem)],
+            });
         },
         announce: target =>
             store.put(targetKey(target.id), {
--- a/packages/steer/src/observe/__tests__/requestLog.test.ts
+++ b/packages/steer/src/observe/__tests__/requestLog.test.ts
@@ -1,5 +1,6 @@
 /** Each answered request can be found in the log, with what tells whether its answer was whole. */
 import type { Job } from "@pimentospring/core/steering/job";
+import { emptyWorkspaceDirectory } from "@pimentospring/core/steering/workspaceDirectory";
 import { createVirtualTimer } from "@pimentospring/core/time/virtualTimer";
 import type { LogFields } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
@@ -10,6 +11,7 @@
 import { createSteerMetrics } from "../metrics.js";
 import { createRequestLog } from "../requestLog.js";
 import { createRouteStatistics } from "../routeStatistics.js";
+import { createWorkspaceStatistics } from "../workspaceStatistics.js";
 
 interface LoggedRequests {
     readonly end: (id: string, response: ReceivedResponse) => void;
@@ -27,6 +29,7 @@
         log: { write: (event, fields = {}) => lines.push({ event: event.number, fields }) },
         metrics: createSteerMetrics(),
         routeStatistics: createRouteStatistics(timer),
+        workspaceStatistics: createWorkspaceStatistics(),
         describeLentSlots: () => "",
         onPoisonCleared: () => {},
         onPoisonRefused: () => {},
@@ -41,8 +44,8 @@
         end: (id, answer) => {
             const job = {
                 request: { id, arrivedAt: timer.now(), deadlineAt: timer.now() + 1_000 },
-                route: { name: "r", priority: 1 },
-                terms: {},
+                route: { name: "r" },
+                terms: { priority: 1, directory: emptyWorkspaceDirectory },
                 service: "s",
                 objectiveAt: timer.now() + 500,
                 writtenAttempts: 1,
--- a/packages/steer/src/observe/metrics.ts
+++ b/packages/steer/src/observe/metrics.ts
@@ -3,6 +3,7 @@
 import type { Attempt, FinalResponse, Job } from "@pimentospring/core/steering/job";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { EndedResponse, TargetResponse } from "../targets/targetResponse.js";
+import type { WorkspaceCounts } from "./workspaceStatistics.js";
 
 export interface SteerMetrics {
     recordAttempt(attempt: Attempt<TargetResponse>): void;
@@ -17,6 +18,8 @@
     /** Counts a target's response by how it ended towards its caller. */
     recordCallerResponse(outcome: string): void;
     recordStoreCall(kind: string, outcome: string): void;
+    /** Registers counters of workspaces, which call `read` on each scrape and show only what it returns. */
+    registerWorkspaceCounters(read: () => readonly WorkspaceCounts[]): void;
     /** Registers a gauge that calls `read` on each scrape. */
     registerGauge(name: string, help: string, read: () => number): void;
     render(): Promise<string>;
@@ -34,7 +37,7 @@
     const registers = [registry];
     const endedRequests = new Counter({
         name: "pimento_requests_total",
-        help: "Requests ended, by service, route priority and outcome (status class or result code)",
+        help: "Requests ended, by service, priority and outcome (status class or result code)",
         labelNames: ["service", "priority", "outcome"],
         registers,
     });
@@ -115,7 +118,7 @@
             const outcome = finalResponse.kind === "answer"
                 ? `${Math.floor(finalResponse.answer.status / 100)}xx`
                 : String(finalResponse.result.code);
-            endedRequests.inc({ service: job.service, priority: String(job.route.priority), outcome });
+            endedRequests.inc({ service: job.service, priority: String(job.terms.priority), outcome });
             latency.observe({ service: job.service }, (now - job.request.arrivedAt) / 1_000);
         },
         recordTargetResponse: ({ framing, connectionEnd }) => targetResponses.inc({ framing, end: connectionEnd }),
@@ -123,6 +126,30 @@
         recordPoisonEvidence: (event, count) => poisonEvidence.inc({ event }, count),
         recordCallerResponse: outcome => callerResponses.inc({ outcome }),
         recordStoreCall: (kind, outcome) => storeCalls.inc({ kind, outcome }),
+        registerWorkspaceCounters: read => {
+            new Counter({
+                name: "pimento_workspace_requests_total",
+                help: "Requests of the workspaces with the most requests; without a name, those that named none",
+                labelNames: ["workspace"],
+                registers,
+                collect() {
+                    this.reset();
+                    read().forEach(({ workspace = "", requests }) => this.inc({ workspace }, requests));
+                },
+            });
+            new Counter({
+                name: "pimento_workspace_refusals_total",
+                help: "Refused requests of the workspaces with the most requests, by result code",
+                labelNames: ["workspace", "result"],
+                registers,
+                collect() {
+                    this.reset();
+                    read().forEach(({ workspace = "", refusals }) =>
+                        refusals.forEach((count, code) => this.inc({ workspace, result: String(code) }, count))
+                    );
+                },
+            });
+        },
         registerGauge: (name, help, read) => {
             new Gauge({
                 name,
--- a/packages/steer/src/observe/requestLog.ts
+++ b/packages/steer/src/observe/requestLog.ts
@@ -17,12 +17,14 @@
 import { createAnsweredRequests } from "./answeredRequests.js";
 import type { SteerMetrics } from "./metrics.js";
 import type { RouteStatistics } from "./routeStatistics.js";
+import type { WorkspaceStatistics } from "./workspaceStatistics.js";
 
 export interface RequestLogOptions {
     readonly timer: Timer;
     readonly log: Log;
     readonly metrics: SteerMetrics;
     readonly routeStatistics: RouteStatistics;
+    readonly workspaceStatistics: WorkspaceStatistics;
     /** Summary of the slots that other data centres lend to a service. */
     readonly describeLentSlots: (service: ServiceId) => string;
     /** Called when a request suspected of killing targets has been served; other entries are to be informed. */
@@ -44,7 +46,7 @@
 const maxRefusalLinesPerSecond = 5;
 
 export function createRequestLog(options: RequestLogOptions): RequestLog {
-    const { timer, log, metrics, routeStatistics } = options;
+    const { timer, log, metrics, routeStatistics, workspaceStatistics } = options;
     const lineBudget = createTokenBucket(timer, maxLinesPerSecond, burstWindowMs);
     const answeredRequests = createAnsweredRequests(timer, log);
     const stepsByJob = new Map<Job<ReceivedResponse>, string[]>();
@@ -119,6 +121,7 @@
             routeStatistics.recordRun(attempt, wasQuick);
         },
         onWorkspaceRefused: ({ request, route, result, workspace }) => {
+            workspaceStatistics.record(workspace, result);
             if (!refusalLineBudget.take(1)) {
                 droppedRefusalLines++;
                 metrics.recordDroppedLogLine();
@@ -139,6 +142,12 @@
         onEnded: (job, finalResponse, reason) => {
             metrics.recordFinalResponse(job, finalResponse, timer.now());
             routeStatistics.recordFinalResponse(job, finalResponse);
+            if (job.terms.directory.needsKeys) {
+                workspaceStatistics.record(
+                    job.terms.workspace?.id,
+                    finalResponse.kind === "refusal" ? finalResponse.result : undefined,
+                );
+            }
             const isUnremarkable = finalResponse.kind === "answer" && finalResponse.answer.status < 300 &&
                 finalResponse.answer.framing !== "connectionEnd" && timer.now() <= job.objectiveAt && job.writtenAttempts <= 1;
             const isLogged = (!isUnremarkable || hashText(job.request.id) % sampleInterval === 0)
--- a/packages/steer/src/observe/statusRoutes.ts
+++ b/packages/steer/src/observe/statusRoutes.ts
@@ -6,12 +6,20 @@
 import type { RequestDispatcher } from "@pimentospring/core/steering/requestDispatcher";
 import type { RouteTable } from "@pimentospring/core/steering/routeTable";
 import type { Spillover } from "@pimentospring/core/steering/spillover";
-import type { RouteExplanation, ServiceStatus, SteeringStatus, TargetStatus } from "@pimentospring/core/steering/steeringStatus";
+import type { Workspace } from "@pimentospring/core/steering/steeringDocument";
+import type {
+    RouteExplanation,
+    ServiceStatus,
+    SteeringStatus,
+    TargetStatus,
+    WorkspaceStatus,
+} from "@pimentospring/core/steering/steeringStatus";
 import { freeSlots, isCold, type Target } from "@pimentospring/core/steering/target";
 import type { TargetRegistry } from "@pimentospring/core/steering/targetRegistry";
 import type { Timer } from "@pimentospring/core/time/timer";
 import { type Routes, sendJson } from "@pimentospring/runtime/http/jsonServer";
 import type { TargetResponse } from "../targets/targetResponse.js";
+import { refusalCount, type WorkspaceStatistics } from "./workspaceStatistics.js";
 
 export interface StatusRoutesOptions {
     readonly timer: Timer;
@@ -24,7 +32,9 @@
     readonly services: () => Iterable<ServiceId>;
     readonly routes: () => RouteTable | undefined;
     /** Identity, configuration and store state of this entry. */
-    readonly self: () => Omit<SteeringStatus, "entries" | "services" | "inFlight">;
+    readonly self: () => Omit<SteeringStatus, "entries" | "services" | "workspaces" | "inFlight">;
+    readonly workspaces: () => readonly Workspace[];
+    readonly workspaceStatistics: WorkspaceStatistics;
 }
 
 /** Returns the routes, which are served on the control address. */
@@ -61,11 +71,18 @@
         agreedElsewhere: options.spillover.describe(service),
         targets: targetsOf(service),
     });
+    /** Names each field, since a workspace also has keys. */
+    const workspaceStatus = ({ id, quota, priority, homeRegions }: Workspace): WorkspaceStatus => {
+        const counts = options.workspaceStatistics.countsOf(id);
+        const { requests } = counts;
+        return { workspace: id, quota, priority, homes: homeRegions, requests, refused: refusalCount(counts) };
+    };
     const status = (): SteeringStatus => ({
         ...options.self(),
         inFlight: dispatcher.inFlightCount(),
         entries: options.members.liveMembers().map(({ record }) => ({ instance: record.id, control: record.control })),
         services: [...options.services()].map(serviceStatus),
+        workspaces: options.workspaces().map(workspaceStatus),
     });
     const explain = (host: string, path: string): RouteExplanation => {
         const route = options.routes()?.find(host, path);
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -29,6 +29,7 @@
 import { createRouteStatistics } from "./observe/routeStatistics.js";
 import { startServiceLog } from "./observe/serviceLog.js";
 import { createStatusRoutes } from "./observe/statusRoutes.js";
+import { createWorkspaceStatistics } from "./observe/workspaceStatistics.js";
 import { createPoisonReporting } from "./poison/poisonReporting.js";
 import type { SteerSettings } from "./settings/settings.js";
 import { createReplication } from "./store/replication.js";
@@ -147,11 +148,13 @@
         roundTripMs: dataCentre => steering.topology.roundTripMs(dataCentre),
         dispatcher: () => dispatcher,
     });
+    const workspaceStatistics = createWorkspaceStatistics();
     const requestLog = createRequestLog({
         timer,
         log,
         metrics,
         routeStatistics,
+        workspaceStatistics,
         describeLentSlots: service => steering.spillover.describe(service),
         onPoisonCleared: poisonReporting.onCleared,
         onPoisonRefused: poisonReporting.onRefused,
@@ -198,6 +201,7 @@
             document = next;
             routeTable = createRouteTable(next);
             workspaces = createWorkspaceDirectory(next);
+            workspaceStatistics.retain(next.workspaces.map(({ id }) => id));
             services = new Map(next.services.map(service => [service.id, service]));
             steering.roundRobin.retainRoutes(next.routes);
             callerServer.setLimits(next.limits);
@@ -235,6 +239,7 @@
         seeds: () => settings.seeds,
         requestState,
         onEvent: projection.apply,
+        redact: itemDecoder.redact,
         onBatchApplied: () => {
             projection.onBatchApplied();
             dispatcher.dispatchQueued();
@@ -278,6 +283,8 @@
         ...steering,
         services: () => services.keys(),
         routes: () => routeTable,
+        workspaces: () => workspaces.workspaces,
+        workspaceStatistics,
         self: () => ({
             instance,
             dataCentre: settings.dataCentre,
@@ -314,6 +321,7 @@
         closeUnfinishedHeads: callerServer.closeUnfinishedHeads,
         abortedResponses: responseBuffers.abortedCount,
     });
+    metrics.registerWorkspaceCounters(workspaceStatistics.busiest);
     registerGauges(metrics, {
         loopUtilization: loopMonitor.utilization,
         loopDelayMs: loopMonitor.delayMs,
--- a/packages/steer/src/store/__tests__/deploymentItems.ts
+++ b/packages/steer/src/store/__tests__/deploymentItems.ts
@@ -22,6 +22,7 @@
 };
 
 export const deploymentItemDecoder: StoreItemDecoder = {
+    redact: (_key, value) => value,
     parseKey: key =>
         key === configurationKey
             ? { kind: "document" }
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -393,6 +393,7 @@
 
 /** Decodes documents from their version and targets from their address; anything else is malformed. */
 const itemDecoder: StoreItemDecoder = {
+    redact: (_key, value) => value,
     parseKey: key =>
         key === "config"
             ? { kind: "document" }
--- a/packages/steer/src/store/replicatedItems.ts
+++ b/packages/steer/src/store/replicatedItems.ts
@@ -11,6 +11,8 @@
     readonly onEvent: (event: StoreEvent) => void;
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
+    /** Replaces secrets in a value before it is kept; values that hold none stay as they are. */
+    readonly redact?: (key: string, value: Buffer) => Buffer;
 }
 
 export interface ReplicatedItems {
@@ -75,13 +77,18 @@
             }
         }
     };
+    const redactItem = (item: StoreItem): StoreItem =>
+        options.redact === undefined ? item : { ...item, value: options.redact(item.key, item.value) };
+    const redactEvent = (event: StoreEvent): StoreEvent =>
+        event.kind === "written" ? { ...event, item: redactItem(event.item) } : event;
     return {
         snapshot: () => ({ revision, items: [...items.values()] }),
         updateSince: after =>
             after >= historyStart
                 ? { kind: "changes", revision, events: history.filter(event => revisionOf(event) > after) }
                 : { kind: "state", revision, items: [...items.values()] },
-        applyChanges: (events, upTo) => {
+        applyChanges: (received, upTo) => {
+            const events = received.map(redactEvent);
             events.forEach(applyEvent);
             history.push(...events);
             if (history.length > maxHistoryEvents) {
@@ -100,7 +107,7 @@
                     applyEvent({ kind: "removed", key: item.key, revision: snapshot.revision });
                 }
             }
-            snapshot.items.forEach(item => applyEvent({ kind: "written", item }));
+            snapshot.items.forEach(item => applyEvent({ kind: "written", item: redactItem(item) }));
             revision = Math.max(revision, snapshot.revision);
             removalRevisions.clear();
             history = [];
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -13,6 +13,7 @@
 import { createPeerSync, type StateRequester } from "./peerSync.js";
 import { createRegistration } from "./registration.js";
 import { createReplicaFreshness, type Freshness } from "./replicaFreshness.js";
+import type { ReplicatedItemsOptions } from "./replicatedItems.js";
 import type { Store, StoreEvent } from "./store.js";
 import { createStoreCalls } from "./storeCalls.js";
 import { createStoreFailures } from "./storeFailures.js";
@@ -33,6 +34,7 @@
     readonly onEvent: (event: StoreEvent) => void;
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
+    readonly redact?: ReplicatedItemsOptions["redact"];
     /** Announces this entry's revision to its peers. */
     readonly announceRevision: (scope: AnnouncementScope) => void;
 }
@@ -106,6 +108,7 @@
             }
         },
         onStoreAdvanced: announceRevision,
+        redact: options.redact,
     });
     const registration = createRegistration({
         store,
--- a/packages/steer/src/store/storeItems.ts
+++ b/packages/steer/src/store/storeItems.ts
@@ -32,6 +32,8 @@
     parseKey(key: string): StoreKey;
     decodeDocument(value: Buffer): DecodeResult<SteeringDocument>;
     decodeTarget(id: TargetId, value: Buffer): DecodeResult<TargetRecord>;
+    /** The value as it is kept and passed on to peers: secrets in it are replaced by what is enough to recognise them. */
+    redact(key: string, value: Buffer): Buffer;
 }
 
 /** Prefix of the keys of members' records. */
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -64,8 +64,14 @@
         }
         version = decoded.value.version;
         options.onDocumentAccepted(decoded.value);
-        const { routes, faults } = decoded.value;
-        log.write(logEvents.inForce, { version, revision: item.revision, routes: routes.length, faults: faults.length });
+        const { routes, workspaces, faults } = decoded.value;
+        log.write(logEvents.inForce, {
+            version,
+            revision: item.revision,
+            routes: routes.length,
+            workspaces: workspaces.length === 0 ? undefined : workspaces.length,
+            faults: faults.length,
+        });
         faults.slice(0, maxLoggedFaults).forEach(fault => log.write(logEvents.documentFault, { version, ...fault }));
     };
     const applyTarget = (id: TargetId, item: StoreItem): void => {
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -7,7 +7,7 @@
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { err, ok } from "true-myth/result";
-import { createReplicatedItems, type ItemsSnapshot, type ItemsUpdate } from "./replicatedItems.js";
+import { createReplicatedItems, type ItemsSnapshot, type ItemsUpdate, type ReplicatedItemsOptions } from "./replicatedItems.js";
 import type { StoreEvent, StoreFailure, StoreItem, StoreResult } from "./store.js";
 import type { CallLimits, StoreCalls } from "./storeCalls.js";
 
@@ -29,6 +29,7 @@
     readonly onEvent: (event: StoreEvent) => void;
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
+    readonly redact?: ReplicatedItemsOptions["redact"];
     /** Called when a call to the store has brought a newer revision. */
     readonly onStoreAdvanced: () => void;
 }
