fix(core): requests with an unknown key get 503, not 401, where keys may be stale

Cause: an entry that heard from nobody for bounds.revocation, with strictRevocation, said 401 for a key that the operator may have added meanwhile. Change: any key gets 503 there; a request without one keeps its 401.

--- a/packages/core/src/steering/__tests__/workspaceOrder.test.ts
+++ b/packages/core/src/steering/__tests__/workspaceOrder.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { digestKey } from "../../hash/keyDigest.js";
-import { type ServiceId, toWorkspaceId } from "../../ids.js";
+import { type ServiceId, toDataCentreId, toRegionId, toWorkspaceId } from "../../ids.js";
 import { createRandom, type Random } from "../../random/random.js";
 import type { Job } from "../job.js";
 import { compareQueuedRequests, createRequestQueue, type QueuedRequest, type RequestQueue } from "../requestQueue.js";
@@ -145,6 +145,44 @@
     }
 });
 
+// Guards against an arrival that takes a slot which came free unnoticed, ahead of those that waited for it.
+test("a slot that became free goes to the request whose turn it is, not to the one that arrives", () => {
+    const directory = directoryOf(workspaceOf("flood"), workspaceOf("calm"));
+    const [flood, calm] = directory.workspaces.map(({ keys }) => ({ keyDigest: keys[0] }));
+    const bench = createTestBench({ workspaces: () => directory, targets: [record("one", { slots: 1 })] });
+    bench.submit("runs", flood);
+    bench.submit("queued", calm);
+    bench.registry.put(record("one", { slots: 2 }));
+    bench.submit("arrives", flood);
+    assert.deepEqual(bench.sent.map(({ job }) => job.request.id), ["runs", "queued"]);
+});
+
+// Guards against workspaces whose regions are full and that hold up the queue for all others.
+test("requests that wait for a slot in their home regions do not hold up those of other workspaces", () => {
+    const far = Array.from({ length: 12 }, (_, index) => ({ ...workspaceOf(`far-${index}`), homeRegions: [toRegionId("jnb")] }));
+    const directory = directoryOf(workspaceOf("near"), ...far);
+    const [nearKey, ...farKeys] = directory.workspaces.map(({ keys }) => ({ keyDigest: keys[0] }));
+    const bench = createTestBench({
+        workspaces: () => directory,
+        targets: [
+            record("one", { slots: 1 }),
+            record("there", { dataCentre: toDataCentreId("jnb-a"), region: toRegionId("jnb"), slots: 0 }),
+        ],
+    });
+    // Shows that slots become free often enough to queue for them.
+    for (let index = 0; index < 200; index++) {
+        bench.submit(`earlier-${index}`, nearKey);
+        bench.timer.advance(5);
+        bench.respond(bench.sent.at(-1)!);
+    }
+    bench.submit("runs", nearKey);
+    farKeys.forEach((farKey, index) => bench.submit(`far-${index}`, farKey));
+    bench.submit("queued", nearKey);
+    assert.ok(bench.dispatcher.queuedCount(service) > 10, `${bench.dispatcher.queuedCount(service)} are queued`);
+    bench.respond(bench.sent.at(-1)!);
+    assert.deepEqual(bench.sent.slice(200).map(({ job }) => job.request.id), ["runs", "queued"]);
+});
+
 interface ServedShares {
     readonly flood: number;
     readonly others: number;
--- a/packages/core/src/steering/__tests__/workspaceRequests.test.ts
+++ b/packages/core/src/steering/__tests__/workspaceRequests.test.ts
@@ -42,7 +42,7 @@
 test("homes of route and workspace both bind, on the first attempt and on the retry", () => {
     const bench = benchWith(directoryOf(workspace("w", { homeRegions: [far, toRegionId("dur")] })), {
         routes: [route({ homeRegions: [toRegionId("dbn"), far] })],
-        targets: [targetIn("dbn", "dbn"), targetIn("dur", "durb"), targetIn("jnb", "jnb-1"), targetIn("jnb", "jnb-two")],
+        targets: ["dbn", "dur", "jnb"].flatMap(place => [targetIn(place, `${place}-1`), targetIn(place, `${place}-2`)]),
     });
     for (let index = 0; index < 10; index++) {
         bench.submit(`r${index}`, { keyDigest: keyOf("w"), deadlineAt: bench.timer.now() + 4_000 });
--- a/packages/core/src/steering/workspaceTerms.ts
+++ b/packages/core/src/steering/workspaceTerms.ts
@@ -40,12 +40,13 @@
         return { kind: "accepted", terms: termsOf(directory, route, undefined) };
     }
     const owner = directory.ownerOf(key);
+    if (!route.isPublic && areKeysStale && key !== undefined) {
+        // A known key may have been removed, and an unknown one added.
+        return refuse(results.staleKeys, owner.kind === "workspace" ? owner.workspace : undefined);
+    }
     if (owner.kind === "workspace") {
         const { workspace } = owner;
         const terms = termsOf(directory, route, workspace);
-        if (!route.isPublic && areKeysStale) {
-            return refuse(results.staleKeys, workspace);
-        }
         if (workspace.isUnreadable) {
             return refuse(results.unreadableWorkspace, workspace);
         }
