--- a/packages/core/src/steering/__tests__/workspaceOrder.test.ts
+++ b/packages/core/src/steering/__tests__/workspaceOrder.test.ts
@@ -183,6 +183,22 @@
     assert.deepEqual(bench.sent.slice(200).map(({ job }) => job.request.id), ["runs", "queued"]);
 });
 
+// Guards against a small workspace whose few requests, when two arrive together, wait for its next turn for seconds.
+test("a workspace that sends less than its share gets its requests served together, and one that sends more does not", () => {
+    const directory = directoryOf(workspaceOf("flood", 100), workspaceOf("calm", 1));
+    const [flood, calm] = directory.workspaces;
+    const queue = createRequestQueue<string>();
+    for (let index = 0; index < 100; index++) {
+        queue.recordSent(jobOf({ directory, workspace: flood }));
+    }
+    for (let index = 0; index < 20; index++) {
+        queue.add(jobOf({ directory, workspace: flood }), 150);
+    }
+    const aheadOf = (): number => queue.countAhead(queue.add(jobOf({ directory, workspace: calm }), 150), 100).ahead;
+    assert.deepEqual(Array.from({ length: 6 }, aheadOf), [0, 1, 2, 3, 4, 5]);
+    assert.ok(aheadOf() > 20);
+});
+
 interface ServedShares {
     readonly flood: number;
     readonly others: number;
@@ -194,9 +210,15 @@
 const workspaceCount = 8;
 const replayMs = 6_000;
 
-/** Load at 90% of the slots, of which one workspace sends `excess` times its part; shares of usual requests answered in time. */
-function replay(excess: number, hasWorkspaces: boolean): ServedShares {
-    const workspaces = Array.from({ length: workspaceCount }, (_, index) => workspaceOf(`w${index}`, 1.6 * usualPerSecond));
+/**
+ * Load at 90% of the slots, of which the first workspace sends `excess` times its part; shares of usual requests answered in
+ * time. The others send in equal parts, or each half of what the one before it sends.
+ */
+function replay(excess: number, hasWorkspaces: boolean, areEqual = true): ServedShares {
+    const parts = Array.from({ length: workspaceCount }, (_, index) => areEqual ? 1 : 0.5 ** index);
+    const total = parts.reduce((sum, part) => sum + part, 0);
+    const rates = parts.map(part => part / total * usualPerSecond * workspaceCount);
+    const workspaces = rates.map((rate, index) => workspaceOf(`w${index}`, 1.6 * rate));
     const directory = directoryOf(...(hasWorkspaces ? workspaces : []));
     const random = createRandom(7);
     const inTime = workspaces.map(() => 0);
@@ -217,7 +239,7 @@
     let scheduled = 0;
     for (let ms = 0; ms < replayMs; ms++) {
         workspaces.forEach(({ keys }, index) => {
-            if (random.next() < (index === 0 ? excess : 1) * usualPerSecond / 1_000) {
+            if (random.next() < (index === 0 ? excess : 1) * rates[index]! / 1_000) {
                 bench.submit(`${index}-${sentRequests[index]!++}`, { keyDigest: keys[0] });
             }
         });
@@ -231,7 +253,7 @@
     }
     const shares = inTime.map((count, index) => count / sentRequests[index]!);
     return {
-        flood: inTime[0]! / (usualPerSecond * replayMs / 1_000),
+        flood: inTime[0]! / (rates[0]! * replayMs / 1_000),
         others: shares.slice(1).reduce((sum, share) => sum + share, 0) / (workspaceCount - 1),
         worst: Math.min(...shares.slice(1)),
     };
@@ -246,3 +268,12 @@
     assert.ok(flooded.worst >= calm.worst - 0.05, `${flooded.worst} of ${calm.worst}`);
     assert.ok(flooded.flood >= 0.9, `${flooded.flood}`);
 });
+
+// Guards against small workspaces whose few requests, arriving at random, are refused beside a large one in excess.
+test("a large workspace at seven times its usual load costs small ones nothing", t => {
+    const calm = replay(1, true, false);
+    const flooded = replay(7, true, false);
+    t.diagnostic(JSON.stringify({ calm, flooded, withoutWorkspaces: replay(7, false, false) }));
+    assert.ok(flooded.others >= calm.others - 0.03, `${flooded.others} of ${calm.others}`);
+    assert.ok(flooded.worst >= 0.9, `${flooded.worst} of ${calm.worst}`);
+});
