feat(client): pimento trace shows requests that were refused for their workspace

Cause: event 404 was not among the last lines of a request that a trace looks for, and event 403 named no workspace. Change: trace ends with event 404 too, and leaves those of other requests out; event 403 and the counts of workspaces have the workspace of a request that was refused as one that crashes targets.

--- a/packages/client/src/commands/__tests__/trace.test.ts
+++ b/packages/client/src/commands/__tests__/trace.test.ts
@@ -41,6 +41,27 @@
     assert.match(traced[1]!, / b 401 poison .*target=t2$/);
 });
 
+// Guards against an operator who can't find why a workspace's caller was refused.
+test("the trace of a request refused for its workspace has its refusal, and what its entry learned of the configuration", () => {
+    const refused = (request: string): object => ({
+        event: 404,
+        name: "workspaceRefused",
+        request,
+        workspace: "w",
+        result: 2014,
+    });
+    const text = [
+        line(10, "a", { event: 725, name: "documentFault", resource: "tenants w", reason: "ratePerS: expected number" }),
+        line(10, "b", { event: 725, name: "documentFault", resource: "tenants v" }),
+        line(11, "a", refused("r2")),
+        line(12, "a", refused("r1")),
+    ].join("\n");
+    const traced = traceRequest(parseLogLines(text), "r1");
+    assert.equal(traced.length, 2);
+    assert.match(traced[0]!, / a 725 documentFault resource=tenants w /);
+    assert.match(traced[1]!, / a 404 workspaceRefused request=r1 workspace=w result=2014$/);
+});
+
 test("the trace of an ordinary answered request is what its entry listed of it", () => {
     const text = line(3, "a", { event: 703, name: "requestsAnswered", answers: ["r8 t1 200 400", "r9 t2 404 12"] });
     assert.deepEqual(traceRequest(parseLogLines(text), "r9"), [
--- a/packages/client/src/commands/traceCommand.ts
+++ b/packages/client/src/commands/traceCommand.ts
@@ -19,11 +19,15 @@
 
 /** Events logged up to this long before a request's end are shown as its possible causes. */
 const lookBackMs = 6_000;
-/** Numbers of the log events `requestEnded` and `poisonRefused`: the last line on a request. */
+/** Numbers of the log events `requestEnded`, `poisonRefused` and `workspaceRefused`: the last line on a request. */
 const requestEndedEvent = 700;
 const poisonRefusedEvent = 403;
+const workspaceRefusedEvent = 404;
+const endEvents = new Set([requestEndedEvent, poisonRefusedEvent, workspaceRefusedEvent]);
 /** Number of the log event `requestsAnswered`, whose `answers` are `id target status bytes` with an optional `framing end`. */
 const requestsAnsweredEvent = 703;
+/** Events on other requests only. */
+const unrelatedEvents = new Set([requestEndedEvent, workspaceRefusedEvent, requestsAnsweredEvent]);
 /** Number of the log event `poison`. */
 const poisonEvent = 401;
 
@@ -54,9 +58,7 @@
 
 /** Lines of the trace, in log order; empty if no log has the request. */
 export function traceRequest(lines: readonly LogLine[], request: string): string[] {
-    const ends = lines.filter(line =>
-        (line.event === requestEndedEvent || line.event === poisonRefusedEvent) && line.request === request
-    );
+    const ends = lines.filter(line => endEvents.has(line.event) && line.request === request);
     return [
         ...listedAnswers(lines, request),
         ...ends.flatMap(end => [
@@ -88,7 +90,7 @@
     const endAt = Date.parse(end.time);
     const trail = end.trail?.join(" ") ?? "";
     const isRelevant = (line: LogLine): boolean =>
-        line.instance === end.instance && line.event !== requestEndedEvent && line.event !== requestsAnsweredEvent
+        line.instance === end.instance && !unrelatedEvents.has(line.event)
         && Date.parse(line.time) <= endAt
         && Date.parse(line.time) >= endAt - lookBackMs && (line.target === undefined || trail.includes(line.target));
     return lines.filter(isRelevant).map(line => `${line.time} ${line.instance} ${line.event} ${formatFields(line)}`);
--- a/packages/core/src/steering/jobIntake.ts
+++ b/packages/core/src/steering/jobIntake.ts
@@ -77,7 +77,7 @@
         }
         const { terms } = decision;
         if (poisonList.isRefused(request.fingerprint)) {
-            options.events.onPoisonRefused(request);
+            options.events.onPoisonRefused(request, terms.workspace?.id);
             return refuse(results.poisonRequest, poisonRetryAfterMs);
         }
         const admission = takeQuota(options.quotaLimit, terms);
--- a/packages/core/src/steering/steeringEvents.ts
+++ b/packages/core/src/steering/steeringEvents.ts
@@ -25,7 +25,7 @@
     /** The request succeeded although targets had died while running it, so it is no longer suspected as poison. */
     onPoisonCleared(job: Job<Answer>, cleared: readonly PoisonReport[]): void;
     /** A request was refused on arrival, because targets died while they ran it. */
-    onPoisonRefused(request: SteeringRequest): void;
+    onPoisonRefused(request: SteeringRequest, workspace: WorkspaceId | undefined): void;
     onWorkspaceRefused(refusal: WorkspaceRefusal): void;
     onEnded(job: Job<Answer>, response: FinalResponse<Answer>, why: string): void;
 }
--- a/packages/steer/src/observe/requestLog.ts
+++ b/packages/steer/src/observe/requestLog.ts
@@ -6,6 +6,7 @@
 import { hashText } from "@pimentospring/core/hash/hash";
 import type { ServiceId, TargetId } from "@pimentospring/core/ids";
 import { createTokenBucket } from "@pimentospring/core/policy/budget";
+import { results } from "@pimentospring/core/results/resultCode";
 import type { FinalResponse, Job } from "@pimentospring/core/steering/job";
 import type { SteeringEvents } from "@pimentospring/core/steering/steeringEvents";
 import { expectedSlowness } from "@pimentospring/core/steering/target";
@@ -137,7 +138,12 @@
             });
             droppedRefusalLines = 0;
         },
-        onPoisonRefused: options.onPoisonRefused,
+        onPoisonRefused: (request, workspace) => {
+            if (workspace !== undefined) {
+                workspaceStatistics.record(workspace, results.poisonRequest);
+            }
+            options.onPoisonRefused(request, workspace);
+        },
         onPoisonCleared: (job, cleared) => options.onPoisonCleared(job.request, cleared),
         onEnded: (job, finalResponse, reason) => {
             metrics.recordFinalResponse(job, finalResponse, timer.now());
--- a/packages/steer/src/poison/poisonReporting.ts
+++ b/packages/steer/src/poison/poisonReporting.ts
@@ -1,4 +1,5 @@
 /** Connects the poison list of an entry with its logs, its metrics and the other entries. */
+import type { WorkspaceId } from "@pimentospring/core/ids";
 import type { PoisonList, PoisonReport } from "@pimentospring/core/poison/poisonList";
 import { createTokenBucket } from "@pimentospring/core/policy/budget";
 import type { SteeringRequest } from "@pimentospring/core/steering/job";
@@ -26,7 +27,7 @@
     /** A request was served under which targets had died. */
     readonly onCleared: (request: SteeringRequest, cleared: readonly PoisonReport[]) => void;
     /** A request was refused on arrival. */
-    readonly onRefused: (request: SteeringRequest) => void;
+    readonly onRefused: (request: SteeringRequest, workspace: WorkspaceId | undefined) => void;
     /** Takes what another entry reports. */
     readonly receive: (reports: readonly PoisonReport[]) => void;
 }
@@ -70,12 +71,13 @@
             recordEvidence("cleared", cleared.length);
             broadcast(cleared);
         },
-        onRefused: request => {
+        onRefused: (request, workspace) => {
             const fingerprint = request.fingerprint();
             recordEvidence("refused", 1);
             if (lineBudget.take(1)) {
                 log.write(logEvents.poisonRefused, {
                     request: request.id,
+                    workspace,
                     fingerprint,
                     parts: request.describeFingerprint(),
                     deaths: poisonList.deathCount(fingerprint),
