feat(core): draft of the limit shared by all instances, not wired and not tested

Cause: section 2 of docs/design/workspaces-and-hard-load.md needs a quota that holds over all instances and is used to the full.

Change: `createSharedLimit` with `takeReport` and `applyReport`. Instances report the counts of their last window to the relay of their data centre; relays exchange sums, and send totals with the reports that they include. A group of instances in contact uses its part of the limit; within it, an instance divides what is left by its share of the recent use.

The constants are estimates.

--- /dev/null
+++ b/packages/core/src/limits/quotaAggregator.ts
@@ -0,0 +1,178 @@
+/** A relay's sums of what the instances of its data centre and the other data centres report of their use. */
+import type { DataCentreId } from "../ids.js";
+import type { Timer } from "../time/timer.js";
+import type { DataCentreReport, InstanceReport, KeyUse, TotalReport, TotalUse } from "./quotaReport.js";
+
+export interface QuotaAggregatorOptions {
+    readonly timer: Timer;
+    /** Hash of this instance's id. */
+    readonly self: number;
+    readonly dataCentre: DataCentreId;
+    readonly windowMs: () => number;
+    /** What may be admitted in a window under the key; `undefined` if this instance doesn't know it. */
+    readonly allowanceOf: (key: number) => number | undefined;
+}
+
+export interface QuotaAggregator {
+    applyInstance(instance: number, report: InstanceReport): void;
+    applyDataCentre(relay: number, report: DataCentreReport): void;
+    /** Whether other instances have recently sent their reports here. */
+    hasReporters(): boolean;
+    total(): TotalReport;
+    /** Returns what to tell the other data centres now. */
+    takeDataCentreReport(): DataCentreReport;
+}
+
+/** Instances whose last report is older are not in contact: three reports in a row were lost. */
+export const contactTimeoutMs = 900;
+/** A data centre may change its relay when its former relay was silent for this long. */
+const relayChangeMs = 550;
+/** Use that is far below the limit is passed on to other data centres this often. */
+const slowReportIntervalMs = 1_000;
+/** All counts are repeated to other data centres this often. */
+const completeReportIntervalMs = 2_000;
+/** Part of the allowance above which changes are passed on to other data centres at once. */
+const fastReportFraction = 0.5;
+/** Change, as part of the allowance, that is passed on to other data centres at once. */
+const fastChangeFraction = 0.04;
+
+interface Source {
+    readonly relay: number;
+    readonly uses: Map<number, number>;
+    readonly sequence: number;
+    /** Instances in contact behind the source. */
+    readonly instanceCount: number;
+    readonly heardRelays: readonly number[];
+    readonly receivedAt: number;
+}
+
+interface SentUse {
+    readonly count: number;
+    readonly sentAt: number;
+}
+
+const toMap = (uses: readonly KeyUse[]): Map<number, number> => new Map(uses.map(({ key, count }) => [key, count]));
+
+export function createQuotaAggregator(options: QuotaAggregatorOptions): QuotaAggregator {
+    const { timer, self } = options;
+    const instances = new Map<number, Source>();
+    const dataCentres = new Map<DataCentreId, Source>();
+    const sent = new Map<number, SentUse>();
+    let completeAt = -Infinity;
+
+    const ageMs = (source: Source): number => timer.now() - source.receivedAt;
+    const isFresh = (source: Source): boolean => ageMs(source) < contactTimeoutMs;
+    const removeExpired = <Id>(sources: Map<Id, Source>): void => {
+        // Counts of a silent source stay until all that it may have admitted before has left the window.
+        sources.forEach((source, id) => ageMs(source) > options.windowMs() && sources.delete(id));
+    };
+    const heardRelays = (): number[] => [...dataCentres.values()].filter(isFresh).map(({ relay }) => relay);
+    /** Data centres that are all in contact with each other: links may fail in one direction, or between some of them only. */
+    const connectedDataCentres = (): Set<Source> => {
+        const fresh = [...dataCentres.values()].filter(isFresh);
+        const relays = new Set([self, ...fresh.map(({ relay }) => relay)]);
+        const isComplete = fresh.every(({ heardRelays: heard }) =>
+            heard.length === relays.size - 1 && heard.every(relay => relays.has(relay))
+        );
+        return new Set(isComplete ? fresh : []);
+    };
+    const addUses = (sums: Map<number, number>, source: Source): void =>
+        source.uses.forEach((count, key) => sums.set(key, (sums.get(key) ?? 0) + count));
+    const liveInstanceCount = (): number =>
+        [...instances.values()].reduce((sum, source) => sum + (isFresh(source) ? source.instanceCount : 0), 0);
+    const isDue = ({ key, count }: KeyUse): boolean => {
+        const previous = sent.get(key);
+        if (previous?.count === count) {
+            return false;
+        }
+        const allowance = options.allowanceOf(key) ?? 0;
+        return count >= fastReportFraction * allowance
+            || Math.abs(count - (previous?.count ?? 0)) >= fastChangeFraction * allowance
+            || timer.now() - (previous?.sentAt ?? -Infinity) >= slowReportIntervalMs;
+    };
+    return {
+        applyInstance: (instance, report) => {
+            const known = instances.get(instance);
+            if (known !== undefined && isFresh(known) && known.sequence >= report.sequence) {
+                return;
+            }
+            instances.set(instance, {
+                relay: instance,
+                uses: toMap(report.uses),
+                sequence: report.sequence,
+                instanceCount: report.hasContact ? 1 : 0,
+                heardRelays: [],
+                receivedAt: timer.now(),
+            });
+        },
+        applyDataCentre: (relay, report) => {
+            const { dataCentre, instanceCount } = report;
+            const known = dataCentres.get(dataCentre);
+            if (known !== undefined && known.relay !== relay && ageMs(known) < relayChangeMs) {
+                return;
+            }
+            const uses = report.isComplete || known?.relay !== relay ? new Map<number, number>() : known.uses;
+            // A new relay's first report may name only what has changed: what its predecessor said stands until a complete one.
+            if (!report.isComplete && known !== undefined && known.relay !== relay) {
+                known.uses.forEach((count, key) => uses.set(key, count));
+            }
+            report.uses.forEach(({ key, count }) => uses.set(key, count));
+            dataCentres.set(dataCentre, {
+                relay,
+                uses,
+                sequence: 0,
+                instanceCount,
+                heardRelays: report.heardRelays,
+                receivedAt: timer.now(),
+            });
+        },
+        hasReporters: () => [...instances].some(([instance, source]) => instance !== self && isFresh(source)),
+        total: () => {
+            removeExpired(instances);
+            removeExpired(dataCentres);
+            const live = new Map<number, number>();
+            const silent = new Map<number, number>();
+            const connected = connectedDataCentres();
+            instances.forEach(source => addUses(isFresh(source) ? live : silent, source));
+            dataCentres.forEach(source => addUses(connected.has(source) ? live : silent, source));
+            const keys = new Set([...live.keys(), ...silent.keys()]);
+            const uses = [...keys].map((key): TotalUse => ({
+                key,
+                count: live.get(key) ?? 0,
+                silentCount: silent.get(key) ?? 0,
+            }));
+            return {
+                kind: "total",
+                instanceCount: [...connected].reduce((sum, source) => sum + source.instanceCount, liveInstanceCount()),
+                included: [...instances].filter(([, source]) => isFresh(source)).map(([instance, { sequence }]) => ({
+                    instance,
+                    sequence,
+                })),
+                uses: uses.filter(({ count, silentCount }) => count > 0 || silentCount > 0),
+            };
+        },
+        takeDataCentreReport: () => {
+            removeExpired(instances);
+            const now = timer.now();
+            const sums = new Map<number, number>();
+            sent.forEach((_, key) => sums.set(key, 0));
+            instances.forEach(source => addUses(sums, source));
+            const all = [...sums].map(([key, count]): KeyUse => ({ key, count }));
+            const isComplete = now - completeAt >= completeReportIntervalMs;
+            if (isComplete) {
+                completeAt = now;
+                sent.clear();
+            }
+            const uses = isComplete ? all.filter(({ count }) => count > 0) : all.filter(isDue);
+            uses.forEach(({ key, count }) => sent.set(key, { count, sentAt: now }));
+            return {
+                kind: "dataCentre",
+                dataCentre: options.dataCentre,
+                instanceCount: liveInstanceCount(),
+                heardRelays: heardRelays(),
+                isComplete,
+                uses,
+            };
+        },
+    };
+}
--- /dev/null
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -0,0 +1,281 @@
+/**
+ * A rate limit that all instances share. Each admits requests by what it knows of the others (`quotaAllowance`), from the
+ * counts that they report to each other through the relays of their data centres (`quotaReport`).
+ */
+import { hashText } from "../hash/hash.js";
+import type { DataCentreId, InstanceId } from "../ids.js";
+import type { Random } from "../random/random.js";
+import type { Timer } from "../time/timer.js";
+import { createQuotaAggregator } from "./quotaAggregator.js";
+import { type Allowance, instanceAllowance, quotaAllowance, type QuotaBounds } from "./quotaAllowance.js";
+import type { DataCentreReport, InstanceReport, KeyUse, QuotaReport, TotalReport } from "./quotaReport.js";
+import { createQuotaView } from "./quotaView.js";
+import type { Admission, Quota, SharedLimit } from "./sharedLimit.js";
+import { createTakeWindow, type TakeWindow } from "./takeWindow.js";
+
+export interface SharedLimitOptions {
+    readonly timer: Timer;
+    readonly random: Random;
+    readonly self: InstanceId;
+    readonly dataCentre: DataCentreId;
+    readonly bounds: () => QuotaBounds;
+    /** Whether there are limits at all; without them nothing is reported. */
+    readonly isEnabled: () => boolean;
+    /** All instances that may admit requests, this one included. */
+    readonly instanceCount: () => number;
+}
+
+/** Reports that are due, by receiver. */
+export interface DueReports {
+    /** For the relay of the data centre; absent if this instance is the relay. */
+    readonly toRelay: InstanceReport | undefined;
+    /** For the other instances of the data centre. */
+    readonly toDataCentre: TotalReport | undefined;
+    /** For the relays of the other data centres. */
+    readonly toOtherDataCentres: DataCentreReport | undefined;
+}
+
+/** The use of one key, for the status page and metrics. */
+export interface KeyStatus<Key> {
+    readonly key: Key;
+    readonly quota: Quota;
+    /** Admitted in the last window by all instances that are known of. */
+    readonly used: number;
+    /** What may be admitted in a window by the instances in contact. */
+    readonly groupLimit: number;
+    /** Requests that this instance may admit now. */
+    readonly share: number;
+    /** Whether this instance has refused a request in the last window. */
+    readonly isOverQuota: boolean;
+}
+
+export interface ReportedLimit<Key> extends SharedLimit<Key> {
+    /** Returns what is to be sent now; called at a fixed interval. */
+    takeReport(isRelay: boolean): DueReports | undefined;
+    applyReport(sender: InstanceId, report: QuotaReport): void;
+    /** Whether reports of the other instances arrive, and those of this one at them. */
+    hasContact(): boolean;
+    status(): readonly KeyStatus<Key>[];
+}
+
+const windowSlices = 40;
+/** Time for which the others may not know of what an instance admitted. */
+const unreportedMs = 1_000;
+const unreportedSlices = 10;
+/** Requests beyond its share that an instance may admit before the others know of them. */
+const maxFreeTakes = 5;
+/** An instance that has just started admits this much before it hears from the others. */
+const maxStartTakes = 2;
+const startGraceMs = 1_500;
+/** An instance whose part of the limit is below one request may admit one for this long, in turn. */
+const turnMs = 1_000;
+const minRetryAfterMs = 250;
+const evictionIntervalMs = 1_000;
+const msPerSecond = 1_000;
+
+interface KeyState<Key> {
+    readonly key: Key;
+    readonly hash: number;
+    readonly windowMs: number;
+    readonly own: TakeWindow;
+    readonly ownUnreported: TakeWindow;
+    quota: Quota;
+    lastUsedAt: number;
+    lastRefusedAt: number;
+    /** Turns that have come, and the part of the next one; begins at random, so that the turns of instances are spread. */
+    turns: number;
+    turnsUpdatedAt: number;
+    turnStartedAt: number;
+}
+
+const emptyReport: DueReports = { toRelay: undefined, toDataCentre: undefined, toOtherDataCentres: undefined };
+
+export function createSharedLimit<Key extends string>(options: SharedLimitOptions): ReportedLimit<Key> {
+    const { timer, random, bounds } = options;
+    const selfHash = hashText(options.self);
+    const startedAt = timer.now();
+    const states = new Map<Key, KeyState<Key>>();
+    const statesByHash = new Map<number, KeyState<Key>>();
+    const windowMs = (): number => bounds().windowMs;
+    const view = createQuotaView(timer, selfHash, windowMs);
+    const aggregator = createQuotaAggregator({
+        timer,
+        self: selfHash,
+        dataCentre: options.dataCentre,
+        windowMs,
+        allowanceOf: hash => {
+            const state = statesByHash.get(hash);
+            return state === undefined ? undefined : quotaAllowance(state.quota, windowMs());
+        },
+    });
+    let sequence = 0;
+
+    const createState = (key: Key, quota: Quota): KeyState<Key> => {
+        const now = timer.now();
+        const state: KeyState<Key> = {
+            key,
+            hash: hashText(key),
+            windowMs: windowMs(),
+            own: createTakeWindow(timer, windowMs(), windowSlices),
+            ownUnreported: createTakeWindow(timer, unreportedMs, unreportedSlices),
+            quota,
+            lastUsedAt: now,
+            lastRefusedAt: -Infinity,
+            turns: random.next(),
+            turnsUpdatedAt: now,
+            turnStartedAt: -Infinity,
+        };
+        states.set(key, state);
+        statesByHash.set(state.hash, state);
+        return state;
+    };
+    const stateOf = (key: Key, quota: Quota): KeyState<Key> => {
+        const known = states.get(key);
+        if (known === undefined) {
+            return createState(key, quota);
+        }
+        if (known.windowMs === windowMs()) {
+            known.quota = quota;
+            return known;
+        }
+        // Counts what the former window held as taken now.
+        const state = createState(key, quota);
+        for (let count = known.own.total(); count > 0; count--) {
+            state.own.take();
+        }
+        return state;
+    };
+    const allowanceOf = (state: KeyState<Key>): Allowance => {
+        const others = view.othersUse(state.hash);
+        return instanceAllowance(state.quota, bounds(), {
+            own: state.own.total(),
+            ownUnreported: state.ownUnreported.total(),
+            others: others.count,
+            silent: others.silentCount,
+            othersGrowthPerSecond: others.growthPerSecond,
+            groupSize: view.groupSize(),
+            instanceCount: options.instanceCount(),
+        });
+    };
+    const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - startedAt < startGraceMs;
+    /** Whether it's this instance's turn; with a limit of half a request per window it has a turn in every other window. */
+    const hasTurn = (state: KeyState<Key>, turnsPerWindow: number): boolean => {
+        const now = timer.now();
+        const before = Math.floor(state.turns);
+        state.turns += (now - state.turnsUpdatedAt) * Math.min(1, turnsPerWindow) / state.windowMs;
+        state.turnsUpdatedAt = now;
+        if (Math.floor(state.turns) > before) {
+            state.turnStartedAt = now - (state.turns % 1) * state.windowMs / Math.max(1e-9, turnsPerWindow);
+        }
+        return now - state.turnStartedAt < turnMs;
+    };
+    const mayTake = (state: KeyState<Key>, allowance: Allowance): boolean => {
+        const unreported = state.ownUnreported.total();
+        const { groupLimit, groupUse, share } = allowance;
+        const isTurn = hasTurn(state, groupLimit < 1 ? groupLimit / view.groupSize() : 0);
+        if (unreported + 1 <= share) {
+            return true;
+        }
+        if (isStarting()) {
+            return state.own.total() < maxStartTakes;
+        }
+        return groupLimit < 1
+            ? isTurn && groupUse < 1 && unreported === 0
+            : unreported < maxFreeTakes && random.next() < allowance.freeProbability;
+    };
+    /** Time until the window has room again, as use leaves it at the rate at which it came. */
+    const retryAfterMs = (state: KeyState<Key>, { groupLimit, groupUse }: Allowance): number => {
+        const missing = Math.max(1, groupUse + 1 - groupLimit);
+        const releasedPerMs = Math.max(groupLimit, 1) / state.windowMs;
+        const delayMs = Math.min(state.windowMs, Math.max(minRetryAfterMs, missing / releasedPerMs));
+        return Math.round(delayMs * (1 + random.next()));
+    };
+    const tryTake = (key: Key, quota: Quota): Admission => {
+        const state = stateOf(key, quota);
+        state.lastUsedAt = timer.now();
+        const allowance = allowanceOf(state);
+        if (!mayTake(state, allowance)) {
+            state.lastRefusedAt = timer.now();
+            return { kind: "refused", retryAfterMs: retryAfterMs(state, allowance) };
+        }
+        const undo = [state.own.take(), state.ownUnreported.take()];
+        let isGivenBack = false;
+        return {
+            kind: "admitted",
+            giveBack: () => {
+                if (!isGivenBack) {
+                    isGivenBack = true;
+                    undo.forEach(remove => remove());
+                }
+            },
+        };
+    };
+    const ownReport = (): InstanceReport => {
+        const uses: KeyUse[] = [];
+        states.forEach(({ hash, own }) => {
+            const count = own.total();
+            if (count > 0) {
+                uses.push({ key: hash, count });
+            }
+        });
+        sequence++;
+        view.recordSent(sequence, uses);
+        return { kind: "instance", sequence, hasContact: view.hasContact() || !view.hasEverHadContact(), uses };
+    };
+    const applyTotal = (report: TotalReport): void => view.apply(report);
+    const evictUnused = (): void =>
+        states.forEach((state, key) => {
+            if (timer.now() - state.lastUsedAt > 2 * state.windowMs) {
+                states.delete(key);
+                statesByHash.delete(state.hash);
+            }
+        });
+    timer.subscribe(evictionIntervalMs, evictUnused);
+    return {
+        tryTake,
+        takeReport: isRelay => {
+            if (!options.isEnabled()) {
+                return undefined;
+            }
+            const report = ownReport();
+            // Instances may disagree for a moment about which of them is the relay: whoever receives reports passes sums on.
+            if (!isRelay && !aggregator.hasReporters()) {
+                return { ...emptyReport, toRelay: report };
+            }
+            if (isRelay) {
+                aggregator.applyInstance(selfHash, report);
+            }
+            const total = aggregator.total();
+            applyTotal(total);
+            return {
+                toRelay: isRelay ? undefined : report,
+                toDataCentre: total,
+                toOtherDataCentres: aggregator.takeDataCentreReport(),
+            };
+        },
+        applyReport: (sender, report) => {
+            switch (report.kind) {
+                case "instance":
+                    return aggregator.applyInstance(hashText(sender), report);
+                case "dataCentre":
+                    return aggregator.applyDataCentre(hashText(sender), report);
+                case "total":
+                    return applyTotal(report);
+            }
+        },
+        hasContact: view.hasContact,
+        status: () =>
+            [...states.values()].map((state): KeyStatus<Key> => {
+                const allowance = allowanceOf(state);
+                const others = view.othersUse(state.hash);
+                return {
+                    key: state.key,
+                    quota: state.quota,
+                    used: state.own.total() + others.count + others.silentCount,
+                    groupLimit: allowance.groupLimit,
+                    share: Math.max(0, allowance.share - state.ownUnreported.total()),
+                    isOverQuota: timer.now() - state.lastRefusedAt < msPerSecond * Math.ceil(state.windowMs / msPerSecond),
+                };
+            }),
+    };
+}
--- /dev/null
+++ b/packages/core/src/limits/quotaReport.ts
@@ -0,0 +1,55 @@
+/**
+ * What instances tell each other about the use of shared limits. Counts are those of the last window and replace earlier
+ * ones, so that the next report makes up for a lost one. Keys and instances are named by 32-bit hashes.
+ */
+import type { DataCentreId } from "../ids.js";
+
+export interface KeyUse {
+    readonly key: number;
+    /** Requests admitted in the last window. */
+    readonly count: number;
+}
+
+/** What an instance sends to the relay of its data centre. */
+export interface InstanceReport {
+    readonly kind: "instance";
+    readonly sequence: number;
+    /** Whether totals that include the sender's reports arrive at the sender. */
+    readonly hasContact: boolean;
+    readonly uses: readonly KeyUse[];
+}
+
+/** What a relay sends to the relays of the other data centres. */
+export interface DataCentreReport {
+    readonly kind: "dataCentre";
+    readonly dataCentre: DataCentreId;
+    /** Instances whose counts are included and that receive the totals. */
+    readonly instanceCount: number;
+    /** Hashes of the relays that the sender receives reports from. */
+    readonly heardRelays: readonly number[];
+    /** Whether keys that are not named are unused; otherwise their counts have not changed. */
+    readonly isComplete: boolean;
+    readonly uses: readonly KeyUse[];
+}
+
+export interface TotalUse extends KeyUse {
+    /** Requests admitted by instances that were heard from in the last window, but not recently. */
+    readonly silentCount: number;
+}
+
+/** The last report of an instance that a total includes. */
+export interface IncludedReport {
+    readonly instance: number;
+    readonly sequence: number;
+}
+
+/** What a relay sends to the instances of its data centre. */
+export interface TotalReport {
+    readonly kind: "total";
+    /** Instances in contact with each other, in all data centres. */
+    readonly instanceCount: number;
+    readonly included: readonly IncludedReport[];
+    readonly uses: readonly TotalUse[];
+}
+
+export type QuotaReport = InstanceReport | DataCentreReport | TotalReport;
--- /dev/null
+++ b/packages/core/src/limits/quotaView.ts
@@ -0,0 +1,105 @@
+/** What an instance knows of the others' use of shared limits: the last total that includes its own reports. */
+import type { Timer } from "../time/timer.js";
+import { contactTimeoutMs } from "./quotaAggregator.js";
+import type { KeyUse, TotalReport, TotalUse } from "./quotaReport.js";
+
+export interface QuotaView {
+    /** Keeps what was sent, to tell the own part of a total from that of the others. */
+    recordSent(sequence: number, uses: readonly KeyUse[]): void;
+    /** Takes a total; one that doesn't include a recent report of this instance is of a group that it doesn't belong to. */
+    apply(report: TotalReport): void;
+    /** Whether a total was received recently. */
+    hasContact(): boolean;
+    /** Whether a total was ever received. */
+    hasEverHadContact(): boolean;
+    /** Time of the last total that was received, or of the start. */
+    lastContactAt(): number;
+    /** Instances in contact with each other, this one included. */
+    groupSize(): number;
+    othersUse(key: number): OthersUse;
+}
+
+export interface OthersUse {
+    /** Admitted in the last window by other instances of the group, according to the last total. */
+    readonly count: number;
+    /** The same for instances that the group is not in contact with. */
+    readonly silentCount: number;
+    /** Growth of `count` per second. */
+    readonly growthPerSecond: number;
+}
+
+/** Time over which the growth of the others' use is measured. */
+const growthSpanMs = 400;
+const msPerSecond = 1_000;
+
+interface SentReport {
+    readonly sentAt: number;
+    readonly counts: ReadonlyMap<number, number>;
+}
+
+interface KnownTotal {
+    readonly receivedAt: number;
+    readonly groupSize: number;
+    /** Counts of the others in the group. */
+    readonly others: ReadonlyMap<number, number>;
+    readonly uses: ReadonlyMap<number, TotalUse>;
+}
+
+const unused: OthersUse = { count: 0, silentCount: 0, growthPerSecond: 0 };
+
+export function createQuotaView(timer: Timer, self: number, windowMs: () => number): QuotaView {
+    const startedAt = timer.now();
+    const sent = new Map<number, SentReport>();
+    /** The last total, and earlier ones back to the first that is old enough to measure the growth. */
+    let totals: KnownTotal[] = [];
+    const latest = (): KnownTotal | undefined => totals.at(-1);
+    const hasContact = (): boolean => {
+        const total = latest();
+        return total !== undefined && timer.now() - total.receivedAt < contactTimeoutMs;
+    };
+    const growthOf = (key: number, total: KnownTotal): number => {
+        const earlier = totals[0]!;
+        const spanMs = total.receivedAt - earlier.receivedAt;
+        return spanMs === 0 ? 0 : ((total.others.get(key) ?? 0) - (earlier.others.get(key) ?? 0)) * msPerSecond / spanMs;
+    };
+    return {
+        recordSent: (sequence, uses) => {
+            const sentAt = timer.now();
+            sent.forEach((report, known) => sentAt - report.sentAt >= contactTimeoutMs && sent.delete(known));
+            sent.set(sequence, { sentAt, counts: new Map(uses.map(({ key, count }) => [key, count])) });
+        },
+        apply: report => {
+            const own = report.included.find(({ instance }) => instance === self);
+            const included = own === undefined ? undefined : sent.get(own.sequence);
+            const now = timer.now();
+            if (included === undefined || now - included.sentAt >= contactTimeoutMs) {
+                return;
+            }
+            const others = new Map(
+                report.uses.map(({ key, count }) => [key, Math.max(0, count - (included.counts.get(key) ?? 0))] as const),
+            );
+            const uses = new Map(report.uses.map(use => [use.key, use]));
+            const firstKept = totals.findLastIndex(({ receivedAt }) => now - receivedAt >= growthSpanMs);
+            totals = totals.slice(Math.max(0, firstKept));
+            totals.push({ receivedAt: now, groupSize: report.instanceCount, others, uses });
+        },
+        hasContact,
+        hasEverHadContact: () => totals.length > 0,
+        lastContactAt: () => latest()?.receivedAt ?? startedAt,
+        groupSize: () => hasContact() ? Math.max(1, latest()!.groupSize) : 1,
+        othersUse: key => {
+            const total = latest();
+            if (total === undefined) {
+                return unused;
+            }
+            const count = total.others.get(key) ?? 0;
+            const silentCount = total.uses.get(key)?.silentCount ?? 0;
+            if (hasContact()) {
+                return { count, silentCount, growthPerSecond: growthOf(key, total) };
+            }
+            // What the others admitted before the contact was lost stays in the window for its length.
+            const isInWindow = timer.now() - total.receivedAt < windowMs();
+            return { count: 0, silentCount: isInWindow ? count + silentCount : 0, growthPerSecond: 0 };
+        },
+    };
+}
