feat(core): tune the shared limit and check its bound by simulation

A cut-off instance whose part is below one request gets a whole number of requests by its rank, so that the parts add up to the limit, in place of turns at random times.

--- /dev/null
+++ b/packages/core/src/limits/__tests__/quotaLimit.test.ts
@@ -0,0 +1,196 @@
+/** The quota that all instances share, over simulated links that delay and lose reports. */
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toDataCentreId, toInstanceId } from "../../ids.js";
+import { createRandom } from "../../random/random.js";
+import { createVirtualTimer } from "../../time/virtualTimer.js";
+import { createSharedLimit } from "../quotaLimit.js";
+import { bounds, createSimulation, type Instance, maxInWindow, quotaOf, type Simulation, windowBound } from "./fixture.js";
+
+const runMs = 24_000;
+const faultKinds = ["join", "leave", "restart", "pause", "isolate", "isolateDataCentre", "restartDataCentre", "lose"] as const;
+
+interface Fault {
+    readonly kind: typeof faultKinds[number];
+    readonly atMs: number;
+    readonly durationMs: number;
+    /** Chooses the instance that it affects. */
+    readonly position: number;
+}
+
+interface Schedule {
+    readonly seed: number;
+    readonly ratePerSecond: number;
+    /** Demand as a part of the quota's rate, before and after a sudden change. */
+    readonly loadBefore: number;
+    readonly loadAfter: number;
+    readonly changeAtMs: number;
+    /** 1 spreads requests evenly; above it, some instances get more of them. */
+    readonly skew: number;
+    readonly faults: readonly Fault[];
+}
+
+const schedules: fc.Arbitrary<Schedule> = fc.record({
+    seed: fc.integer(),
+    ratePerSecond: fc.constantFrom(1.6, 3.2, 8, 31, 60, 100, 491),
+    loadBefore: fc.double({ min: 0, max: 0.6, noNaN: true }),
+    loadAfter: fc.double({ min: 0, max: 4.7, noNaN: true }),
+    changeAtMs: fc.integer({ min: 6_000, max: 16_000 }),
+    skew: fc.double({ min: 1, max: 2, noNaN: true }),
+    faults: fc.array(
+        fc.record({
+            kind: fc.constantFrom(...faultKinds),
+            atMs: fc.integer({ min: 3_000, max: 20_000 }),
+            durationMs: fc.integer({ min: 100, max: 9_000 }),
+            position: fc.double({ min: 0, max: 0.999, noNaN: true }),
+        }),
+        { maxLength: 5 },
+    ),
+});
+
+function applyFault(simulation: Simulation, { kind, durationMs, position }: Fault): void {
+    const { timer, instances, start, stop, setGroup, setPaused, setLossRatio } = simulation;
+    const chosen = instances[Math.floor(position * instances.length)]!;
+    const sameDataCentre = instances.filter(({ dataCentre }) => dataCentre === chosen.dataCentre);
+    const later = (revert: () => void): void => void timer.after(durationMs, revert);
+    const restart = (instance: Instance): void => {
+        if (instance.limit !== undefined) {
+            stop(instance);
+            later(() => start(instance));
+        }
+    };
+    const isolate = (members: readonly Instance[]): void => {
+        members.forEach(member => setGroup(member, chosen.index + 1));
+        later(() => members.forEach(member => setGroup(member, 0)));
+    };
+    switch (kind) {
+        case "join":
+            return chosen.limit === undefined ? start(chosen) : undefined;
+        case "leave":
+            return chosen.limit === undefined ? undefined : stop(chosen);
+        case "restart":
+            return restart(chosen);
+        case "pause":
+            setPaused(chosen, true);
+            return later(() => setPaused(chosen, false));
+        case "isolate":
+            return isolate([chosen]);
+        case "isolateDataCentre":
+            return isolate(sameDataCentre);
+        case "restartDataCentre":
+            return sameDataCentre.forEach(restart);
+        case "lose":
+            setLossRatio(0.4);
+            return later(() => setLossRatio(0));
+    }
+}
+
+/** Most requests admitted in a window, as a part of the bound. */
+function boundUse(instanceCount: number, schedule: Schedule): number {
+    const simulation = createSimulation(schedule.seed, instanceCount, Math.ceil(instanceCount * 0.9));
+    const quota = quotaOf(schedule.ratePerSecond);
+    const outcome = simulation.drive({
+        key: "sese880",
+        quota,
+        rateAt: now => quota.ratePerSecond * (now < schedule.changeAtMs ? schedule.loadBefore : schedule.loadAfter),
+    }, schedule.skew);
+    schedule.faults.forEach(fault => simulation.timer.after(fault.atMs, () => applyFault(simulation, fault)));
+    simulation.timer.advance(runMs);
+    return maxInWindow(outcome) / windowBound(quota);
+}
+
+/** Schedules by number of instances; `PIMENTO_SCHEDULES` sets another number for all. */
+const runCounts = new Map([[1, 20], [8, 20], [70, 20], [195, 8], [800, 2]]);
+const chosenRunCount = Number(process.env["PIMENTO_SCHEDULES"] ?? 0);
+for (const [instanceCount, numRuns] of runCounts) {
+    test(`${instanceCount} instances admit no more than the bound in any window, whatever fails`, () => {
+        fc.assert(
+            fc.property(schedules, schedule => {
+                const use = boundUse(instanceCount, schedule);
+                assert.ok(use <= 1, `${use.toFixed(3)} of the bound`);
+            }),
+            { numRuns: chosenRunCount || numRuns },
+        );
+    });
+}
+
+test("a workspace whose demand stays below its quota is never refused, also just after all instances have started", () => {
+    for (const seed of [1, 2, 3]) {
+        const simulation = createSimulation(seed, 71);
+        const outcomes = [1.6, 3.2, 8, 31].map(rate =>
+            simulation.drive({ key: `w${rate}`, quota: quotaOf(rate), rateAt: () => rate / 1.6 }, 1 + seed % 2)
+        );
+        simulation.timer.advance(runMs);
+        outcomes.forEach(({ refused, arrived }) =>
+            assert.deepEqual({ refused, wasUsed: arrived > 10 }, { refused: 0, wasUsed: true })
+        );
+    }
+});
+
+test("a workspace above its quota uses most of it", () => {
+    const simulation = createSimulation(1, 71);
+    const rates = [3.2, 31, 100, 491];
+    const outcomes = rates.map(rate => simulation.drive({ key: `w${rate}`, quota: quotaOf(rate), rateAt: () => rate * 2 }));
+    const warmUpMs = 8_000;
+    const windowCount = 6;
+    simulation.timer.advance(warmUpMs + windowCount * bounds.windowMs);
+    outcomes.forEach(({ admittedAt }, index) => {
+        const perWindow = admittedAt.filter(at => at > warmUpMs).length / windowCount;
+        assert.ok(perWindow >= 0.83 * 6 * rates[index]!, `rate ${rates[index]}: ${perWindow} a window`);
+    });
+});
+
+test("instances that can't reach each other together admit no more than the bound", () => {
+    const simulation = createSimulation(1, 71);
+    simulation.instances.forEach(instance => simulation.setGroup(instance, instance.index));
+    for (const rate of [1.6, 31]) {
+        const quota = quotaOf(rate);
+        const outcome = simulation.drive({ key: `w${rate}`, quota, rateAt: () => rate * 4.7 });
+        simulation.timer.advance(runMs);
+        assert.ok(maxInWindow(outcome) <= windowBound(quota));
+        assert.ok(outcome.admittedAt.length > rate, "each has its part");
+    }
+});
+
+function createSingle() {
+    const timer = createVirtualTimer();
+    const limit = createSharedLimit<string>({
+        timer,
+        random: createRandom(1),
+        self: toInstanceId("a"),
+        dataCentre: toDataCentreId("dc"),
+        bounds: () => ({ windowMs: 5_000, overshoot: 0, slack: 0 }),
+        isEnabled: () => true,
+        instanceCount: () => 1,
+        rank: () => 0,
+    });
+    timer.advance(3_000);
+    return { timer, limit };
+}
+
+test("a request that is given back leaves room for another one, once", () => {
+    const { limit } = createSingle();
+    const quota = { ratePerSecond: 1, burst: 0 };
+    const admissions = Array.from({ length: 6 }, () => limit.tryTake("w", quota));
+    assert.deepEqual(admissions.map(({ kind }) => kind), [...Array<string>(5).fill("admitted"), "refused"]);
+    const [first] = admissions;
+    assert.ok(first?.kind === "admitted");
+    first.giveBack();
+    first.giveBack();
+    assert.equal(limit.tryTake("w", quota).kind, "admitted");
+    assert.equal(limit.tryTake("w", quota).kind, "refused");
+});
+
+test("a refused request is admitted after the time it was told to wait", () => {
+    const { timer, limit } = createSingle();
+    const quota = { ratePerSecond: 2, burst: 0 };
+    for (let count = 0; count < 10; count++) {
+        limit.tryTake("w", quota);
+        timer.advance(300);
+    }
+    const refusal = limit.tryTake("w", quota);
+    assert.ok(refusal.kind === "refused" && refusal.retryAfterMs > 0 && refusal.retryAfterMs <= 10_000);
+    timer.advance(10_000);
+    assert.equal(limit.tryTake("w", quota).kind, "admitted");
+});
--- a/packages/core/src/limits/quotaAggregator.ts
+++ b/packages/core/src/limits/quotaAggregator.ts
@@ -20,13 +20,16 @@
     hasReporters(): boolean;
     total(): TotalReport;
     /** Returns what to tell the other data centres now. */
-    takeDataCentreReport(): DataCentreReport;
+    takeDataCentreReport(): DataCentreReport | undefined;
 }
 
 /** Instances whose last report is older are not in contact: three reports in a row were lost. */
 export const contactTimeoutMs = 900;
 /** A data centre may change its relay when its former relay was silent for this long. */
 const relayChangeMs = 550;
+/** Interval of reports to other data centres while there is something new, and otherwise. */
+const reportIntervalMs = 240;
+const idleReportIntervalMs = 360;
 /** Use that is far below the limit is passed on to other data centres this often. */
 const slowReportIntervalMs = 1_000;
 /** All counts are repeated to other data centres this often. */
@@ -59,6 +62,7 @@
     const dataCentres = new Map<DataCentreId, Source>();
     const sent = new Map<number, SentUse>();
     let completeAt = -Infinity;
+    let reportedAt = -Infinity;
 
     const ageMs = (source: Source): number => timer.now() - source.receivedAt;
     const isFresh = (source: Source): boolean => ageMs(source) < contactTimeoutMs;
@@ -152,18 +156,25 @@
             };
         },
         takeDataCentreReport: () => {
-            removeExpired(instances);
             const now = timer.now();
+            if (now - reportedAt < reportIntervalMs) {
+                return undefined;
+            }
+            removeExpired(instances);
             const sums = new Map<number, number>();
             sent.forEach((_, key) => sums.set(key, 0));
             instances.forEach(source => addUses(sums, source));
             const all = [...sums].map(([key, count]): KeyUse => ({ key, count }));
             const isComplete = now - completeAt >= completeReportIntervalMs;
+            const uses = isComplete ? all.filter(({ count }) => count > 0) : all.filter(isDue);
+            if (!isComplete && uses.length === 0 && now - reportedAt < idleReportIntervalMs) {
+                return undefined;
+            }
+            reportedAt = now;
             if (isComplete) {
                 completeAt = now;
                 sent.clear();
             }
-            const uses = isComplete ? all.filter(({ count }) => count > 0) : all.filter(isDue);
             uses.forEach(({ key, count }) => sent.set(key, { count, sentAt: now }));
             return {
                 kind: "dataCentre",
--- a/packages/core/src/limits/quotaAllowance.ts
+++ b/packages/core/src/limits/quotaAllowance.ts
@@ -42,14 +42,16 @@
 }
 
 /** Parts of the overshoot and of the slack that are used on purpose; the rest covers the delay of reports. */
-const usedOvershootFraction = 0.5;
-const usedSlackFraction = 0.5;
+const usedOvershootFraction = 0.45;
+const usedSlackFraction = 0.45;
 /** Part of the group's limit up to which requests beyond the share are admitted freely. */
-const freeUseFraction = 0.72;
+const freeUseFraction = 0.75;
+/** Makes free admissions rarer near the limit, where the others' latest requests are not yet known. */
+const freeProbabilityExponent = 1.5;
 /** Weight of the equal shares, as part of the group's limit. */
 const equalShareWeight = 0.25;
 /** Time that a change takes to reach all instances. */
-const reportDelayMs = 500;
+const reportDelayMs = 350;
 const msPerSecond = 1_000;
 
 /** The allowance of a window: what all instances together may admit by the quota alone. */
@@ -75,6 +77,6 @@
         groupLimit,
         groupUse,
         share: ownFraction * (free + use.ownUnreported),
-        freeProbability: free < 1 ? 0 : Math.min(1, free / ((1 - freeUseFraction) * groupLimit)),
+        freeProbability: free < 1 ? 0 : Math.min(1, free / ((1 - freeUseFraction) * groupLimit)) ** freeProbabilityExponent,
     };
 }
--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -7,7 +7,7 @@
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
 import { createQuotaAggregator } from "./quotaAggregator.js";
-import { type Allowance, instanceAllowance, quotaAllowance, type QuotaBounds } from "./quotaAllowance.js";
+import { type Allowance, instanceAllowance, quotaAllowance, type QuotaBounds, targetLimit } from "./quotaAllowance.js";
 import type { DataCentreReport, InstanceReport, KeyUse, QuotaReport, TotalReport } from "./quotaReport.js";
 import { createQuotaView } from "./quotaView.js";
 import type { Admission, Quota, SharedLimit } from "./sharedLimit.js";
@@ -23,6 +23,8 @@
     readonly isEnabled: () => boolean;
     /** All instances that may admit requests, this one included. */
     readonly instanceCount: () => number;
+    /** Number of these instances that come before this one in an order that all agree on. */
+    readonly rank: () => number;
 }
 
 /** Reports that are due, by receiver. */
@@ -60,15 +62,14 @@
 
 const windowSlices = 40;
 /** Time for which the others may not know of what an instance admitted. */
-const unreportedMs = 1_000;
-const unreportedSlices = 10;
+const unreportedMs = 400;
+const unreportedSlices = 4;
 /** Requests beyond its share that an instance may admit before the others know of them. */
 const maxFreeTakes = 5;
-/** An instance that has just started admits this much before it hears from the others. */
+/** An instance that has just started admits this many requests, and this part of its equal share, before it hears from the others. */
 const maxStartTakes = 2;
+const startFraction = 0.25;
 const startGraceMs = 1_500;
-/** An instance whose part of the limit is below one request may admit one for this long, in turn. */
-const turnMs = 1_000;
 const minRetryAfterMs = 250;
 const evictionIntervalMs = 1_000;
 const msPerSecond = 1_000;
@@ -82,10 +83,6 @@
     quota: Quota;
     lastUsedAt: number;
     lastRefusedAt: number;
-    /** Turns that have come, and the part of the next one; begins at random, so that the turns of instances are spread. */
-    turns: number;
-    turnsUpdatedAt: number;
-    turnStartedAt: number;
 }
 
 const emptyReport: DueReports = { toRelay: undefined, toDataCentre: undefined, toOtherDataCentres: undefined };
@@ -121,9 +118,6 @@
             quota,
             lastUsedAt: now,
             lastRefusedAt: -Infinity,
-            turns: random.next(),
-            turnsUpdatedAt: now,
-            turnStartedAt: -Infinity,
         };
         states.set(key, state);
         statesByHash.set(state.hash, state);
@@ -157,30 +151,24 @@
             instanceCount: options.instanceCount(),
         });
     };
-    const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - startedAt < startGraceMs;
-    /** Whether it's this instance's turn; with a limit of half a request per window it has a turn in every other window. */
-    const hasTurn = (state: KeyState<Key>, turnsPerWindow: number): boolean => {
-        const now = timer.now();
-        const before = Math.floor(state.turns);
-        state.turns += (now - state.turnsUpdatedAt) * Math.min(1, turnsPerWindow) / state.windowMs;
-        state.turnsUpdatedAt = now;
-        if (Math.floor(state.turns) > before) {
-            state.turnStartedAt = now - (state.turns % 1) * state.windowMs / Math.max(1e-9, turnsPerWindow);
-        }
-        return now - state.turnStartedAt < turnMs;
+    const equalShare = (quota: Quota): number => targetLimit(quota, bounds()) / Math.max(1, options.instanceCount());
+    /** The equal share in whole requests, such that the shares of all instances add up to the limit. */
+    const wholeShare = ({ hash, quota }: KeyState<Key>): number => {
+        const share = equalShare(quota);
+        const position = (options.rank() + hash) % Math.max(1, options.instanceCount());
+        return Math.floor((position + 1) * share) - Math.floor(position * share);
     };
+    const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - startedAt < startGraceMs;
     const mayTake = (state: KeyState<Key>, allowance: Allowance): boolean => {
         const unreported = state.ownUnreported.total();
-        const { groupLimit, groupUse, share } = allowance;
-        const isTurn = hasTurn(state, groupLimit < 1 ? groupLimit / view.groupSize() : 0);
-        if (unreported + 1 <= share) {
+        if (unreported + 1 <= allowance.share) {
             return true;
         }
         if (isStarting()) {
-            return state.own.total() < maxStartTakes;
+            return state.own.total() < maxStartTakes + startFraction * equalShare(state.quota);
         }
-        return groupLimit < 1
-            ? isTurn && groupUse < 1 && unreported === 0
+        return allowance.groupLimit < 1
+            ? state.own.total() + 1 <= wholeShare(state)
             : unreported < maxFreeTakes && random.next() < allowance.freeProbability;
     };
     /** Time until the window has room again, as use leaves it at the rate at which it came. */
