--- a/packages/core/src/limits/__tests__/fixture.ts
+++ b/packages/core/src/limits/__tests__/fixture.ts
@@ -3,12 +3,11 @@
 import { createRandom, type Random } from "../../random/random.js";
 import { createVirtualTimer, type VirtualTimer } from "../../time/virtualTimer.js";
 import { quotaAllowance, type QuotaBounds } from "../quotaAllowance.js";
-import { createSharedLimit, type ReportedLimit } from "../quotaLimit.js";
+import { createSharedLimit, quotaReportIntervalMs, type ReportedLimit } from "../quotaLimit.js";
 import type { QuotaReport } from "../quotaReport.js";
 import type { Quota } from "../sharedLimit.js";
 
 export const bounds: QuotaBounds = { windowMs: 5_000, overshoot: 0.1, slack: 20 };
-const reportIntervalMs = 125;
 const localDelayMs = 1;
 const remoteDelayMs = 35;
 /** An instance that is silent for this long is no longer taken for a relay. */
@@ -80,14 +79,8 @@
         return other.limit !== undefined && isReachable
             || other.incarnation > 0 && timer.now() - silentSince < heartbeatTimeoutMs;
     };
-    const relayOf = (self: Instance, dataCentre: DataCentreId, skipped = 0): Instance | undefined => {
-        for (const other of instances) {
-            if (other.dataCentre === dataCentre && (other === self || seemsAlive(self, other)) && skipped-- === 0) {
-                return other;
-            }
-        }
-        return undefined;
-    };
+    const relayOf = (self: Instance, dataCentre: DataCentreId): Instance | undefined =>
+        instances.find(other => other.dataCentre === dataCentre && seemsAlive(self, other));
     const send = (from: Instance, to: Instance, report: QuotaReport): void => {
         if (random.next() < lossRatio || from.group !== to.group) {
             return;
@@ -101,16 +94,19 @@
         });
     };
     const report = (self: Instance): void => {
-        const relay = relayOf(self, self.dataCentre)!;
-        const due = self.limit!.takeReport(relay === self);
-        if (due?.toRelay !== undefined) {
-            send(self, relay, due.toRelay);
+        const local = instances.filter(other =>
+            other.dataCentre === self.dataCentre && (other === self || seemsAlive(self, other))
+        );
+        const due = self.limit!.takeReport(local.indexOf(self));
+        if (due === undefined) {
+            return;
         }
-        if (due?.toDataCentre !== undefined) {
+        local.slice(0, 2).forEach(relay => relay !== self && send(self, relay, due.toRelays));
+        if (due.toDataCentre !== undefined) {
             const total = due.toDataCentre;
             instances.forEach(other => other !== self && other.dataCentre === self.dataCentre && send(self, other, total));
         }
-        if (due?.toOtherDataCentres !== undefined) {
+        if (due.toOtherDataCentres !== undefined) {
             const sums = due.toOtherDataCentres;
             new Set(instances.map(({ dataCentre }) => dataCentre)).forEach(dataCentre => {
                 const other = dataCentre === self.dataCentre ? undefined : relayOf(self, dataCentre);
@@ -136,8 +132,8 @@
             instanceCount: () => knownIndexes.length,
             rank: () => knownIndexes.indexOf(self.index),
         });
-        timer.after(random.below(reportIntervalMs), () =>
-            timer.subscribe(reportIntervalMs, () => {
+        timer.after(random.below(quotaReportIntervalMs), () =>
+            timer.subscribe(quotaReportIntervalMs, () => {
                 if (self.incarnation === incarnation && isUp(self)) {
                     report(self);
                 }
--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -29,8 +29,8 @@
 
 /** Reports that are due, by receiver. */
 export interface DueReports {
-    /** For the relay of the data centre; absent if this instance is the relay. */
-    readonly toRelay: InstanceReport | undefined;
+    /** For the relay of the data centre and its deputy, the instances with the two lowest ids. */
+    readonly toRelays: InstanceReport;
     /** For the other instances of the data centre. */
     readonly toDataCentre: TotalReport | undefined;
     /** For the relays of the other data centres. */
@@ -52,14 +52,20 @@
 }
 
 export interface ReportedLimit<Key> extends SharedLimit<Key> {
-    /** Returns what is to be sent now; called at a fixed interval. */
-    takeReport(isRelay: boolean): DueReports | undefined;
+    /**
+     * Returns what is to be sent now; called at the interval `quotaReportIntervalMs`. `position` is that of this instance in
+     * its data centre, by id: 0 is the relay, and the next ones act for it while its totals don't arrive.
+     */
+    takeReport(position: number): DueReports | undefined;
     applyReport(sender: InstanceId, report: QuotaReport): void;
     /** Whether reports of the other instances arrive, and those of this one at them. */
     hasContact(): boolean;
     status(): readonly KeyStatus<Key>[];
 }
 
+export const quotaReportIntervalMs = 125;
+/** A relay counts as silent if its totals don't arrive for this long: four in a row were lost. */
+const relayTimeoutMs = 500;
 const windowSlices = 40;
 /** Time for which the others may not know of what an instance admitted. */
 const unreportedMs = 400;
@@ -85,8 +91,6 @@
     lastRefusedAt: number;
 }
 
-const emptyReport: DueReports = { toRelay: undefined, toDataCentre: undefined, toOtherDataCentres: undefined };
-
 export function createSharedLimit<Key extends string>(options: SharedLimitOptions): ReportedLimit<Key> {
     const { timer, random, bounds } = options;
     const selfHash = hashText(options.self);
@@ -106,6 +110,8 @@
         },
     });
     let sequence = 0;
+    /** Time of the last total of another instance that includes this one. */
+    let relayHeardAt = startedAt;
 
     const createState = (key: Key, quota: Quota): KeyState<Key> => {
         const now = timer.now();
@@ -210,7 +216,9 @@
         view.recordSent(sequence, uses);
         return { kind: "instance", sequence, hasContact: view.hasContact() || !view.hasEverHadContact(), uses };
     };
-    const applyTotal = (report: TotalReport): void => view.apply(report);
+    /** The relay is replaced before the instances lose contact. */
+    const isActingRelay = (position: number): boolean =>
+        position === 0 || aggregator.hasReporters() && timer.now() - relayHeardAt >= relayTimeoutMs;
     const evictUnused = (): void =>
         states.forEach((state, key) => {
             if (timer.now() - state.lastUsedAt > 2 * state.windowMs) {
@@ -221,25 +229,18 @@
     timer.subscribe(evictionIntervalMs, evictUnused);
     return {
         tryTake,
-        takeReport: isRelay => {
+        takeReport: position => {
             if (!options.isEnabled()) {
                 return undefined;
             }
             const report = ownReport();
-            // Instances may disagree for a moment about which of them is the relay: whoever receives reports passes sums on.
-            if (!isRelay && !aggregator.hasReporters()) {
-                return { ...emptyReport, toRelay: report };
-            }
-            if (isRelay) {
-                aggregator.applyInstance(selfHash, report);
+            if (!isActingRelay(position)) {
+                return { toRelays: report, toDataCentre: undefined, toOtherDataCentres: undefined };
             }
+            aggregator.applyInstance(selfHash, report);
             const total = aggregator.total();
-            applyTotal(total);
-            return {
-                toRelay: isRelay ? undefined : report,
-                toDataCentre: total,
-                toOtherDataCentres: aggregator.takeDataCentreReport(),
-            };
+            view.apply(total);
+            return { toRelays: report, toDataCentre: total, toOtherDataCentres: aggregator.takeDataCentreReport() };
         },
         applyReport: (sender, report) => {
             switch (report.kind) {
@@ -248,7 +249,8 @@
                 case "dataCentre":
                     return aggregator.applyDataCentre(hashText(sender), report);
                 case "total":
-                    return applyTotal(report);
+                    relayHeardAt = view.apply(report) ? timer.now() : relayHeardAt;
+                    return;
             }
         },
         hasContact: view.hasContact,
--- a/packages/core/src/limits/quotaView.ts
+++ b/packages/core/src/limits/quotaView.ts
@@ -6,8 +6,11 @@
 export interface QuotaView {
     /** Keeps what was sent, to tell the own part of a total from that of the others. */
     recordSent(sequence: number, uses: readonly KeyUse[]): void;
-    /** Takes a total; one that doesn't include a recent report of this instance is of a group that it doesn't belong to. */
-    apply(report: TotalReport): void;
+    /**
+     * Takes a total. Returns false for one that doesn't include a recent report of this instance: it is of a group that this
+     * instance doesn't belong to.
+     */
+    apply(report: TotalReport): boolean;
     /** Whether a total was received recently. */
     hasContact(): boolean;
     /** Whether a total was ever received. */
@@ -73,7 +76,7 @@
             const included = own === undefined ? undefined : sent.get(own.sequence);
             const now = timer.now();
             if (included === undefined || now - included.sentAt >= contactTimeoutMs) {
-                return;
+                return false;
             }
             const others = new Map(
                 report.uses.map(({ key, count }) => [key, Math.max(0, count - (included.counts.get(key) ?? 0))] as const),
@@ -82,6 +85,7 @@
             const firstKept = totals.findLastIndex(({ receivedAt }) => now - receivedAt >= growthSpanMs);
             totals = totals.slice(Math.max(0, firstKept));
             totals.push({ receivedAt: now, groupSize: report.instanceCount, others, uses });
+            return true;
         },
         hasContact,
         hasEverHadContact: () => totals.length > 0,
