feat(steer): carry quota reports between entries and wire the shared limit

Reports travel in short heartbeats with one more element, which older versions accept and ignore; nothing is sent while no quota is in force (steering option hasQuotas). A data centre's sums go to the entry that last reported for the other data centre, as the store may list a dead relay until its lease ends. Entries that were cut off count among those that share limits for 5 minutes, so that the parts of separated groups add up to the limit.

--- a/packages/core/src/limits/__tests__/fixture.ts
+++ b/packages/core/src/limits/__tests__/fixture.ts
@@ -1,5 +1,5 @@
 /** Simulated instances that share limits: they report to each other through their relays, over links that can fail. */
-import { type DataCentreId, toDataCentreId, toInstanceId } from "../../ids.js";
+import { type DataCentreId, type InstanceId, toDataCentreId, toInstanceId } from "../../ids.js";
 import { createRandom, type Random } from "../../random/random.js";
 import { createVirtualTimer, type VirtualTimer } from "../../time/virtualTimer.js";
 import { quotaAllowance, type QuotaBounds } from "../quotaAllowance.js";
@@ -117,10 +117,10 @@
         }
     };
     /** Instances that were ever started; those that are silent still count. */
-    let knownIndexes: number[] = [];
+    let sharers: InstanceId[] = [];
     const start = (self: Instance): void => {
         self.incarnation++;
-        knownIndexes = instances.filter(({ incarnation }) => incarnation > 0).map(({ index }) => index);
+        sharers = instances.filter(({ incarnation }) => incarnation > 0).map(idOf);
         const { incarnation } = self;
         self.limit = createSharedLimit({
             timer,
@@ -129,8 +129,7 @@
             dataCentre: self.dataCentre,
             bounds: () => bounds,
             isEnabled: () => true,
-            instanceCount: () => knownIndexes.length,
-            rank: () => knownIndexes.indexOf(self.index),
+            instances: () => sharers,
         });
         timer.after(random.below(quotaReportIntervalMs), () =>
             timer.subscribe(quotaReportIntervalMs, () => {
--- a/packages/core/src/limits/__tests__/quotaLimit.test.ts
+++ b/packages/core/src/limits/__tests__/quotaLimit.test.ts
@@ -162,8 +162,7 @@
         dataCentre: toDataCentreId("dc"),
         bounds: () => ({ windowMs: 5_000, overshoot: 0, slack: 0 }),
         isEnabled: () => true,
-        instanceCount: () => 1,
-        rank: () => 0,
+        instances: () => [toInstanceId("a")],
     });
     timer.advance(3_000);
     return { timer, limit };
--- a/packages/core/src/limits/quotaAggregator.ts
+++ b/packages/core/src/limits/quotaAggregator.ts
@@ -9,6 +9,8 @@
     readonly self: number;
     readonly dataCentre: DataCentreId;
     readonly windowMs: () => number;
+    /** Instances that may admit requests, this one included. */
+    readonly instanceCount: () => number;
     /** What may be admitted in a window under the key; `undefined` if this instance doesn't know it. */
     readonly allowanceOf: (key: number) => number | undefined;
 }
@@ -45,6 +47,7 @@
     readonly sequence: number;
     /** Instances in contact behind the source. */
     readonly instanceCount: number;
+    readonly knownCount: number;
     readonly heardRelays: readonly number[];
     readonly receivedAt: number;
 }
@@ -105,6 +108,7 @@
                 uses: toMap(report.uses),
                 sequence: report.sequence,
                 instanceCount: report.hasContact ? 1 : 0,
+                knownCount: 0,
                 heardRelays: [],
                 receivedAt: timer.now(),
             });
@@ -126,6 +130,7 @@
                 uses,
                 sequence: 0,
                 instanceCount,
+                knownCount: report.knownCount,
                 heardRelays: report.heardRelays,
                 receivedAt: timer.now(),
             });
@@ -148,6 +153,7 @@
             return {
                 kind: "total",
                 instanceCount: [...connected].reduce((sum, source) => sum + source.instanceCount, liveInstanceCount()),
+                knownCount: Math.max(options.instanceCount(), ...[...dataCentres.values()].map(({ knownCount }) => knownCount)),
                 included: [...instances].filter(([, source]) => isFresh(source)).map(([instance, { sequence }]) => ({
                     instance,
                     sequence,
@@ -180,6 +186,7 @@
                 kind: "dataCentre",
                 dataCentre: options.dataCentre,
                 instanceCount: liveInstanceCount(),
+                knownCount: options.instanceCount(),
                 heardRelays: heardRelays(),
                 isComplete,
                 uses,
--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -21,10 +21,8 @@
     readonly bounds: () => QuotaBounds;
     /** Whether there are limits at all; without them nothing is reported. */
     readonly isEnabled: () => boolean;
-    /** All instances that may admit requests, this one included. */
-    readonly instanceCount: () => number;
-    /** Number of these instances that come before this one in an order that all agree on. */
-    readonly rank: () => number;
+    /** All instances that may admit requests, this one included, in an order that all agree on. */
+    readonly instances: () => readonly InstanceId[];
 }
 
 /** Reports that are due, by receiver. */
@@ -94,7 +92,6 @@
 export function createSharedLimit<Key extends string>(options: SharedLimitOptions): ReportedLimit<Key> {
     const { timer, random, bounds } = options;
     const selfHash = hashText(options.self);
-    const startedAt = timer.now();
     const states = new Map<Key, KeyState<Key>>();
     const statesByHash = new Map<number, KeyState<Key>>();
     const windowMs = (): number => bounds().windowMs;
@@ -104,14 +101,19 @@
         self: selfHash,
         dataCentre: options.dataCentre,
         windowMs,
+        instanceCount: () => options.instances().length,
         allowanceOf: hash => {
             const state = statesByHash.get(hash);
             return state === undefined ? undefined : quotaAllowance(state.quota, windowMs());
         },
     });
+    /** An instance that has started during a fault may not know those that its relay knows. */
+    const instanceCount = (): number => Math.max(1, options.instances().length, view.knownCount());
     let sequence = 0;
+    /** Time of the first report; before it this instance can't have heard from others. */
+    let reportsSince: number | undefined;
     /** Time of the last total of another instance that includes this one. */
-    let relayHeardAt = startedAt;
+    let relayHeardAt = timer.now();
 
     const createState = (key: Key, quota: Quota): KeyState<Key> => {
         const now = timer.now();
@@ -154,17 +156,17 @@
             silent: others.silentCount,
             othersGrowthPerSecond: others.growthPerSecond,
             groupSize: view.groupSize(),
-            instanceCount: options.instanceCount(),
+            instanceCount: instanceCount(),
         });
     };
-    const equalShare = (quota: Quota): number => targetLimit(quota, bounds()) / Math.max(1, options.instanceCount());
+    const equalShare = (quota: Quota): number => targetLimit(quota, bounds()) / instanceCount();
     /** The equal share in whole requests, such that the shares of all instances add up to the limit. */
     const wholeShare = ({ hash, quota }: KeyState<Key>): number => {
         const share = equalShare(quota);
-        const position = (options.rank() + hash) % Math.max(1, options.instanceCount());
+        const position = (options.instances().indexOf(options.self) + hash) % instanceCount();
         return Math.floor((position + 1) * share) - Math.floor(position * share);
     };
-    const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - startedAt < startGraceMs;
+    const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - (reportsSince ?? Infinity) < startGraceMs;
     const mayTake = (state: KeyState<Key>, allowance: Allowance): boolean => {
         const unreported = state.ownUnreported.total();
         if (unreported + 1 <= allowance.share) {
@@ -233,6 +235,7 @@
             if (!options.isEnabled()) {
                 return undefined;
             }
+            reportsSince ??= timer.now();
             const report = ownReport();
             if (!isActingRelay(position)) {
                 return { toRelays: report, toDataCentre: undefined, toOtherDataCentres: undefined };
--- a/packages/core/src/limits/quotaReport.ts
+++ b/packages/core/src/limits/quotaReport.ts
@@ -25,6 +25,8 @@
     readonly dataCentre: DataCentreId;
     /** Instances whose counts are included and that receive the totals. */
     readonly instanceCount: number;
+    /** Instances that the sender knows to exist, also those that it can't reach. */
+    readonly knownCount: number;
     /** Hashes of the relays that the sender receives reports from. */
     readonly heardRelays: readonly number[];
     /** Whether keys that are not named are unused; otherwise their counts have not changed. */
@@ -48,6 +50,8 @@
     readonly kind: "total";
     /** Instances in contact with each other, in all data centres. */
     readonly instanceCount: number;
+    /** Instances known to exist, also those that can't be reached. */
+    readonly knownCount: number;
     readonly included: readonly IncludedReport[];
     readonly uses: readonly TotalUse[];
 }
--- a/packages/core/src/limits/quotaView.ts
+++ b/packages/core/src/limits/quotaView.ts
@@ -19,6 +19,8 @@
     lastContactAt(): number;
     /** Instances in contact with each other, this one included. */
     groupSize(): number;
+    /** Instances that the relay knows to exist; 0 before the first total. */
+    knownCount(): number;
     othersUse(key: number): OthersUse;
 }
 
@@ -43,6 +45,7 @@
 interface KnownTotal {
     readonly receivedAt: number;
     readonly groupSize: number;
+    readonly knownCount: number;
     /** Counts of the others in the group. */
     readonly others: ReadonlyMap<number, number>;
     readonly uses: ReadonlyMap<number, TotalUse>;
@@ -84,12 +87,13 @@
             const uses = new Map(report.uses.map(use => [use.key, use]));
             const firstKept = totals.findLastIndex(({ receivedAt }) => now - receivedAt >= growthSpanMs);
             totals = totals.slice(Math.max(0, firstKept));
-            totals.push({ receivedAt: now, groupSize: report.instanceCount, others, uses });
+            totals.push({ receivedAt: now, groupSize: report.instanceCount, knownCount: report.knownCount, others, uses });
             return true;
         },
         hasContact,
         hasEverHadContact: () => totals.length > 0,
         lastContactAt: () => latest()?.receivedAt ?? startedAt,
+        knownCount: () => latest()?.knownCount ?? 0,
         groupSize: () => hasContact() ? Math.max(1, latest()!.groupSize) : 1,
         othersUse: key => {
             const total = latest();
--- a/packages/core/src/steering/__tests__/members.test.ts
+++ b/packages/core/src/steering/__tests__/members.test.ts
@@ -77,3 +77,23 @@
     assert.equal(members.isKnown(previous.id), false);
     assert.equal(members.liveMembers().length, count);
 });
+
+test("an entry that is cut off still counts among those that share limits; one that has announced that it leaves doesn't", () => {
+    const timer = createVirtualTimer();
+    const members = createMembers(timer, self);
+    const cutOff = record("cpt-b-1", "cpt-b");
+    const leaving = record("cpt-a-1", "cpt-a");
+    members.replaceAll([cutOff, leaving]);
+    const sharersAfter = (durationMs: number): readonly string[] => {
+        timer.advance(durationMs);
+        return members.limitSharers();
+    };
+    assert.deepEqual(sharersAfter(0), [self.id, leaving.id, cutOff.id]);
+    members.recordHeartbeat(leaving.id, true);
+    members.replaceAll([]);
+    assert.deepEqual(sharersAfter(60_000), [self.id, cutOff.id]);
+    members.addRegistered({ ...cutOff, id: toInstanceId("cpt-b-1/2") });
+    assert.deepEqual(sharersAfter(1_000), [self.id, toInstanceId("cpt-b-1/2")]);
+    members.replaceAll([]);
+    assert.deepEqual(sharersAfter(400_000), [self.id]);
+});
--- a/packages/core/src/steering/members.ts
+++ b/packages/core/src/steering/members.ts
@@ -28,6 +28,12 @@
     isLeaving: boolean;
 }
 
+interface LimitSharer {
+    readonly id: InstanceId;
+    /** Time at which it was last heard from or registered. */
+    readonly seenAt: number;
+}
+
 export interface Members {
     /** Adds an entry that the store lists. */
     addRegistered(record: MemberRecord): void;
@@ -45,6 +51,11 @@
     liveMembers(): Member[];
     /** Entries that may share budgets, this one included: those registered, and those heard from within the retention time. */
     budgetSharerCount(): number;
+    /**
+     * Ids of the entries that may admit requests under shared limits, this one included, in order. An entry that is silent and
+     * has not announced that it leaves may be cut off and still admit its part, so that it counts for a long time.
+     */
+    limitSharers(): readonly InstanceId[];
     /** Live entries in a data centre, including this one if it is there. */
     liveCountIn(dataCentre: DataCentreId): number;
     /** Whether the data centre has a live entry other than this one. */
@@ -63,6 +74,9 @@
  * count as live for this long after any entry of their data centre was heard from.
  */
 const dataCentreTimeoutMs = 5_000;
+/** Time for which a silent entry still counts among the entries that share limits. */
+const limitSharerRetentionMs = 300_000;
+const limitSharersIntervalMs = 100;
 /** Time for which a silent entry still counts among the entries that share a budget. */
 const budgetSharerRetentionMs = 12_000;
 
@@ -105,6 +119,26 @@
             }
         }
     };
+    /** By mesh address, as a new incarnation replaces the previous one. */
+    const sharersByAddress = new Map<string, LimitSharer>();
+    let sharers: readonly InstanceId[] = [self.id];
+    let sharersUpdatedAt = -Infinity;
+    const updateLimitSharers = (): void => {
+        const now = timer.now();
+        sharersUpdatedAt = now;
+        for (const { record, isRegistered, isLeaving, lastHeardAt } of members.values()) {
+            if (isLeaving) {
+                sharersByAddress.delete(record.mesh);
+            }
+            else {
+                sharersByAddress.set(record.mesh, { id: record.id, seenAt: isRegistered ? now : lastHeardAt });
+            }
+        }
+        sharersByAddress.forEach(({ seenAt }, address) =>
+            now - seenAt > limitSharerRetentionMs && sharersByAddress.delete(address)
+        );
+        sharers = [self.id, ...[...sharersByAddress.values()].map(({ id }) => id)].sort();
+    };
     const live = (): Member[] => [...members.values()].filter(isLive);
     return {
         addRegistered: register,
@@ -135,6 +169,12 @@
             }
             return count;
         },
+        limitSharers: () => {
+            if (timer.now() - sharersUpdatedAt >= limitSharersIntervalMs) {
+                updateLimitSharers();
+            }
+            return sharers;
+        },
         liveCountIn: dataCentre =>
             live().filter(member => member.record.dataCentre === dataCentre).length
             + (self.dataCentre === dataCentre ? 1 : 0),
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -2,7 +2,9 @@
  * Wires the decision-making parts of one entry. Communication with callers, targets, other entries and the store is
  * passed in.
  */
-import type { DataCentreId, RegionId, ServiceId } from "../ids.js";
+import type { DataCentreId, RegionId, ServiceId, WorkspaceId } from "../ids.js";
+import type { QuotaBounds } from "../limits/quotaAllowance.js";
+import { createSharedLimit, type ReportedLimit } from "../limits/quotaLimit.js";
 import type { PoisonList } from "../poison/poisonList.js";
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
@@ -37,6 +39,8 @@
     readonly regionShift: number;
     readonly repeats: RetryLimit & { readonly windowMs: number; };
     readonly cold: { readonly overshoot: number; readonly slack: number; };
+    /** What may be admitted beyond workspaces' quotas. */
+    readonly quotaBounds?: QuotaBounds;
     readonly prices: TransferPrices;
 }
 
@@ -52,6 +56,8 @@
     readonly routeTable: () => RouteTable | undefined;
     readonly findService: (id: ServiceId) => Service | undefined;
     readonly isEvacuated: (dataCentre: DataCentreId) => boolean;
+    /** Whether the document in force has quotas; without any, instances don't report their use. */
+    readonly hasQuotas?: () => boolean;
     readonly onTargetChanged: TargetRegistryOptions["onChanged"];
     readonly onTargetHealthChanged: TargetHealthOptions["onChanged"];
     /** A target died while it ran the request. */
@@ -78,8 +84,13 @@
     readonly pressure: SlotPressure;
     readonly ownAttempts: OwnAttempts;
     readonly peerAttempts: PeerAttempts;
+    /** Limits the requests of each workspace, over all instances. */
+    readonly quotaLimit: ReportedLimit<WorkspaceId>;
 }
 
+/** Bounds of quotas if the operator sets none. */
+const defaultQuotaBounds: QuotaBounds = { windowMs: 5_000, overshoot: 0.1, slack: 20 };
+
 export function createSteering<Answer>(options: SteeringOptions<Answer>): Steering<Answer> {
     const { timer, random, self, members, poisonList, bounds } = options;
     const roundRobin = createWeightedRoundRobin();
@@ -92,6 +103,15 @@
     const regionShift = createRegionShiftLimiter({ timer, maxFractionChange: maxRegionShift });
     const registry = createTargetRegistry({ timer, onChanged: options.onTargetChanged });
     const peerAttempts = createPeerAttempts({ timer, registry, objectAffinity });
+    const quotaLimit = createSharedLimit<WorkspaceId>({
+        timer,
+        random,
+        self: self.id,
+        dataCentre: self.dataCentre,
+        bounds: () => bounds().quotaBounds ?? defaultQuotaBounds,
+        isEnabled: () => options.hasQuotas?.() ?? false,
+        instances: members.limitSharers,
+    });
     const topology = createTopology({ self, regions: () => bounds().regions, members });
     const { roundTripMs, coversDataCentre } = topology;
     const spillover = createSpillover({
@@ -192,6 +212,7 @@
         pressure,
         ownAttempts,
         peerAttempts,
+        quotaLimit,
     };
 }
 
--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -9,11 +9,13 @@
     toServiceId,
     toTargetIncarnationId,
 } from "@pimentospring/core/ids";
+import type { QuotaReport } from "@pimentospring/core/limits/quotaReport";
 import type { PoisonReport } from "@pimentospring/core/poison/poisonList";
 import type { MemberRecord } from "@pimentospring/core/steering/members";
 import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import { Packr } from "msgpackr";
 import { decodeMember, encodeMember } from "../store/storeItems.js";
+import { decodeQuotaReport, encodeQuotaReport, type QuotaReportRow } from "./quotaCodec.js";
 
 export interface EntryLoads {
     readonly dataCentre: DataCentreId;
@@ -38,6 +40,8 @@
     readonly record: MemberRecord | undefined;
     /** Target incarnations that the sender has recently learned to be leaving. */
     readonly leavingTargets: readonly TargetIncarnationId[];
+    /** Absent in older versions, and in heartbeats that only tell the other things. */
+    readonly quotaReport?: QuotaReport;
 }
 
 type LoadsRow = readonly [
@@ -56,6 +60,9 @@
     /** Encoded as in the store; empty if there is none. Older versions send neither this nor what follows. */
     record?: Uint8Array,
     leavingTargets?: readonly string[],
+    /** Not in use. */
+    reserved?: null,
+    quotaReport?: QuotaReportRow,
 ];
 
 const flags = { leaving: 1, following: 2, requestsRecord: 4 } as const;
@@ -84,6 +91,10 @@
         loads,
         poison,
     ];
+    if (heartbeat.quotaReport !== undefined) {
+        const report = encodeQuotaReport(heartbeat.quotaReport);
+        return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets, null, report]);
+    }
     if (heartbeat.leavingTargets.length > 0) {
         return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets]);
     }
@@ -130,7 +141,9 @@
 const namesIncarnation = ([, , targetIncarnation]: PoisonRow): boolean => targetIncarnation !== "";
 
 function toHeartbeat(row: HeartbeatRow): Heartbeat {
+    const quotaReport = decodeQuotaReport(row[8]);
     return {
+        ...(quotaReport === undefined ? {} : { quotaReport }),
         sender: toInstanceId(row[0]),
         isLeaving: (row[1] & flags.leaving) !== 0,
         isWatching: (row[1] & flags.following) !== 0,
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -6,6 +6,8 @@
  * reports, and an entry that is heard of for the first time, or again, gets them at once.
  */
 import type { DataCentreId, InstanceId, ServiceId, TargetIncarnationId } from "@pimentospring/core/ids";
+import { quotaReportIntervalMs, type ReportedLimit } from "@pimentospring/core/limits/quotaLimit";
+import type { QuotaReport } from "@pimentospring/core/limits/quotaReport";
 import type { PoisonReport } from "@pimentospring/core/poison/poisonList";
 import type { AttemptDigest } from "@pimentospring/core/steering/attemptDigest";
 import type { Member, MemberRecord, Members } from "@pimentospring/core/steering/members";
@@ -37,6 +39,8 @@
     /** Takes what this entry has to tell about its attempts; `undefined` if nothing. */
     readonly takeDigest: () => AttemptDigest | undefined;
     readonly onDigest: (entry: InstanceId, digest: AttemptDigest) => void;
+    /** What entries tell each other about the use of shared limits. */
+    readonly quotaReports?: Pick<ReportedLimit<never>, "takeReport" | "applyReport">;
 }
 
 export interface Mesh {
@@ -59,6 +63,10 @@
 const heartbeatIntervalMs = 1_000;
 /** Shorter than most work takes, so that peers know of most attempts while they run. */
 const digestIntervalMs = 250;
+/** Entries of a data centre that receive the quota reports of all: the relay and its deputy. */
+const quotaRelayCount = 2;
+/** A relay of another data centre that has not sent quota reports for this long may have been replaced. */
+const reportingRelayTimeoutMs = 900;
 /** Store revisions that follow each other within this time share one announcement. */
 const revisionDebounceMs = 60;
 /** Bound on the poison reports in a datagram. */
@@ -75,6 +83,11 @@
     readonly receivedAt: number;
 }
 
+interface ReportingRelay {
+    readonly member: Member;
+    readonly heardAt: number;
+}
+
 /** Sums the load of a data centre's entries under the data centre's own id. */
 export function aggregateLoads(dataCentre: DataCentreId, entries: readonly EntryLoads[]): EntryLoads {
     const slots = new Map<ServiceId, number>();
@@ -97,6 +110,8 @@
     const digestRelay = createDigestRelay();
     const localLoads = new Map<string, ReceivedLoads>();
     const remoteLoads = new Map<string, ReceivedLoads>();
+    /** Entries that sent quota reports for other data centres. */
+    const reportingRelays = new Map<string, ReportingRelay>();
     /** Times at which entries were last heard of. */
     const heardAt = new Map<InstanceId, number>();
     /** Times at which entries were asked for their records. */
@@ -115,6 +130,7 @@
     };
     const sendTo = (member: Member, bytes: Buffer): void => sendToAddress(member.record.mesh, bytes);
     const isLocal = (member: Member): boolean => member.record.dataCentre === self.dataCentre;
+    const isHeard = ({ lastHeardAt }: Member): boolean => timer.now() - lastHeardAt < contactTimeoutMs;
     /** The live entry with the lowest id in each data centre; `undefined` where that is this entry. */
     const relays = (): Map<string, Member | undefined> => {
         const relayOf = new Map<string, Member | undefined>([[self.dataCentre, undefined]]);
@@ -200,6 +216,46 @@
             local.forEach(member => sendTo(member, bytes));
         }
     };
+    const encodeReport = (quotaReport: QuotaReport): Buffer =>
+        encodeHeartbeat({ ...createHeartbeat([], []), leavingTargets: [], quotaReport });
+    /** The store may list a relay for some time after it has died. */
+    const reportingRelay = (dataCentre: string): Member | undefined => {
+        const relay = reportingRelays.get(dataCentre);
+        return relay !== undefined && timer.now() - relay.heardAt < reportingRelayTimeoutMs ? relay.member : undefined;
+    };
+    /** Quota reports are sent as short heartbeats, which older versions accept. */
+    const sendQuotaReports = (): void => {
+        const local = members.liveMembers().filter(isLocal).sort((first, second) => first.record.id < second.record.id ? -1 : 1);
+        const firstAfterSelf = local.findIndex(({ record }) => record.id > self.id);
+        const position = firstAfterSelf === -1 || isLeaving ? local.length : firstAfterSelf;
+        const due = options.quotaReports?.takeReport(position);
+        if (due === undefined) {
+            return;
+        }
+        const relayCount = position < quotaRelayCount ? quotaRelayCount - 1 : quotaRelayCount;
+        const bytes = encodeReport(due.toRelays);
+        local.slice(0, relayCount).forEach(relay => sendTo(relay, bytes));
+        if (due.toDataCentre !== undefined) {
+            const totalBytes = encodeReport(due.toDataCentre);
+            // Entries that are leaving still admit requests for a moment.
+            [...members.all()].filter(isLocal).filter(isHeard).forEach(member => sendTo(member, totalBytes));
+        }
+        if (due.toOtherDataCentres !== undefined) {
+            const sumBytes = encodeReport(due.toOtherDataCentres);
+            relays().forEach((lowest, dataCentre) => {
+                const relay = reportingRelay(dataCentre) ?? lowest;
+                if (relay !== undefined && dataCentre !== self.dataCentre) {
+                    sendTo(relay, sumBytes);
+                }
+            });
+        }
+    };
+    const receiveQuotaReport = (report: QuotaReport, member: Member): void => {
+        if (report.kind === "dataCentre") {
+            reportingRelays.set(member.record.dataCentre, { member, heardAt: timer.now() });
+        }
+        options.quotaReports?.applyReport(member.record.id, report);
+    };
     const receiveDigests = ({ isRelayed, digests }: DigestMessage): void => {
         for (const peerDigest of digests) {
             if (peerDigest.sender !== self.id) {
@@ -273,6 +329,9 @@
             });
         }
         options.onHeartbeat(heartbeat, member);
+        if (heartbeat.quotaReport !== undefined) {
+            receiveQuotaReport(heartbeat.quotaReport, member);
+        }
     };
     return {
         start: async () => {
@@ -290,6 +349,7 @@
             });
             timer.after(heartbeatIntervalMs, cancelSearch);
             timer.subscribe(digestIntervalMs, sendDigests);
+            timer.subscribe(quotaReportIntervalMs, sendQuotaReports);
         },
         broadcastPoison: reports => {
             for (let first = 0; first < reports.length; first += maxPoisonReports) {
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -264,6 +264,7 @@
         onUnknownHeartbeat: replication.onUnknownHeartbeat,
         takeDigest: steering.ownAttempts.takeDigest,
         onDigest: steering.peerAttempts.apply,
+        quotaReports: steering.quotaLimit,
     });
     const statusRoutes = createStatusRoutes({
         timer,
