fix(core): extrapolate the use of instances and data centres whose reports are overdue

With 8 instances in four data centres, cuts and lost reports during a jump to 4.7 times the quota admitted up to 1.10 of the bound. Counts of a source whose report is overdue now grow at its last rate until it counts as silent (700 ms, before 900); what an instance admitted since the last report that a total includes stays reserved; an instance that has just started admits 2 requests and its equal share over time.

--- a/packages/core/src/limits/__tests__/fixture.ts
+++ b/packages/core/src/limits/__tests__/fixture.ts
@@ -10,6 +10,7 @@
 export const bounds: QuotaBounds = { windowMs: 5_000, overshoot: 0.1, slack: 20 };
 const localDelayMs = 1;
 const remoteDelayMs = 35;
+const maxArrivalDelayMs = 50;
 /** An instance that is silent for this long is no longer taken for a relay. */
 const heartbeatTimeoutMs = 2_600;
 const dataCentreCount = 4;
@@ -161,17 +162,25 @@
         },
         drive: ({ key, quota, rateAt }, weight = 1) => {
             const outcome: Outcome = { admittedAt: [], refused: 0, arrived: 0 };
+            const arrive = (): void => {
+                const instance = instances[Math.floor(random.next() ** weight * instanceCount)]!;
+                outcome.arrived++;
+                if (isUp(instance)) {
+                    if (instance.limit!.tryTake(key, quota).kind === "admitted") {
+                        outcome.admittedAt.push(timer.now());
+                    }
+                    else {
+                        outcome.refused++;
+                    }
+                }
+            };
             const next = (): void => {
-                timer.after(random.exponential(1_000 / Math.max(0.1, rateAt(timer.now()))), () => {
-                    const instance = instances[Math.floor(random.next() ** weight * instanceCount)]!;
-                    outcome.arrived++;
-                    if (isUp(instance)) {
-                        if (instance.limit!.tryTake(key, quota).kind === "admitted") {
-                            outcome.admittedAt.push(timer.now());
-                        }
-                        else {
-                            outcome.refused++;
-                        }
+                const rate = rateAt(timer.now());
+                const delayMs = rate === 0 ? Infinity : random.exponential(1_000 / rate);
+                // The rate may change: without an arrival in this time, the next one is drawn anew.
+                timer.after(Math.min(delayMs, maxArrivalDelayMs), () => {
+                    if (delayMs <= maxArrivalDelayMs) {
+                        arrive();
                     }
                     next();
                 });
--- a/packages/core/src/limits/quotaAggregator.ts
+++ b/packages/core/src/limits/quotaAggregator.ts
@@ -25,13 +25,15 @@
     takeDataCentreReport(): DataCentreReport | undefined;
 }
 
-/** Instances whose last report is older are not in contact: three reports in a row were lost. */
-export const contactTimeoutMs = 900;
+/** Instances and data centres whose last report is older are not in contact. */
+export const contactTimeoutMs = 700;
+/** A report that is older is overdue. */
+const maxInstanceReportAgeMs = 200;
+const maxDataCentreReportAgeMs = 330;
 /** A data centre may change its relay when its former relay was silent for this long. */
 const relayChangeMs = 550;
-/** Interval of reports to other data centres while there is something new, and otherwise. */
+/** Least interval of reports to other data centres; the ticks of the timer may be early by some milliseconds. */
 const reportIntervalMs = 240;
-const idleReportIntervalMs = 360;
 /** Use that is far below the limit is passed on to other data centres this often. */
 const slowReportIntervalMs = 1_000;
 /** All counts are repeated to other data centres this often. */
@@ -44,6 +46,8 @@
 interface Source {
     readonly relay: number;
     readonly uses: Map<number, number>;
+    /** Growth of `uses` per millisecond, as far as it grows. */
+    readonly growth: ReadonlyMap<number, number>;
     readonly sequence: number;
     /** Instances in contact behind the source. */
     readonly instanceCount: number;
@@ -83,8 +87,26 @@
         );
         return new Set(isComplete ? fresh : []);
     };
-    const addUses = (sums: Map<number, number>, source: Source): void =>
-        source.uses.forEach((count, key) => sums.set(key, (sums.get(key) ?? 0) + count));
+    /** While a report is overdue, its counts are assumed to grow as before, until the source counts as silent. */
+    const addUses = (sums: Map<number, number>, source: Source, maxAgeMs: number): void => {
+        const overdueMs = ageMs(source) < maxAgeMs ? 0 : Math.min(ageMs(source), contactTimeoutMs);
+        source.uses.forEach((count, key) => {
+            const growth = (source.growth.get(key) ?? 0) * overdueMs;
+            sums.set(key, (sums.get(key) ?? 0) + Math.round(count + growth));
+        });
+    };
+    const growthSince = (known: Source | undefined, uses: ReadonlyMap<number, number>): Map<number, number> => {
+        const growth = new Map<number, number>();
+        if (known !== undefined && isFresh(known) && ageMs(known) > 0) {
+            uses.forEach((count, key) => {
+                const change = count - (known.uses.get(key) ?? 0);
+                if (change > 0) {
+                    growth.set(key, change / ageMs(known));
+                }
+            });
+        }
+        return growth;
+    };
     const liveInstanceCount = (): number =>
         [...instances.values()].reduce((sum, source) => sum + (isFresh(source) ? source.instanceCount : 0), 0);
     const isDue = ({ key, count }: KeyUse): boolean => {
@@ -103,9 +125,11 @@
             if (known !== undefined && isFresh(known) && known.sequence >= report.sequence) {
                 return;
             }
+            const uses = toMap(report.uses);
             instances.set(instance, {
                 relay: instance,
-                uses: toMap(report.uses),
+                uses,
+                growth: growthSince(known, uses),
                 sequence: report.sequence,
                 instanceCount: report.hasContact ? 1 : 0,
                 knownCount: 0,
@@ -119,7 +143,7 @@
             if (known !== undefined && known.relay !== relay && ageMs(known) < relayChangeMs) {
                 return;
             }
-            const uses = report.isComplete || known?.relay !== relay ? new Map<number, number>() : known.uses;
+            const uses = report.isComplete || known?.relay !== relay ? new Map<number, number>() : new Map(known.uses);
             // A new relay's first report may name only what has changed: what its predecessor said stands until a complete one.
             if (!report.isComplete && known !== undefined && known.relay !== relay) {
                 known.uses.forEach((count, key) => uses.set(key, count));
@@ -128,6 +152,7 @@
             dataCentres.set(dataCentre, {
                 relay,
                 uses,
+                growth: growthSince(known, uses),
                 sequence: 0,
                 instanceCount,
                 knownCount: report.knownCount,
@@ -142,8 +167,8 @@
             const live = new Map<number, number>();
             const silent = new Map<number, number>();
             const connected = connectedDataCentres();
-            instances.forEach(source => addUses(isFresh(source) ? live : silent, source));
-            dataCentres.forEach(source => addUses(connected.has(source) ? live : silent, source));
+            instances.forEach(source => addUses(isFresh(source) ? live : silent, source, maxInstanceReportAgeMs));
+            dataCentres.forEach(source => addUses(connected.has(source) ? live : silent, source, maxDataCentreReportAgeMs));
             const keys = new Set([...live.keys(), ...silent.keys()]);
             const uses = [...keys].map((key): TotalUse => ({
                 key,
@@ -169,13 +194,10 @@
             removeExpired(instances);
             const sums = new Map<number, number>();
             sent.forEach((_, key) => sums.set(key, 0));
-            instances.forEach(source => addUses(sums, source));
+            instances.forEach(source => addUses(sums, source, maxInstanceReportAgeMs));
             const all = [...sums].map(([key, count]): KeyUse => ({ key, count }));
             const isComplete = now - completeAt >= completeReportIntervalMs;
             const uses = isComplete ? all.filter(({ count }) => count > 0) : all.filter(isDue);
-            if (!isComplete && uses.length === 0 && now - reportedAt < idleReportIntervalMs) {
-                return undefined;
-            }
             reportedAt = now;
             if (isComplete) {
                 completeAt = now;
--- a/packages/core/src/limits/quotaAllowance.ts
+++ b/packages/core/src/limits/quotaAllowance.ts
@@ -42,8 +42,8 @@
 }
 
 /** Parts of the overshoot and of the slack that are used on purpose; the rest covers the delay of reports. */
-const usedOvershootFraction = 0.45;
-const usedSlackFraction = 0.45;
+const usedOvershootFraction = 0.4;
+const usedSlackFraction = 0.4;
 /** Part of the group's limit up to which requests beyond the share are admitted freely. */
 const freeUseFraction = 0.75;
 /** Makes free admissions rarer near the limit, where the others' latest requests are not yet known. */
@@ -66,7 +66,7 @@
     const limit = targetLimit(quota, bounds);
     const groupFraction = Math.min(1, use.groupSize / Math.max(1, use.instanceCount));
     const groupLimit = Math.max(0, Math.min(groupFraction * limit, limit - use.silent));
-    const expectedGrowth = Math.max(0, use.othersGrowthPerSecond) * reportDelayMs / msPerSecond;
+    const expectedGrowth = use.othersGrowthPerSecond * reportDelayMs / msPerSecond;
     const groupUse = use.own + use.others + expectedGrowth;
     const equalWeight = equalShareWeight * groupLimit;
     const ownFraction = use.groupSize === 1
--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -8,8 +8,8 @@
 import type { Timer } from "../time/timer.js";
 import { createQuotaAggregator } from "./quotaAggregator.js";
 import { type Allowance, instanceAllowance, quotaAllowance, type QuotaBounds, targetLimit } from "./quotaAllowance.js";
-import type { DataCentreReport, InstanceReport, KeyUse, QuotaReport, TotalReport } from "./quotaReport.js";
-import { createQuotaView } from "./quotaView.js";
+import type { DataCentreReport, InstanceReport, QuotaReport, TotalReport } from "./quotaReport.js";
+import { createQuotaView, type OwnUse } from "./quotaView.js";
 import type { Admission, Quota, SharedLimit } from "./sharedLimit.js";
 import { createTakeWindow, type TakeWindow } from "./takeWindow.js";
 
@@ -62,17 +62,16 @@
 }
 
 export const quotaReportIntervalMs = 125;
-/** A relay counts as silent if its totals don't arrive for this long: four in a row were lost. */
-const relayTimeoutMs = 500;
+/** A relay counts as silent if its totals don't arrive for this long: three in a row were lost. */
+const relayTimeoutMs = 375;
 const windowSlices = 40;
-/** Time for which the others may not know of what an instance admitted. */
-const unreportedMs = 400;
-const unreportedSlices = 4;
+/** Time that a report usually takes to the other data centres. */
+const recentMs = 400;
+const recentSlices = 4;
 /** Requests beyond its share that an instance may admit before the others know of them. */
 const maxFreeTakes = 5;
-/** An instance that has just started admits this many requests, and this part of its equal share, before it hears from the others. */
+/** An instance that has just started admits this many requests, and its equal share over time, before it hears from the others. */
 const maxStartTakes = 2;
-const startFraction = 0.25;
 const startGraceMs = 1_500;
 const minRetryAfterMs = 250;
 const evictionIntervalMs = 1_000;
@@ -83,8 +82,10 @@
     readonly hash: number;
     readonly windowMs: number;
     readonly own: TakeWindow;
-    readonly ownUnreported: TakeWindow;
+    readonly ownRecent: TakeWindow;
     quota: Quota;
+    /** Requests admitted since the state was created, less those given back. */
+    taken: number;
     lastUsedAt: number;
     lastRefusedAt: number;
 }
@@ -122,8 +123,9 @@
             hash: hashText(key),
             windowMs: windowMs(),
             own: createTakeWindow(timer, windowMs(), windowSlices),
-            ownUnreported: createTakeWindow(timer, unreportedMs, unreportedSlices),
+            ownRecent: createTakeWindow(timer, recentMs, recentSlices),
             quota,
+            taken: 0,
             lastUsedAt: now,
             lastRefusedAt: -Infinity,
         };
@@ -147,11 +149,14 @@
         }
         return state;
     };
+    /** What other instances may not know of yet: it came after the last report that a total includes, or recently. */
+    const unreportedOf = ({ hash, own, ownRecent, taken }: KeyState<Key>): number =>
+        Math.min(own.total(), Math.max(ownRecent.total(), view.hasContact() ? taken - view.ownTaken(hash) : 0));
     const allowanceOf = (state: KeyState<Key>): Allowance => {
         const others = view.othersUse(state.hash);
         return instanceAllowance(state.quota, bounds(), {
             own: state.own.total(),
-            ownUnreported: state.ownUnreported.total(),
+            ownUnreported: unreportedOf(state),
             others: others.count,
             silent: others.silentCount,
             othersGrowthPerSecond: others.growthPerSecond,
@@ -166,14 +171,16 @@
         const position = (options.instances().indexOf(options.self) + hash) % instanceCount();
         return Math.floor((position + 1) * share) - Math.floor(position * share);
     };
+    /** Part of a window that has passed since the first report. */
+    const startedPart = (): number => reportsSince === undefined ? 0 : (timer.now() - reportsSince) / windowMs();
     const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - (reportsSince ?? Infinity) < startGraceMs;
     const mayTake = (state: KeyState<Key>, allowance: Allowance): boolean => {
-        const unreported = state.ownUnreported.total();
+        const unreported = unreportedOf(state);
         if (unreported + 1 <= allowance.share) {
             return true;
         }
         if (isStarting()) {
-            return state.own.total() < maxStartTakes + startFraction * equalShare(state.quota);
+            return state.own.total() < maxStartTakes + equalShare(state.quota) * startedPart();
         }
         return allowance.groupLimit < 1
             ? state.own.total() + 1 <= wholeShare(state)
@@ -194,29 +201,32 @@
             state.lastRefusedAt = timer.now();
             return { kind: "refused", retryAfterMs: retryAfterMs(state, allowance) };
         }
-        const undo = [state.own.take(), state.ownUnreported.take()];
+        const undo = [state.own.take(), state.ownRecent.take()];
+        state.taken++;
         let isGivenBack = false;
         return {
             kind: "admitted",
             giveBack: () => {
                 if (!isGivenBack) {
                     isGivenBack = true;
+                    state.taken--;
                     undo.forEach(remove => remove());
                 }
             },
         };
     };
     const ownReport = (): InstanceReport => {
-        const uses: KeyUse[] = [];
-        states.forEach(({ hash, own }) => {
+        const uses: OwnUse[] = [];
+        states.forEach(({ hash, own, taken }) => {
             const count = own.total();
             if (count > 0) {
-                uses.push({ key: hash, count });
+                uses.push({ key: hash, count, taken });
             }
         });
         sequence++;
         view.recordSent(sequence, uses);
-        return { kind: "instance", sequence, hasContact: view.hasContact() || !view.hasEverHadContact(), uses };
+        const hasContact = view.hasContact() || !view.hasEverHadContact();
+        return { kind: "instance", sequence, hasContact, uses: uses.map(({ key, count }) => ({ key, count })) };
     };
     /** The relay is replaced before the instances lose contact. */
     const isActingRelay = (position: number): boolean =>
@@ -266,7 +276,7 @@
                     quota: state.quota,
                     used: state.own.total() + others.count + others.silentCount,
                     groupLimit: allowance.groupLimit,
-                    share: Math.max(0, allowance.share - state.ownUnreported.total()),
+                    share: Math.max(0, allowance.share - unreportedOf(state)),
                     isOverQuota: timer.now() - state.lastRefusedAt < msPerSecond * Math.ceil(state.windowMs / msPerSecond),
                 };
             }),
--- a/packages/core/src/limits/quotaView.ts
+++ b/packages/core/src/limits/quotaView.ts
@@ -5,7 +5,7 @@
 
 export interface QuotaView {
     /** Keeps what was sent, to tell the own part of a total from that of the others. */
-    recordSent(sequence: number, uses: readonly KeyUse[]): void;
+    recordSent(sequence: number, uses: readonly OwnUse[]): void;
     /**
      * Takes a total. Returns false for one that doesn't include a recent report of this instance: it is of a group that this
      * instance doesn't belong to.
@@ -22,6 +22,13 @@
     /** Instances that the relay knows to exist; 0 before the first total. */
     knownCount(): number;
     othersUse(key: number): OthersUse;
+    /** Own requests, since the key's first, that the last total includes. */
+    ownTaken(key: number): number;
+}
+
+export interface OwnUse extends KeyUse {
+    /** Requests admitted since the key's first, less those given back. */
+    readonly taken: number;
 }
 
 export interface OthersUse {
@@ -29,17 +36,19 @@
     readonly count: number;
     /** The same for instances that the group is not in contact with. */
     readonly silentCount: number;
-    /** Growth of `count` per second. */
+    /** Growth of `count` per second, as far as it grows. */
     readonly growthPerSecond: number;
 }
 
+/** A total that is older is overdue; until it arrives, or contact is lost, the others' use is assumed to grow as before. */
+const maxTotalDelayMs = 200;
 /** Time over which the growth of the others' use is measured. */
 const growthSpanMs = 400;
 const msPerSecond = 1_000;
 
 interface SentReport {
     readonly sentAt: number;
-    readonly counts: ReadonlyMap<number, number>;
+    readonly uses: ReadonlyMap<number, OwnUse>;
 }
 
 interface KnownTotal {
@@ -49,6 +58,8 @@
     /** Counts of the others in the group. */
     readonly others: ReadonlyMap<number, number>;
     readonly uses: ReadonlyMap<number, TotalUse>;
+    /** What the included report of this instance said. */
+    readonly own: ReadonlyMap<number, OwnUse>;
 }
 
 const unused: OthersUse = { count: 0, silentCount: 0, growthPerSecond: 0 };
@@ -72,7 +83,7 @@
         recordSent: (sequence, uses) => {
             const sentAt = timer.now();
             sent.forEach((report, known) => sentAt - report.sentAt >= contactTimeoutMs && sent.delete(known));
-            sent.set(sequence, { sentAt, counts: new Map(uses.map(({ key, count }) => [key, count])) });
+            sent.set(sequence, { sentAt, uses: new Map(uses.map(use => [use.key, use])) });
         },
         apply: report => {
             const own = report.included.find(({ instance }) => instance === self);
@@ -82,14 +93,22 @@
                 return false;
             }
             const others = new Map(
-                report.uses.map(({ key, count }) => [key, Math.max(0, count - (included.counts.get(key) ?? 0))] as const),
+                report.uses.map(({ key, count }) => [key, Math.max(0, count - (included.uses.get(key)?.count ?? 0))] as const),
             );
             const uses = new Map(report.uses.map(use => [use.key, use]));
             const firstKept = totals.findLastIndex(({ receivedAt }) => now - receivedAt >= growthSpanMs);
             totals = totals.slice(Math.max(0, firstKept));
-            totals.push({ receivedAt: now, groupSize: report.instanceCount, knownCount: report.knownCount, others, uses });
+            totals.push({
+                receivedAt: now,
+                groupSize: report.instanceCount,
+                knownCount: report.knownCount,
+                others,
+                uses,
+                own: included.uses,
+            });
             return true;
         },
+        ownTaken: key => latest()?.own.get(key)?.taken ?? 0,
         hasContact,
         hasEverHadContact: () => totals.length > 0,
         lastContactAt: () => latest()?.receivedAt ?? startedAt,
@@ -102,12 +121,16 @@
             }
             const count = total.others.get(key) ?? 0;
             const silentCount = total.uses.get(key)?.silentCount ?? 0;
+            const growthPerSecond = Math.max(0, growthOf(key, total));
+            const ageMs = Math.min(timer.now() - total.receivedAt, contactTimeoutMs);
+            const overdueMs = ageMs < maxTotalDelayMs ? 0 : ageMs;
+            const estimate = count + growthPerSecond * overdueMs / msPerSecond;
             if (hasContact()) {
-                return { count, silentCount, growthPerSecond: growthOf(key, total) };
+                return { count: estimate, silentCount, growthPerSecond };
             }
             // What the others admitted before the contact was lost stays in the window for its length.
             const isInWindow = timer.now() - total.receivedAt < windowMs();
-            return { count: 0, silentCount: isInWindow ? count + silentCount : 0, growthPerSecond: 0 };
+            return { count: 0, silentCount: isInWindow ? estimate + silentCount : 0, growthPerSecond: 0 };
         },
     };
 }
