--- a/packages/core/src/limits/quotaAggregator.ts
+++ b/packages/core/src/limits/quotaAggregator.ts
@@ -25,15 +25,17 @@
     takeDataCentreReport(): DataCentreReport | undefined;
 }
 
-/** Instances and data centres whose last report is older are not in contact. */
+/** An instance whose last report is older is not in contact. */
 export const contactTimeoutMs = 700;
+/** The same for a data centre; shorter, as it may admit much before the others notice that it is cut off. */
+const dataCentreTimeoutMs = 480;
 /** A report that is older is overdue. */
 const maxInstanceReportAgeMs = 200;
-const maxDataCentreReportAgeMs = 330;
+const maxDataCentreReportAgeMs = 300;
 /** A data centre may change its relay when its former relay was silent for this long. */
 const relayChangeMs = 550;
-/** Least interval of reports to other data centres; the ticks of the timer may be early by some milliseconds. */
-const reportIntervalMs = 240;
+/** Interval of reports to other data centres while no use changes that has to be passed on at once. */
+const idleReportIntervalMs = 240;
 /** Use that is far below the limit is passed on to other data centres this often. */
 const slowReportIntervalMs = 1_000;
 /** All counts are repeated to other data centres this often. */
@@ -54,6 +56,8 @@
     readonly knownCount: number;
     readonly heardRelays: readonly number[];
     readonly receivedAt: number;
+    /** Age at which the source counts as silent. */
+    readonly contactTimeoutMs: number;
 }
 
 interface SentUse {
@@ -72,7 +76,7 @@
     let reportedAt = -Infinity;
 
     const ageMs = (source: Source): number => timer.now() - source.receivedAt;
-    const isFresh = (source: Source): boolean => ageMs(source) < contactTimeoutMs;
+    const isFresh = (source: Source): boolean => ageMs(source) < source.contactTimeoutMs;
     const removeExpired = <Id>(sources: Map<Id, Source>): void => {
         // Counts of a silent source stay until all that it may have admitted before has left the window.
         sources.forEach((source, id) => ageMs(source) > options.windowMs() && sources.delete(id));
@@ -89,7 +93,7 @@
     };
     /** While a report is overdue, its counts are assumed to grow as before, until the source counts as silent. */
     const addUses = (sums: Map<number, number>, source: Source, maxAgeMs: number): void => {
-        const overdueMs = ageMs(source) < maxAgeMs ? 0 : Math.min(ageMs(source), contactTimeoutMs);
+        const overdueMs = ageMs(source) < maxAgeMs ? 0 : Math.min(ageMs(source), source.contactTimeoutMs);
         source.uses.forEach((count, key) => {
             const growth = (source.growth.get(key) ?? 0) * overdueMs;
             sums.set(key, (sums.get(key) ?? 0) + Math.round(count + growth));
@@ -135,6 +139,7 @@
                 knownCount: 0,
                 heardRelays: [],
                 receivedAt: timer.now(),
+                contactTimeoutMs,
             });
         },
         applyDataCentre: (relay, report) => {
@@ -158,6 +163,7 @@
                 knownCount: report.knownCount,
                 heardRelays: report.heardRelays,
                 receivedAt: timer.now(),
+                contactTimeoutMs: dataCentreTimeoutMs,
             });
         },
         hasReporters: () => [...instances].some(([instance, source]) => instance !== self && isFresh(source)),
@@ -188,9 +194,6 @@
         },
         takeDataCentreReport: () => {
             const now = timer.now();
-            if (now - reportedAt < reportIntervalMs) {
-                return undefined;
-            }
             removeExpired(instances);
             const sums = new Map<number, number>();
             sent.forEach((_, key) => sums.set(key, 0));
@@ -198,6 +201,9 @@
             const all = [...sums].map(([key, count]): KeyUse => ({ key, count }));
             const isComplete = now - completeAt >= completeReportIntervalMs;
             const uses = isComplete ? all.filter(({ count }) => count > 0) : all.filter(isDue);
+            if (uses.length === 0 && now - reportedAt < idleReportIntervalMs) {
+                return undefined;
+            }
             reportedAt = now;
             if (isComplete) {
                 completeAt = now;
--- a/packages/core/src/limits/quotaAllowance.ts
+++ b/packages/core/src/limits/quotaAllowance.ts
@@ -58,9 +58,15 @@
 export const quotaAllowance = (quota: Quota, windowMs: number): number =>
     quota.ratePerSecond * windowMs / msPerSecond + quota.burst;
 
-/** What all instances together aim at. */
-export const targetLimit = (quota: Quota, bounds: QuotaBounds): number =>
-    quotaAllowance(quota, bounds.windowMs) * (1 + usedOvershootFraction * bounds.overshoot) + usedSlackFraction * bounds.slack;
+/**
+ * What all instances together aim at. More of the slack is used where it is large against the allowance: the numbers of small
+ * workspaces vary more by chance, and less arrives before the others know of it.
+ */
+export function targetLimit(quota: Quota, { windowMs, overshoot, slack }: QuotaBounds): number {
+    const allowance = quotaAllowance(quota, windowMs);
+    const usedSlack = usedSlackFraction * slack * (1 + slack / Math.max(1, slack + allowance));
+    return allowance * (1 + usedOvershootFraction * overshoot) + usedSlack;
+}
 
 export function instanceAllowance(quota: Quota, bounds: QuotaBounds, use: KnownUse): Allowance {
     const limit = targetLimit(quota, bounds);
