--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -3,7 +3,8 @@
  * passed in.
  */
 import type { DataCentreId, RegionId, ServiceId, WorkspaceId } from "../ids.js";
-import type { SharedLimit } from "../limits/sharedLimit.js";
+import type { QuotaBounds } from "../limits/quotaAllowance.js";
+import { createSharedLimit, type ReportedLimit } from "../limits/quotaLimit.js";
 import type { PoisonList } from "../poison/poisonList.js";
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
@@ -39,6 +40,8 @@
     readonly regionShift: number;
     readonly repeats: RetryLimit & { readonly windowMs: number; };
     readonly cold: { readonly overshoot: number; readonly slack: number; };
+    /** Window of workspaces' quotas, and what may be admitted beyond them. */
+    readonly quota?: QuotaBounds;
     readonly prices: TransferPrices;
 }
 
@@ -57,6 +60,8 @@
     readonly areKeysStale: () => boolean;
     readonly findService: (id: ServiceId) => Service | undefined;
     readonly isEvacuated: (dataCentre: DataCentreId) => boolean;
+    /** Whether the document in force has quotas; without any, instances don't report their use. */
+    readonly hasQuotas?: () => boolean;
     readonly onTargetChanged: TargetRegistryOptions["onChanged"];
     readonly onTargetHealthChanged: TargetHealthOptions["onChanged"];
     /** A target died while it ran the request. */
@@ -83,10 +88,12 @@
     readonly pressure: SlotPressure;
     readonly ownAttempts: OwnAttempts;
     readonly peerAttempts: PeerAttempts;
+    /** Limits the requests of each workspace, over all instances. */
+    readonly quotaLimit: ReportedLimit<WorkspaceId>;
 }
 
-/** Admits every request; stands in for the limit that all entries share. */
-const unlimitedQuota: SharedLimit<WorkspaceId> = { tryTake: () => ({ kind: "admitted", giveBack: () => {} }) };
+/** Bounds of quotas if the operator sets none. */
+const defaultQuotaBounds: QuotaBounds = { windowMs: 5_000, overshoot: 0.1, slack: 20 };
 
 export function createSteering<Answer>(options: SteeringOptions<Answer>): Steering<Answer> {
     const { timer, random, self, members, poisonList, bounds } = options;
@@ -100,6 +107,15 @@
     const regionShift = createRegionShiftLimiter({ timer, maxFractionChange: maxRegionShift });
     const registry = createTargetRegistry({ timer, onChanged: options.onTargetChanged });
     const peerAttempts = createPeerAttempts({ timer, registry, objectAffinity });
+    const quotaLimit = createSharedLimit<WorkspaceId>({
+        timer,
+        random,
+        self: self.id,
+        dataCentre: self.dataCentre,
+        bounds: () => bounds().quota ?? defaultQuotaBounds,
+        isEnabled: () => options.hasQuotas?.() ?? false,
+        instances: members.limitSharers,
+    });
     const topology = createTopology({ self, regions: () => bounds().regions, members });
     const { roundTripMs, coversDataCentre } = topology;
     const spillover = createSpillover({
@@ -166,7 +182,7 @@
         routeTable: options.routeTable,
         workspaces: options.workspaces,
         areKeysStale: options.areKeysStale,
-        quotaLimit: unlimitedQuota,
+        quotaLimit,
         roundRobin,
         targetSelector,
         regionShift,
@@ -203,6 +219,7 @@
         pressure,
         ownAttempts,
         peerAttempts,
+        quotaLimit,
     };
 }
 
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -169,6 +169,7 @@
         bounds: () => settings,
         routeTable: () => routeTable,
         workspaces: () => workspaces,
+        hasQuotas: () => document?.workspaces.some(({ quota }) => quota !== undefined) ?? false,
         areKeysStale: () => settings.revocation.isStrict && replication.contactAgeMs() > settings.revocation.maxContactAgeMs,
         findService: id => services.get(id),
         isEvacuated: dataCentre => projection.isEvacuated(dataCentre),
@@ -276,6 +277,7 @@
         onUnknownHeartbeat: replication.onUnknownHeartbeat,
         takeDigest: steering.ownAttempts.takeDigest,
         onDigest: steering.peerAttempts.apply,
+        quotaReports: steering.quotaLimit,
     });
     const statusRoutes = createStatusRoutes({
         timer,
