fix(steer): connections of attempts that were given up are reset, so that nothing of them arrives later

Cause: a connection whose attempt was cancelled, timed out or lost its caller was closed in order, and so were all connections when the daemon stopped. The system then still delivers what waits in its send buffers, for example after a network cut, when the target may have left long ago.

Change: the connection of a request that isn't over is reset, which discards unsent bytes. Idle connections are still closed in order. A cancellation that comes after the response does nothing.

--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -1,6 +1,7 @@
 /**
  * Pool of connections to targets, with one request at a time on each. A connection is closed after any failure, so that
- * stray bytes are never taken for the response to a later request.
+ * stray bytes are never taken for the response to a later request. It is reset if its request may not be over, so that what
+ * the system has not sent by then never reaches the target.
  */
 import type { Timer } from "@pimentospring/core/time/timer";
 import { type ConnectionEnd, watchConnectionEnd } from "@pimentospring/runtime/http/connectionEnd";
@@ -48,6 +49,7 @@
     closeIdle(address: string): void;
     /** Number of connections that are open or being opened. */
     openCount(): number;
+    /** Closes the idle connections and resets the others. */
     close(): void;
 }
 
@@ -102,6 +104,14 @@
             // Fails only if the client was destroyed before.
         });
     };
+    /** Discards a connection whose request was given up: bytes that still wait in the system's buffers are not sent. */
+    const abort = (connection: Connection): void => {
+        // The system refuses to reset a socket whose shutdown is under way, which an end sent by the target starts.
+        if (connection.socket?.writable === true) {
+            connection.socket.resetAndDestroy();
+        }
+        discard(connection);
+    };
     const connect = (address: string, connectTimeoutMs: number): Connection => {
         const client = new Client(`http://${address}`, {
             pipelining: 1,
@@ -180,7 +190,7 @@
                     addIdle(connection);
                 }
                 else {
-                    discard(connection);
+                    abort(connection);
                 }
                 report();
             };
@@ -224,8 +234,11 @@
                 body: outgoing.body ?? null,
             }, handler);
             return () => {
-                isSettled = true;
-                discard(connection);
+                // A connection that has answered is in use by another request, or idle.
+                if (!isSettled) {
+                    isSettled = true;
+                    abort(connection);
+                }
             };
         },
         closeIdle: address => {
@@ -233,7 +246,10 @@
             idle.delete(address);
         },
         openCount: () => all.size,
-        close: () => [...all].forEach(discard),
+        close: () => {
+            [...idle.values()].flat().forEach(discard);
+            all.forEach(abort);
+        },
     };
 }
 
