fix(steer): an entry that stops while it waits for a lease does not write its record afterwards

Cause: deregistering revokes the lease that is known. A lease that the store granted after that was still used to write the record, which then listed a stopped entry until the lease expired.

Change: a lease that is granted during deregistration is revoked, and nothing is written.

Result: registration.test failed before and passes now.

--- a/packages/steer/src/store/registration.ts
+++ b/packages/steer/src/store/registration.ts
@@ -52,12 +52,23 @@
         }
         return outcome;
     };
+    const revoke = async (revokedLease: number): Promise<void> => {
+        const revoked = await store.revokeLease(revokedLease);
+        if (revoked.isErr) {
+            log.write(logEvents.registrationLost, { reason: `record not removed: ${revoked.error.reason}` });
+        }
+    };
     const write = async (): Promise<boolean> => {
         if (lease === undefined) {
             const granted = await observe(store.grantLease(leaseMs));
             if (granted.isErr) {
                 return false;
             }
+            if (isDeregistering) {
+                // It was granted after the record was removed, so that no record may be written with it.
+                await revoke(granted.value);
+                return false;
+            }
             lease = granted.value;
         }
         const written = await observe(store.write({ expected: [], puts: [{ key, value, lease }], removes: [] }));
@@ -96,10 +107,7 @@
         deregister: async () => {
             isDeregistering = true;
             if (lease !== undefined) {
-                const revoked = await store.revokeLease(lease);
-                if (revoked.isErr) {
-                    log.write(logEvents.registrationLost, { reason: `record not removed: ${revoked.error.reason}` });
-                }
+                await revoke(lease);
             }
         },
     };
