fix(steer): an entry that starts while all that know of a poison request leave learns of it

Cause: entries that leave take their records out of the store, so that one that has just started doesn't know them, and what heartbeats of unknown senders say of poison requests and leaving targets was dropped. Entries that leave also told it nothing before their next heartbeat, and never if it stood in another data centre.

Change: poison reports and leaving targets of unknown senders are taken, and an entry that the store lists for the first time gets both at once from all entries that have any, also from those that leave. What unknown senders say has bounded room of its own and evicts nothing that members said. Bounds are added for the deaths of a request, leaving targets, rows, names and records in a datagram, entries that are asked for their records and entries that announced themselves; received loads are dropped once they expire.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -45,6 +45,12 @@
 export const maxPoisonReports = 256;
 /** Maximum number of requests in the poison list. */
 export const maxPoisonEntries = 10_000;
+/** Maximum number of those that only senders which are no known members have reported. */
+export const maxUnconfirmedPoisonEntries = 128;
+/** Maximum number of remembered deaths of a request; the verdict does not depend on more. */
+export const maxPoisonDeaths = 256;
+/** Number of deaths of a request from which on those reported by senders that are no known members are ignored. */
+export const maxUnconfirmedPoisonDeaths = 32;
 /** Time for which callers may cache a look-up answer. */
 export const lookupLifetimeMs = 5_000;
 /** Time for which a leaving entry still accepts requests, from callers with a cached look-up answer. */
--- a/packages/core/src/poison/__tests__/poisonList.test.ts
+++ b/packages/core/src/poison/__tests__/poisonList.test.ts
@@ -164,3 +164,47 @@
     list.recordDeath([killer], incarnation(101));
     assert.equal(list.reports(Infinity).length, 11);
 });
+
+test("reports of unknown senders take no place of others and don't grow without bound", () => {
+    const list = createPoisonList({ timer: createVirtualTimer() });
+    list.recordDeath([killer], incarnation(1));
+    list.recordDeath([killer], incarnation(2));
+    for (let number = 0; number < 20_000; number++) {
+        const fingerprint = `made-up-${number}` as Fingerprint;
+        list.recordUnconfirmedReport({ fingerprint, targetIncarnation: incarnation(number), isCleared: false, ageMs: 0 });
+        list.recordUnconfirmedReport({
+            fingerprint: bystander,
+            targetIncarnation: incarnation(number),
+            isCleared: false,
+            ageMs: 0,
+        });
+    }
+    assert.ok(list.isRefused(() => killer));
+    assert.ok(list.reports(Infinity).length < 300, `${list.reports(Infinity).length} reports`);
+});
+
+test("a request that unknown senders reported is refused, and stays so once a member reports it too", () => {
+    const list = createPoisonList({ timer: createVirtualTimer() });
+    const deaths = [1, 2].map(number => ({
+        fingerprint: killer,
+        targetIncarnation: incarnation(number),
+        isCleared: false,
+        ageMs: 0,
+    }));
+    deaths.forEach(list.recordUnconfirmedReport);
+    assert.ok(list.isRefused(() => killer));
+    list.recordReport({ ...deaths[0]!, targetIncarnation: incarnation(3) });
+    for (let number = 0; number < 1_000; number++) {
+        const fingerprint = `made-up-${number}` as Fingerprint;
+        list.recordUnconfirmedReport({ fingerprint, targetIncarnation: incarnation(9), isCleared: false, ageMs: 0 });
+    }
+    assert.ok(list.isRefused(() => killer));
+});
+
+test("the deaths that are remembered of a request are bounded", () => {
+    const list = createPoisonList({ timer: createVirtualTimer() });
+    for (let number = 0; number < 2_000; number++) {
+        list.recordReport({ fingerprint: killer, targetIncarnation: incarnation(number), isCleared: false, ageMs: 0 });
+    }
+    assert.equal(list.deathCount(killer), 256);
+});
--- a/packages/core/src/poison/poisonList.ts
+++ b/packages/core/src/poison/poisonList.ts
@@ -3,7 +3,14 @@
  * a request, and a target incarnation that died while it ran the request. Sets of several entries are joined in any order;
  * reports that come twice or late change nothing, and a request that was served clears just the deaths known at that time.
  */
-import { maxPoisonEntries, poisonDeathThreshold, poisonRetentionMs } from "../constants.js";
+import {
+    maxPoisonDeaths,
+    maxPoisonEntries,
+    maxUnconfirmedPoisonDeaths,
+    maxUnconfirmedPoisonEntries,
+    poisonDeathThreshold,
+    poisonRetentionMs,
+} from "../constants.js";
 import type { Fingerprint, TargetIncarnationId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 
@@ -34,6 +41,11 @@
     recordDeath(fingerprints: Iterable<Fingerprint>, targetIncarnation: TargetIncarnationId): PoisonReport[];
     /** Records what another entry reported. Returns whether it was new. */
     recordReport(report: PoisonReport): boolean;
+    /**
+     * The same for a sender that is no known member. Such reports have little room, and never take the place of others.
+     * Returns whether it was new.
+     */
+    recordUnconfirmedReport(report: PoisonReport): boolean;
     /** Clears the request of the deaths known so far. Returns what others do not know yet. */
     recordSuccess(fingerprint: () => Fingerprint): PoisonReport[];
     /** Records that a refused request is tried again. */
@@ -71,6 +83,8 @@
 
 export function createPoisonList({ timer, isTrialEntry = () => false }: PoisonListOptions): PoisonList {
     const evidence = new Map<Fingerprint, Evidence>();
+    /** Requests that only senders which are no known members have reported, oldest first. */
+    const unconfirmed = new Set<Fingerprint>();
     const accusedBy = new Map<TargetIncarnationId, Set<Fingerprint>>();
     let nextReport = 0;
 
@@ -86,6 +100,7 @@
             withdraw(fingerprint, incarnation);
         }
         evidence.delete(fingerprint);
+        unconfirmed.delete(fingerprint);
     };
     const find = (fingerprint: Fingerprint): Evidence | undefined => {
         const found = evidence.get(fingerprint);
@@ -100,11 +115,31 @@
         const found = find(fingerprint) ?? { deaths: new Map(), lastAt: -Infinity, trialCount: 0 };
         evidence.delete(fingerprint);
         evidence.set(fingerprint, found);
+        unconfirmed.delete(fingerprint);
         if (evidence.size > maxPoisonEntries) {
-            remove(evidence.keys().next().value!);
+            const [oldest] = unconfirmed.size > 0 ? unconfirmed : evidence.keys();
+            remove(oldest!);
         }
         return found;
     };
+    /** Evidence on the request for an unconfirmed report; `undefined` if there is no room. */
+    const findOrAddUnconfirmed = (fingerprint: Fingerprint): Evidence | undefined => {
+        const found = find(fingerprint);
+        if (found !== undefined) {
+            return found.deaths.size < maxUnconfirmedPoisonDeaths ? found : undefined;
+        }
+        if (unconfirmed.size >= maxUnconfirmedPoisonEntries) {
+            const [oldest] = unconfirmed;
+            remove(oldest!);
+        }
+        if (evidence.size >= maxPoisonEntries) {
+            return undefined;
+        }
+        const added: Evidence = { deaths: new Map(), lastAt: -Infinity, trialCount: 0 };
+        evidence.set(fingerprint, added);
+        unconfirmed.add(fingerprint);
+        return added;
+    };
     const deathsOf = (fingerprint: Fingerprint): TargetIncarnationId[] =>
         [...find(fingerprint)?.deaths ?? []].filter(([, { isCleared }]) => !isCleared).map(([incarnation]) => incarnation);
     /** A request may gather deaths for as long as it is popular: each is forgotten by itself. */
@@ -125,19 +160,31 @@
             accused.add(fingerprint);
         }
     };
-    const add = ({ fingerprint, targetIncarnation, isCleared, ageMs }: PoisonReport): boolean => {
+    const addTo = (
+        findEvidence: (fingerprint: Fingerprint) => Evidence | undefined,
+        { fingerprint, targetIncarnation, isCleared, ageMs }: PoisonReport,
+    ): boolean => {
         const known = find(fingerprint)?.deaths.get(targetIncarnation);
         if (ageMs >= poisonRetentionMs || known?.isCleared === true || (known !== undefined && !isCleared)) {
             return false;
         }
         const at = timer.now() - ageMs;
-        const found = refresh(fingerprint);
+        const found = findEvidence(fingerprint);
+        if (found === undefined) {
+            return false;
+        }
         forgetExpired(fingerprint, found);
+        if (known === undefined && found.deaths.size >= maxPoisonDeaths) {
+            const [oldest] = found.deaths.keys();
+            found.deaths.delete(oldest!);
+            withdraw(fingerprint, oldest!);
+        }
         found.deaths.set(targetIncarnation, { at, isCleared });
         found.lastAt = Math.max(found.lastAt, at);
         accuse(fingerprint, targetIncarnation);
         return true;
     };
+    const add = (report: PoisonReport): boolean => addTo(refresh, report);
     /**
      * Whether the deaths are better explained by another request, which all of these targets ran and which more targets died
      * of. Requests that only ran beside a poison request are recognised by this.
@@ -194,6 +241,7 @@
                 .map(fingerprint => ({ fingerprint, targetIncarnation, isCleared: false, ageMs: 0 }))
                 .filter(add),
         recordReport: add,
+        recordUnconfirmedReport: report => addTo(findOrAddUnconfirmed, report),
         recordSuccess: fingerprint => {
             if (evidence.size === 0) {
                 return [];
--- a/packages/core/src/steering/__tests__/members.test.ts
+++ b/packages/core/src/steering/__tests__/members.test.ts
@@ -77,3 +77,18 @@
     assert.equal(members.isKnown(previous.id), false);
     assert.equal(members.liveMembers().length, count);
 });
+
+test("entries that only announced themselves are bounded, and those that the store lists are told of once", () => {
+    const registered: string[] = [];
+    const members = createMembers(createVirtualTimer(), self, member => registered.push(member.record.id));
+    for (let index = 0; index < 10_000; index++) {
+        members.addAnnounced(record(`made-up-${index}`, "cpt-a"));
+    }
+    assert.ok([...members.all()].length <= 2_000);
+    const listed = record("listed", "cpt-a");
+    members.addRegistered(listed);
+    members.markUnregistered(listed.id);
+    members.addRegistered(listed);
+    members.addRegistered(record("made-up-0", "cpt-a"));
+    assert.deepEqual(registered, ["listed", "made-up-0"]);
+});
--- a/packages/core/src/steering/leavingTargets.ts
+++ b/packages/core/src/steering/leavingTargets.ts
@@ -5,6 +5,8 @@
 export interface LeavingTargets {
     /** Returns whether it was not known yet. */
     add(incarnation: TargetIncarnationId): boolean;
+    /** The same for what a sender that is no known member said, which never takes the place of what others said. */
+    addUnconfirmed(incarnation: TargetIncarnationId): boolean;
     has(incarnation: TargetIncarnationId): boolean;
     /** Incarnations learned of recently, for the other entries. */
     recent(): TargetIncarnationId[];
@@ -16,29 +18,46 @@
 const maxNews = 24;
 /** Longer than a target keeps running after it has said that it leaves. */
 const retentionMs = 600_000;
+/** Several times the targets of a large deployment. */
+const maxLeavingTargets = 10_000;
+const maxUnconfirmed = 1_000;
 
 export function createLeavingTargets(timer: Timer): LeavingTargets {
     /** In the order in which they were learned. */
     const learnedAt = new Map<TargetIncarnationId, number>();
-    const removeExpired = (): void => {
-        for (const [incarnation, at] of learnedAt) {
-            if (timer.now() - at < retentionMs) {
+    /** The same for those that only senders which are no known members have named. */
+    const unconfirmedAt = new Map<TargetIncarnationId, number>();
+    const has = (incarnation: TargetIncarnationId): boolean => learnedAt.has(incarnation) || unconfirmedAt.has(incarnation);
+    /** Drops what has expired, and the oldest where there is no room. */
+    const makeRoom = (learned: Map<TargetIncarnationId, number>, maxCount: number): void => {
+        for (const [incarnation, at] of learned) {
+            if (timer.now() - at < retentionMs && learned.size < maxCount) {
                 return;
             }
-            learnedAt.delete(incarnation);
+            learned.delete(incarnation);
         }
     };
     return {
         add: incarnation => {
-            removeExpired();
+            makeRoom(learnedAt, maxLeavingTargets);
             if (learnedAt.has(incarnation)) {
                 return false;
             }
             learnedAt.set(incarnation, timer.now());
+            return !unconfirmedAt.delete(incarnation);
+        },
+        addUnconfirmed: incarnation => {
+            makeRoom(unconfirmedAt, maxUnconfirmed);
+            if (has(incarnation)) {
+                return false;
+            }
+            unconfirmedAt.set(incarnation, timer.now());
             return true;
         },
-        has: incarnation => learnedAt.has(incarnation),
+        has,
         recent: () =>
-            [...learnedAt].filter(([, at]) => timer.now() - at < newsMs).slice(-maxNews).map(([incarnation]) => incarnation),
+            [...unconfirmedAt, ...learnedAt].filter(([, at]) => timer.now() - at < newsMs).slice(-maxNews).map(([incarnation]) =>
+                incarnation
+            ),
     };
 }
--- a/packages/core/src/steering/members.ts
+++ b/packages/core/src/steering/members.ts
@@ -25,6 +25,8 @@
     hasSentHeartbeat: boolean;
     /** Whether the store currently lists it. */
     isRegistered: boolean;
+    /** Whether the store has ever listed it. */
+    wasRegistered: boolean;
     isLeaving: boolean;
 }
 
@@ -65,8 +67,15 @@
 const dataCentreTimeoutMs = 5_000;
 /** Time for which a silent entry still counts among the entries that share a budget. */
 const budgetSharerRetentionMs = 12_000;
+/** Several times the entries of a large deployment. Those that announced themselves beyond it are not taken. */
+const maxAnnounced = 2_000;
 
-export function createMembers(timer: Timer, self: MemberRecord): Members {
+/** `onFirstRegistered` is called with each entry that the store lists for the first time. */
+export function createMembers(
+    timer: Timer,
+    self: MemberRecord,
+    onFirstRegistered: (member: Member) => void = () => {},
+): Members {
     const members = new Map<InstanceId, Member>();
     const dataCentreHeardAt = new Map<DataCentreId, number>();
     const isHeard = (member: Member): boolean =>
@@ -75,6 +84,14 @@
         isRegistered && record.dataCentre !== self.dataCentre
         && timer.now() - (dataCentreHeardAt.get(record.dataCentre) ?? -Infinity) < dataCentreTimeoutMs;
     const isLive = (member: Member): boolean => !member.isLeaving && (isHeard(member) || isVouchedFor(member));
+    const setRegistered = (member: Member, isRegistered: boolean): void => {
+        const isFirst = isRegistered && !member.wasRegistered;
+        member.isRegistered ||= isRegistered;
+        member.wasRegistered ||= isRegistered;
+        if (isFirst) {
+            onFirstRegistered(member);
+        }
+    };
     const add = (record: MemberRecord, isRegistered: boolean): void => {
         // A record at this entry's own address is its own, or that of a previous incarnation.
         if (record.id === self.id || record.mesh === self.mesh) {
@@ -82,14 +99,23 @@
         }
         const known = members.get(record.id);
         if (known !== undefined) {
-            known.isRegistered ||= isRegistered;
+            setRegistered(known, isRegistered);
             return;
         }
         // A new incarnation at the same address replaces the previous one.
         [...members.values()].filter(member => member.record.mesh === record.mesh).forEach(member =>
             members.delete(member.record.id)
         );
-        members.set(record.id, { record, lastHeardAt: timer.now(), hasSentHeartbeat: false, isRegistered, isLeaving: false });
+        const member: Member = {
+            record,
+            lastHeardAt: timer.now(),
+            hasSentHeartbeat: false,
+            isRegistered: false,
+            wasRegistered: false,
+            isLeaving: false,
+        };
+        members.set(record.id, member);
+        setRegistered(member, isRegistered);
     };
     const register = (record: MemberRecord): void => add(record, true);
     const unregister = (id: InstanceId): void => {
@@ -105,10 +131,25 @@
             }
         }
     };
+    const announcedCount = (): number => {
+        let count = 0;
+        for (const { isRegistered } of members.values()) {
+            count += isRegistered ? 0 : 1;
+        }
+        return count;
+    };
     const live = (): Member[] => [...members.values()].filter(isLive);
     return {
         addRegistered: register,
-        addAnnounced: record => add(record, false),
+        addAnnounced: record => {
+            if (!members.has(record.id) && announcedCount() >= maxAnnounced) {
+                removeExpired();
+                if (announcedCount() >= maxAnnounced) {
+                    return;
+                }
+            }
+            add(record, false);
+        },
         markUnregistered: unregister,
         replaceAll: records => {
             const ids = new Set(records.map(record => record.id));
--- a/packages/core/src/steering/targetRegistry.ts
+++ b/packages/core/src/steering/targetRegistry.ts
@@ -15,6 +15,8 @@
     replaceAll(records: readonly TargetRecord[]): void;
     /** Records that the incarnation has said that it leaves. It gets nothing more, whatever its record says. */
     markLeaving(incarnation: TargetIncarnationId): void;
+    /** The same if a sender that is no known member said so. */
+    markLeavingUnconfirmed(incarnation: TargetIncarnationId): void;
     /** Whether the service has targets and all of them have said that they leave. */
     isServiceLeaving(service: ServiceId): boolean;
     /** Incarnations that this entry has recently learned to be leaving, for the other entries. */
@@ -135,6 +137,14 @@
         target.coldUntil = Math.max(timer.now() + record.coldMs, record.coldMs > 0 ? target.coldUntil : 0);
         onChanged(target, change);
     };
+    const applyLeaving = (incarnation: TargetIncarnationId): void => {
+        const target = targets.get(targetOfIncarnation(incarnation));
+        if (target !== undefined && targetIncarnationOf(target.record) === incarnation) {
+            target.isLeaving = true;
+            isIndexStale = true;
+            onChanged(target, "draining");
+        }
+    };
     return {
         put: upsert,
         remove: removeTarget,
@@ -144,14 +154,13 @@
             records.forEach(upsert);
         },
         markLeaving: incarnation => {
-            if (!leavingTargets.add(incarnation)) {
-                return;
+            if (leavingTargets.add(incarnation)) {
+                applyLeaving(incarnation);
             }
-            const target = targets.get(targetOfIncarnation(incarnation));
-            if (target !== undefined && targetIncarnationOf(target.record) === incarnation) {
-                target.isLeaving = true;
-                isIndexStale = true;
-                onChanged(target, "draining");
+        },
+        markLeavingUnconfirmed: incarnation => {
+            if (leavingTargets.addUnconfirmed(incarnation)) {
+                applyLeaving(incarnation);
             }
         },
         isServiceLeaving: service => {
--- a/packages/steer/src/mesh/__tests__/heartbeat.test.ts
+++ b/packages/steer/src/mesh/__tests__/heartbeat.test.ts
@@ -67,3 +67,15 @@
         decodeHeartbeat(complete.subarray(0, length));
     }
 });
+
+test("a datagram brings a bounded number of rows, and overlong names are refused", () => {
+    const rows = Array.from({ length: 3_000 }, (_, index) => index);
+    const flood = decodeHeartbeat(encodeHeartbeat({
+        ...heartbeat,
+        loads: rows.map(index => ({ dataCentre: toDataCentreId(`d-${index}`), entry: `e-${index}`, loads: [] })),
+        poison: rows.map(index => ({ ...heartbeat.poison[0]!, fingerprint: `f-${index}` as Fingerprint })),
+        leavingTargets: rows.map(index => toTargetIncarnationId(`t-${index}@1`)),
+    }))!;
+    assert.ok(flood.loads.length <= 512 && flood.poison.length <= 64 && flood.leavingTargets.length <= 64);
+    assert.equal(decodeHeartbeat(encodeHeartbeat({ ...heartbeat, sender: toInstanceId("a".repeat(10_000)) })), undefined);
+});
--- a/packages/steer/src/mesh/__tests__/mesh.test.ts
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -144,6 +144,7 @@
 
 /** A mesh on a socket that records what is sent; `receive` delivers a datagram from the address. */
 async function startIsolatedMesh(timer: VirtualTimer, self: MemberRecord, poison: readonly PoisonReport[] = []) {
+    const members = createMembers(timer, self, member => mesh.greetRegistered(member));
     const sent: Heartbeat[] = [];
     let receive = (_bytes: Buffer, _address: string): void => {};
     const mesh = createMesh({
@@ -158,7 +159,7 @@
             close: () => {},
         },
         self,
-        members: createMembers(timer, self),
+        members,
         ownLoads: () => ({ dataCentre: self.dataCentre, entry: self.id, loads: [] }),
         revision: () => 1,
         leavingTargets: () => [],
@@ -170,7 +171,7 @@
         onDigest: () => {},
     });
     await mesh.start();
-    return { sent, receive: (bytes: Buffer) => receive(bytes, "127.0.0.1:9") };
+    return { mesh, members, sent, receive: (bytes: Buffer) => receive(bytes, "127.0.0.1:9") };
 }
 
 test("an entry that stays unknown is asked for its record once a heartbeat, however often it is heard", async () => {
@@ -213,3 +214,26 @@
     receive(encodeHeartbeat(other));
     assert.deepEqual(sent.map(({ poison }) => poison), [[report]]);
 });
+
+test("an entry that leaves sends the poison reports to one that the store lists for the first time", async () => {
+    const report: PoisonReport = {
+        fingerprint: "0123456789abcdef" as Fingerprint,
+        targetIncarnation: toTargetIncarnationId("i-1@1"),
+        isCleared: false,
+        ageMs: 0,
+    };
+    const { mesh, members, sent } = await startIsolatedMesh(createVirtualTimer(), await recordOf("a1", "cpt-a"), [report]);
+    mesh.announceLeaving();
+    const other = await recordOf("b1", "jhb-a");
+    members.addRegistered(other);
+    members.addRegistered(other);
+    assert.deepEqual(sent.map(({ poison, isLeaving }) => ({ poison, isLeaving })), [{ poison: [report], isLeaving: true }]);
+});
+
+test("unknown senders are not all asked for their records, however many there are", async () => {
+    const { sent, receive } = await startIsolatedMesh(createVirtualTimer(), await recordOf("a1", "cpt-a"));
+    for (let count = 0; count < 5_000; count++) {
+        receive(encodeHeartbeat(heartbeatFrom(`made-up-${count}`)));
+    }
+    assert.ok(sent.length <= 1_000, `${sent.length} requests`);
+});
--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -62,6 +62,12 @@
 /** Loads are sent in tenths of a slot. */
 const slotUnitsPerSlot = 10;
 const msPerSecond = 1_000;
+/** Rows of a kind that are taken from a datagram; entries send far fewer. */
+const maxRows = { loads: 512, poison: 64, leavingTargets: 64 } as const;
+/** Longest id or fingerprint that a datagram may hold. */
+const maxNameLength = 256;
+/** Largest encoded record that is taken from a datagram. */
+const maxRecordBytes = 2_048;
 
 const packr = new Packr({ useRecords: false });
 
@@ -109,20 +115,22 @@
 }
 
 function isHeartbeatRow(row: unknown): row is HeartbeatRow {
-    return Array.isArray(row) && row.length >= 5 && typeof row[0] === "string" && Number.isInteger(row[1])
+    return Array.isArray(row) && row.length >= 5 && isName(row[0]) && Number.isInteger(row[1])
         && Number.isSafeInteger(row[2]) && row[2] >= 0
         && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow)
         && (row[5] === undefined || row[5] instanceof Uint8Array)
-        && (row[6] === undefined || Array.isArray(row[6]) && row[6].every(id => typeof id === "string"));
+        && (row[6] === undefined || Array.isArray(row[6]) && row[6].every(isName));
 }
 
+const isName = (value: unknown): value is string => typeof value === "string" && value.length <= maxNameLength;
+
 function isLoadsRow(row: unknown): row is LoadsRow {
-    return Array.isArray(row) && typeof row[0] === "string" && typeof row[1] === "string" && Array.isArray(row[2])
-        && row[2].every(item => Array.isArray(item) && typeof item[0] === "string" && Number.isFinite(item[1]));
+    return Array.isArray(row) && isName(row[0]) && isName(row[1]) && Array.isArray(row[2])
+        && row[2].every(item => Array.isArray(item) && isName(item[0]) && Number.isFinite(item[1]));
 }
 
 function isPoisonRow(row: unknown): row is PoisonRow {
-    return Array.isArray(row) && typeof row[0] === "string" && Number.isFinite(row[1]) && typeof row[2] === "string"
+    return Array.isArray(row) && isName(row[0]) && Number.isFinite(row[1]) && isName(row[2])
         && (row[3] === undefined || (Number.isFinite(row[3]) && row[3] >= 0));
 }
 
@@ -135,15 +143,19 @@
         isLeaving: (row[1] & flags.leaving) !== 0,
         isWatching: (row[1] & flags.following) !== 0,
         requestsRecord: (row[1] & flags.requestsRecord) !== 0,
-        record: row[5] === undefined || row[5].length === 0 ? undefined : toRecord(row[0], row[5]),
-        leavingTargets: (row[6] ?? []).map(toTargetIncarnationId),
+        record: row[5] === undefined || row[5].length === 0 || row[5].length > maxRecordBytes
+            ? undefined
+            : toRecord(row[0], row[5]),
+        leavingTargets: (row[6] ?? []).slice(0, maxRows.leavingTargets).map(toTargetIncarnationId),
         revision: row[2],
-        loads: row[3].map(([dataCentre, entry, loads]) => ({
+        loads: row[3].slice(0, maxRows.loads).map(([dataCentre, entry, loads]) => ({
             dataCentre: toDataCentreId(dataCentre),
             entry,
             loads: loads.map(([service, slots]) => ({ service: toServiceId(service), slots: slots / slotUnitsPerSlot })),
         })),
-        poison: row[4].filter(namesIncarnation).map(([fingerprint, deaths, targetIncarnation, ageSeconds = 0]) => ({
+        poison: row[4].slice(0, maxRows.poison).filter(namesIncarnation).map((
+            [fingerprint, deaths, targetIncarnation, ageSeconds = 0],
+        ) => ({
             fingerprint: fingerprint as Fingerprint,
             targetIncarnation: toTargetIncarnationId(targetIncarnation),
             isCleared: deaths === 0,
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -3,7 +3,8 @@
  * centre. One entry per data centre, the relay, also sends the data centre's total load to the relays of the other data
  * centres. Several times a second each entry tells those of its data centre of its attempts at targets, through the relay.
  * Poison reports, store revisions and shutdown are announced without waiting for the next heartbeat. Heartbeats repeat poison
- * reports, and an entry that is heard of for the first time, or again, gets them at once.
+ * reports, and an entry that is heard of for the first time, or again, or that the store lists for the first time, gets them
+ * at once.
  */
 import type { DataCentreId, InstanceId, ServiceId, TargetIncarnationId } from "@pimentospring/core/ids";
 import type { PoisonReport } from "@pimentospring/core/poison/poisonList";
@@ -50,6 +51,11 @@
     announceRevision(scope: AnnouncementScope): void;
     /** Announces to this data centre that this entry accepts no new requests. */
     announceLeaving(): void;
+    /**
+     * Sends an entry that the store lists for the first time the poison reports and leaving targets, also if this entry leaves
+     * and the store no longer lists it.
+     */
+    greetRegistered(member: Member): void;
     close(): void;
     sentBytes(): number;
 }
@@ -67,6 +73,8 @@
 const firstContactIntervalMs = 50;
 /** An entry that was not heard of for this long may have missed reports. */
 const contactTimeoutMs = 2_600;
+/** Entries that are asked for their records within a heartbeat. */
+const maxAsked = 1_000;
 /** Received loads are passed on for this long. */
 const loadExpiryMs = 2_500;
 
@@ -150,8 +158,10 @@
         record: undefined,
         leavingTargets: options.leavingTargets(),
     });
-    const unexpired = (received: ReadonlyMap<string, ReceivedLoads>): EntryLoads[] =>
-        [...received.values()].filter(({ receivedAt }) => timer.now() - receivedAt < loadExpiryMs).map(({ loads }) => loads);
+    const unexpired = (received: Map<string, ReceivedLoads>): EntryLoads[] => {
+        received.forEach(({ receivedAt }, entry) => timer.now() - receivedAt >= loadExpiryMs && received.delete(entry));
+        return [...received.values()].map(({ loads }) => loads);
+    };
     const sendHeartbeats = (): void => {
         const own = options.ownLoads();
         const relayByDataCentre = relays();
@@ -214,7 +224,7 @@
     const mayAsk = (entry: InstanceId): boolean => {
         const now = timer.now();
         askedAt.forEach((at, asked) => now - at >= heartbeatIntervalMs && askedAt.delete(asked));
-        if (askedAt.has(entry)) {
+        if (askedAt.has(entry) || askedAt.size >= maxAsked) {
             return false;
         }
         askedAt.set(entry, now);
@@ -309,6 +319,12 @@
             const bytes = encodeHeartbeat(createHeartbeat([]));
             [...members.all()].filter(isLocal).forEach(member => sendTo(member, bytes));
         },
+        greetRegistered: member => {
+            const heartbeat = createHeartbeat([]);
+            if (heartbeat.poison.length > 0 || heartbeat.leavingTargets.length > 0) {
+                sendTo(member, encodeHeartbeat(heartbeat));
+            }
+        },
         close: () => {
             isOpen = false;
             socket.close();
--- a/packages/steer/src/poison/__tests__/poisonFleet.ts
+++ b/packages/steer/src/poison/__tests__/poisonFleet.ts
@@ -37,6 +37,8 @@
     readonly datagramLoss?: number;
     /** Entries that are killed one after the other and start again. */
     readonly restartedCount?: number;
+    /** Whether all entries leave together, and others start while they leave. */
+    readonly isReplaced?: boolean;
     /** Entries without contact to the others for six seconds. */
     readonly cutCount?: number;
     /** Targets that crash for other reasons, a second. */
@@ -59,6 +61,10 @@
 interface FleetEntry {
     readonly steering: Steering<string>;
     readonly id: MemberRecord["id"];
+    /** Whether callers still send to it. */
+    isAccepting: boolean;
+    /** Takes its record out of the store and accepts no more requests; it runs on until it is killed. */
+    leave(): void;
     /** Ends the process. */
     kill(): void;
 }
@@ -72,6 +78,9 @@
 const restartDelayMs = 300;
 const firstRestartMs = 4_000;
 const restartIntervalMs = 1_500;
+const leaveAtMs = 8_000;
+const replacementDelayMs = 400;
+const leavingMs = 3_000;
 const cutFromMs = 3_000;
 const cutMs = 6_000;
 const poisonRunMs = { min: 100, max: 800 } as const;
@@ -141,6 +150,7 @@
     const entries = new Map<number, FleetEntry>();
     const records = new Map<number, MemberRecord>();
     const listeners = new Map<number, (record: MemberRecord) => void>();
+    const unregistered = new Set<(id: MemberRecord["id"]) => void>();
     let incarnations = 0;
     let requests = 0;
     let deaths = 0;
@@ -225,8 +235,7 @@
             after: (waitMs, listener) => timer.after(waitMs, () => void (isRunning && listener())),
             subscribe: (intervalMs, listener) => timer.subscribe(intervalMs, () => void (isRunning && listener())),
         };
-        const members = createMembers(ownTimer, self);
-        members.replaceAll([...records.values()]);
+        const members = createMembers(ownTimer, self, member => mesh.greetRegistered(member));
         const poisonList = createPoisonList({ timer: ownTimer, isTrialEntry: members.hasLowestId });
         const poisonReporting = createPoisonReporting({
             timer: ownTimer,
@@ -296,14 +305,22 @@
                 heartbeat.loads.forEach(({ dataCentre }) => members.recordDataCentreAlive(dataCentre));
                 poisonReporting.receive(heartbeat.poison);
             },
-            onUnknownHeartbeat: () => {},
+            onUnknownHeartbeat: heartbeat => poisonReporting.receiveUnconfirmed(heartbeat.poison),
             takeDigest: () => undefined,
             onDigest: () => {},
         });
+        members.replaceAll([...records.values()]);
         const previous = records.get(index);
         const entry: FleetEntry = {
             steering,
             id: self.id,
+            isAccepting: true,
+            leave: () => {
+                entry.isAccepting = false;
+                mesh.announceLeaving();
+                records.delete(index);
+                timer.after(registrationDelayMs, () => unregistered.forEach(listener => listener(self.id)));
+            },
             kill: () => {
                 isRunning = false;
                 mesh.close();
@@ -313,6 +330,7 @@
         entries.set(index, entry);
         records.set(index, self);
         listeners.set(index, record => members.addRegistered(record));
+        unregistered.add(members.markUnregistered);
         targets.forEach(target => steering.registry.put(target.record()));
         void mesh.start();
         // The others learn of it from the store.
@@ -322,7 +340,10 @@
         );
     };
     const submit = (fingerprint: Fingerprint, onResponse: (response: FinalResponse<string>) => void): void => {
-        const running = [...entries.values()];
+        const running = [...entries.values()].filter(({ isAccepting }) => isAccepting);
+        if (running.length === 0) {
+            return;
+        }
         const entry = running[random.below(running.length)]!;
         const request: SteeringRequest = {
             id: toRequestId(`r${++requests}`),
@@ -368,6 +389,13 @@
             });
         }
     };
+    const scheduleReplacement = (): void => {
+        timer.after(leaveAtMs, () => entries.forEach(entry => entry.leave()));
+        for (let index = 0; index < entryCount; index++) {
+            timer.after(leaveAtMs + replacementDelayMs, () => startEntry(entryCount + index));
+            timer.after(leaveAtMs + leavingMs, () => entries.get(index)!.kill());
+        }
+    };
     const scheduleCut = (): void => {
         const cut = Array.from({ length: options.cutCount ?? 0 }, (_, index) => entryCount - 1 - index);
         timer.after(cutFromMs, () => cut.forEach(index => cutEntries.add(index)));
@@ -389,6 +417,9 @@
             [...targets.values()][random.below(targets.size)]!.crash();
         });
         scheduleRestarts();
+        if (options.isReplaced === true) {
+            scheduleReplacement();
+        }
         scheduleCut();
     });
     for (let passedMs = 0; passedMs < durationMs + 2 * deadlineMs; passedMs += stepMs) {
--- a/packages/steer/src/poison/__tests__/poisonSpread.test.ts
+++ b/packages/steer/src/poison/__tests__/poisonSpread.test.ts
@@ -30,6 +30,10 @@
     await checkSchedules(schedules, { ...eight, copiesPerSecond: 10, restartedCount: 8 });
 });
 
+test("entries that start while all that know of a request leave do not send it on once it crashed three targets", async () => {
+    await checkSchedules(schedules, { ...eight, copiesPerSecond: 10, isReplaced: true });
+});
+
 test("a request that crashed three targets is not sent on by entries whose datagrams are lost, or that were cut off", async () => {
     await checkSchedules(schedules, { ...eight, copiesPerSecond: 10, datagramLoss: 0.3 });
     await checkSchedules(schedules, { ...eight, copiesPerSecond: 10, datagramLoss: 0.03, cutCount: 3, restartedCount: 2 });
--- a/packages/steer/src/poison/poisonReporting.ts
+++ b/packages/steer/src/poison/poisonReporting.ts
@@ -29,6 +29,8 @@
     readonly onRefused: (request: SteeringRequest) => void;
     /** Takes what another entry reports. */
     readonly receive: (reports: readonly PoisonReport[]) => void;
+    /** Takes what a sender reports that is no known member, such as an entry that leaves. */
+    readonly receiveUnconfirmed: (reports: readonly PoisonReport[]) => void;
 }
 
 /** Refusals beyond this rate are counted and not logged. */
@@ -44,6 +46,12 @@
             options.onRefusable();
         }
     };
+    const recordReceived = (newReports: readonly PoisonReport[]): void => {
+        if (newReports.length > 0) {
+            recordEvidence("received", newReports.length);
+            announceRefusable(newReports);
+        }
+    };
     return {
         onTargetDeath: (requests, { record }) => {
             const byFingerprint = new Map(requests.map(request => [request.fingerprint(), request]));
@@ -82,12 +90,7 @@
                 });
             }
         },
-        receive: reports => {
-            const newReports = reports.filter(poisonList.recordReport);
-            if (newReports.length > 0) {
-                recordEvidence("received", newReports.length);
-                announceRefusable(newReports);
-            }
-        },
+        receive: reports => recordReceived(reports.filter(report => poisonList.recordReport(report))),
+        receiveUnconfirmed: reports => recordReceived(reports.filter(report => poisonList.recordUnconfirmedReport(report))),
     };
 }
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -110,7 +110,7 @@
     /** Whether all listeners are open and the entry has joined. */
     let isServing = false;
 
-    const members = createMembers(timer, self);
+    const members = createMembers(timer, self, member => mesh.greetRegistered(member));
     const poisonList = createPoisonList({ timer, isTrialEntry: members.hasLowestId });
     const poisonReporting = createPoisonReporting({
         timer,
@@ -245,6 +245,12 @@
         heartbeat.leavingTargets.forEach(registry.markLeaving);
         replication.onHeartbeat(heartbeat, sender.record);
     };
+    /** Entries that leave are no members any more for an entry that has just started, and may be the only ones that know. */
+    const onUnknownHeartbeat = (heartbeat: Heartbeat): void => {
+        poisonReporting.receiveUnconfirmed(heartbeat.poison);
+        heartbeat.leavingTargets.forEach(registry.markLeavingUnconfirmed);
+        replication.onUnknownHeartbeat(heartbeat);
+    };
     const mesh = createMesh({
         timer,
         log,
@@ -261,7 +267,7 @@
         poisonReports: poisonList.reports,
         isWatching: replica.isWatching,
         onHeartbeat,
-        onUnknownHeartbeat: replication.onUnknownHeartbeat,
+        onUnknownHeartbeat,
         takeDigest: steering.ownAttempts.takeDigest,
         onDigest: steering.peerAttempts.apply,
     });
