feat(steer): a store that comes back from an older copy takes nothing in force back

Cause: the platform's store may come back from a copy that is some seconds old, with its revisions and leases given out again. Revisions were compared without the era. An entry then took an older draining state, a removed target, a member that had left or a lifted evacuation from the copy, dropped what the copy lacked at once, or never noticed changes whose revisions it had seen before.

The entry's own record is written again with a new lease.

--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -117,6 +117,13 @@
             + "gives the age of the pending call and the revisions of others.",
     ),
     replicaFresh: defineEvent(206, "replicaFresh", "info", "This entry's copy of the store is current again."),
+    storeCameBackOlder: defineEvent(
+        207,
+        "storeCameBackOlder",
+        "warn",
+        "The platform's store came back from an older copy, in a new era; what is in force stays, and what the copy lacks is kept "
+            + "until its owner has had time to write it again.",
+    ),
     peerMet: defineEvent(300, "peerMet", "info", "A connection to a peer was established."),
     peerRefused: defineEvent(301, "peerRefused", "warn", "A peer with another key or protocol version was refused."),
     peerLost: defineEvent(302, "peerLost", "warn", "The connection to a peer was lost; it is dialled again."),
--- a/packages/standin/src/direct/storeStandin.ts
+++ b/packages/standin/src/direct/storeStandin.ts
@@ -1,4 +1,7 @@
-/** In-memory stand-in for the users' platform store, with its published protocol: items, watches, conditions and leases. */
+/**
+ * In-memory stand-in for the users' platform store, with its published protocol: items, watches, conditions and leases. It can
+ * come back from an older copy, and gives out revisions and leases again then.
+ */
 import { createRouter, listen, readBody, sendJson } from "@pimentospring/runtime/http/jsonServer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
@@ -29,6 +32,11 @@
     expireLeases(): void;
     /** Drops the event history: watches from an earlier revision get a 410. */
     compact(): void;
+    /**
+     * Returns a function that makes the store come back as it is now: all connections break, and whatever was written since is
+     * lost, leases included. Each time, the era that all responses show increases by one.
+     */
+    copy(): () => void;
     close(): void;
 }
 
@@ -36,13 +44,15 @@
 const pollMs = 10;
 
 export async function startStoreStandin(host: string): Promise<StoreStandin> {
+    /** Not shown by a store that never came back. */
+    let era = 0;
     let revision = 1;
     let leases = 0;
     let fault: number | undefined;
-    const items = new Map<string, Item>();
-    const history: Event[] = [];
+    let items = new Map<string, Item>();
+    let history: Event[] = [];
     let compactedAt = 0;
-    const leaseExpiries = new Map<number, number>();
+    let leaseExpiries = new Map<number, number>();
     const write = (key: string, value: string, lease: number): void => {
         revision++;
         const item = { key, value, revision, created: items.get(key)?.created ?? revision, lease };
@@ -65,7 +75,7 @@
     const readJson = async <Body>(request: IncomingMessage): Promise<Body> =>
         JSON.parse((await readBody(request, maxBodyBytes)).toString()) as Body;
     const watch = (response: ServerResponse, prefix: string, after: number, waitMs: number): void => {
-        if (after < compactedAt) {
+        if (after < compactedAt || after > revision) {
             sendJson(response, 410, { error: "this history is gone" });
             return;
         }
@@ -96,7 +106,7 @@
         }
     };
     const parseDurationMs = (text: string): number => Number.parseFloat(text) * (text.endsWith("ms") ? 1 : 1_000);
-    const leaseLifetimesMs = new Map<number, number>();
+    let leaseLifetimesMs = new Map<number, number>();
     const router: Server = createRouter({
         "GET /kv-range": (_request, response, url) => {
             const prefix = url.searchParams.get("prefix") ?? "";
@@ -135,6 +145,9 @@
     const handlers = router.listeners("request") as ((request: IncomingMessage, response: ServerResponse) => void)[];
     router.removeAllListeners("request");
     router.on("request", (request: IncomingMessage, response: ServerResponse) => {
+        if (era > 0) {
+            response.setHeader("Store-Era", era);
+        }
         if (fault === undefined) {
             handlers.forEach(handler => handler(request, response));
         }
@@ -156,6 +169,16 @@
             history.length = 0;
             compactedAt = revision;
         },
+        copy: () => {
+            const copied = structuredClone({ revision, leases, items, history, compactedAt, leaseExpiries, leaseLifetimesMs });
+            return () => {
+                ({ revision, leases, items, history, compactedAt, leaseExpiries, leaseLifetimesMs } = structuredClone(copied));
+                // Leases run on from the moment at which the store is back.
+                leaseExpiries.forEach((_, lease) => leaseExpiries.set(lease, performance.now() + leaseLifetimesMs.get(lease)!));
+                era++;
+                router.closeAllConnections();
+            };
+        },
         close: () => {
             clearInterval(expiry);
             router.close();
--- a/packages/steer/src/mesh/__tests__/heartbeat.test.ts
+++ b/packages/steer/src/mesh/__tests__/heartbeat.test.ts
@@ -9,8 +9,10 @@
 } from "@pimentospring/core/ids";
 import type { MemberRecord } from "@pimentospring/core/steering/members";
 import fc from "fast-check";
+import { Packr } from "msgpackr";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { toStoreRevision } from "../../store/storeRevision.js";
 import { decodeHeartbeat, encodeHeartbeat, type Heartbeat } from "../heartbeat.js";
 
 const heartbeat: Heartbeat = {
@@ -79,3 +81,13 @@
     assert.ok(flood.loads.length <= 512 && flood.poison.length <= 64 && flood.leavingTargets.length <= 64);
     assert.equal(decodeHeartbeat(encodeHeartbeat({ ...heartbeat, sender: toInstanceId("a".repeat(10_000)) })), undefined);
 });
+
+test("a revision round-trips with its era; in era 0 the datagram is that of versions without eras", () => {
+    const later = { ...heartbeat, revision: toStoreRevision(3, 412) };
+    assert.deepEqual(decodeHeartbeat(encodeHeartbeat(later)), later);
+    const leaving = { ...later, leavingTargets: [toTargetIncarnationId("t-1@1")] };
+    assert.deepEqual(decodeHeartbeat(encodeHeartbeat(leaving)), leaving);
+    const fields = new Packr({ useRecords: false }).unpack(encodeHeartbeat(heartbeat)) as unknown[];
+    assert.equal(fields.length, 5);
+    assert.equal(fields[2], 412);
+});
--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -14,6 +14,7 @@
 import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import { Packr } from "msgpackr";
 import { decodeMember, encodeMember } from "../store/storeItems.js";
+import { eraOf, isEra, isRevisionInEra, revisionInEraOf, toStoreRevision } from "../store/storeRevision.js";
 
 export interface EntryLoads {
     readonly dataCentre: DataCentreId;
@@ -56,6 +57,8 @@
     /** Encoded as in the store; empty if there is none. Older versions send neither this nor what follows. */
     record?: Uint8Array,
     leavingTargets?: readonly string[],
+    /** Era of the revision; era 0 is not sent. */
+    era?: number,
 ];
 
 const flags = { leaving: 1, following: 2, requestsRecord: 4 } as const;
@@ -86,10 +89,14 @@
     const row: HeartbeatRow = [
         heartbeat.sender,
         encodeFlags(heartbeat),
-        heartbeat.revision,
+        revisionInEraOf(heartbeat.revision),
         loads,
         poison,
     ];
+    const era = eraOf(heartbeat.revision);
+    if (era > 0) {
+        return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets, era]);
+    }
     if (heartbeat.leavingTargets.length > 0) {
         return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets]);
     }
@@ -116,7 +123,7 @@
 
 function isHeartbeatRow(row: unknown): row is HeartbeatRow {
     return Array.isArray(row) && row.length >= 5 && isName(row[0]) && Number.isInteger(row[1])
-        && Number.isSafeInteger(row[2]) && row[2] >= 0
+        && isRevisionInEra(row[2]) && (row[7] === undefined || isEra(row[7]))
         && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow)
         && (row[5] === undefined || row[5] instanceof Uint8Array)
         && (row[6] === undefined || Array.isArray(row[6]) && row[6].every(isName));
@@ -147,7 +154,7 @@
             ? undefined
             : toRecord(row[0], row[5]),
         leavingTargets: (row[6] ?? []).slice(0, maxRows.leavingTargets).map(toTargetIncarnationId),
-        revision: row[2],
+        revision: toStoreRevision(row[7] ?? 0, row[2]),
         loads: row[3].slice(0, maxRows.loads).map(([dataCentre, entry, loads]) => ({
             dataCentre: toDataCentreId(dataCentre),
             entry,
--- a/packages/steer/src/observe/gauges.ts
+++ b/packages/steer/src/observe/gauges.ts
@@ -72,6 +72,11 @@
     );
     const { freshness } = sources;
     metrics.registerGauge("pimento_store_revision", "Revision of this entry's copy of the store", () => freshness().revision);
+    metrics.registerGauge(
+        "pimento_store_era",
+        "Era of this entry's copy of the store; it rises each time the store comes back from an older copy",
+        () => freshness().era,
+    );
     metrics.registerGauge(
         "pimento_store_peer_revision",
         "Highest store revision heard of from other entries",
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -188,6 +188,7 @@
         members,
         self: instance,
         storeFailureAgeMs: () => replication.storeFailureAgeMs(),
+        copyRevision: () => replication.copyRevision(),
         onRegistrationLost: () => replication.markRegistrationLost(),
         onDocumentAccepted: next => {
             document = next;
@@ -283,7 +284,7 @@
             region: settings.region,
             version: document?.version ?? 0,
             documentFaults: document?.faults ?? [],
-            revision: replica.revision(),
+            revision: replication.freshness().revision,
             isWatching: replica.isWatching(),
             freshness: replication.freshness(),
             isLeaving: stopRequestedAt !== undefined,
--- a/packages/steer/src/store/__tests__/deploymentItems.ts
+++ b/packages/steer/src/store/__tests__/deploymentItems.ts
@@ -1,11 +1,13 @@
 /** Keys and values of the items in the store of a simulated deployment. */
-import { type TargetId, toDataCentreId, toRegionId, toServiceId, toTargetId } from "@pimentospring/core/ids";
+import { type DataCentreId, type TargetId, toDataCentreId, toRegionId, toServiceId, toTargetId } from "@pimentospring/core/ids";
 import type { StoreItemDecoder } from "../storeItems.js";
 
 export const configurationKey = "config";
 const targetPrefix = "target/";
+const evacuationPrefix = "evacuation/";
 
 export const targetKey = (id: TargetId): string => targetPrefix + id;
+export const evacuationKey = (dataCentre: DataCentreId): string => evacuationPrefix + dataCentre;
 export const formatTarget = (isDraining: boolean): string => (isDraining ? "draining" : "ready");
 export const formatConfiguration = (version: number): string => String(version);
 
@@ -15,6 +17,8 @@
             ? { kind: "document" }
             : key.startsWith(targetPrefix)
             ? { kind: "target", id: toTargetId(key.slice(targetPrefix.length)) }
+            : key.startsWith(evacuationPrefix)
+            ? { kind: "evacuation", dataCentre: toDataCentreId(key.slice(evacuationPrefix.length)) }
             : { kind: "other" },
     decodeDocument: value => ({
         isValid: true,
--- a/packages/steer/src/store/__tests__/fakeStore.ts
+++ b/packages/steer/src/store/__tests__/fakeStore.ts
@@ -8,6 +8,8 @@
     readonly writes: StoreWrite[];
     /** Error returned by every call while set. */
     failure: StoreFailure | undefined;
+    /** Era that responses show. */
+    currentEra: number;
     /** Revision before which the history is compacted. */
     compactedBefore: number;
     /** Leaves watch calls without a response from now on. */
@@ -42,6 +44,7 @@
         calls,
         writes,
         failure: undefined,
+        currentEra: 0,
         compactedBefore: 0,
         put: (key, value) => {
             const item = { key, value: Buffer.from(value), revision: ++revision };
@@ -96,6 +99,7 @@
                 ? respond("renewLease", () => {})
                 : Promise.resolve(err<void, StoreFailure>({ kind: "noLease", reason: "status 404" })),
         revokeLease: lease => respond("revokeLease", () => void liveLeases.delete(lease)),
+        era: () => store.currentEra,
         close: () => {},
         lastResponseAt: () => -Infinity,
     };
--- a/packages/steer/src/store/__tests__/registration.test.ts
+++ b/packages/steer/src/store/__tests__/registration.test.ts
@@ -48,3 +48,27 @@
     assert.equal(store.writes.length, 0);
     assert.deepEqual(store.calls, ["grantLease", "revokeLease"]);
 });
+
+// Guards against a record that hangs from a lease which the store has given to another entry since.
+test("a record is written again with a new lease once the store is in a new era, though the old lease can be renewed", async () => {
+    const store = createFakeStore();
+    const timer = createVirtualTimer();
+    startRegistration(store, timer);
+    await advance(timer, 1_000);
+    store.currentEra = 1;
+    await advance(timer, 6_000);
+    assert.equal(store.writes.length, 2);
+    const [before, after] = store.writes.map(({ puts }) => puts[0]!.lease);
+    assert.notEqual(before, after);
+});
+
+test("an entry that stops after the store came back removes its record and not a lease of the era before", async () => {
+    const store = createFakeStore();
+    const timer = createVirtualTimer();
+    const registration = startRegistration(store, timer);
+    await advance(timer, 1_000);
+    store.currentEra = 1;
+    await registration.deregister();
+    assert.equal(store.calls.includes("revokeLease"), false);
+    assert.deepEqual(store.writes.at(-1)!.removes, [memberKey(toInstanceId("me"))]);
+});
--- a/packages/steer/src/store/__tests__/storeDeployment.ts
+++ b/packages/steer/src/store/__tests__/storeDeployment.ts
@@ -2,7 +2,7 @@
  * Entries with their real replication and mesh, a store that can fail for some of them, and a network, under virtual
  * time.
  */
-import { type TargetId, toDataCentreId, toInstanceId, toRegionId } from "@pimentospring/core/ids";
+import { type DataCentreId, type TargetId, toDataCentreId, toInstanceId, toRegionId } from "@pimentospring/core/ids";
 import { createRandom, type Random } from "@pimentospring/core/random/random";
 import { createMembers, type MemberRecord } from "@pimentospring/core/steering/members";
 import { createTargetRegistry } from "@pimentospring/core/steering/targetRegistry";
@@ -32,6 +32,9 @@
     readonly version: () => number;
     /** Whether the entry knows that the target leaves, or has removed it. */
     readonly isLeaving: (target: TargetId) => boolean;
+    readonly isEvacuated: (dataCentre: DataCentreId) => boolean;
+    /** Other entries that it counts as live. */
+    readonly liveCount: () => number;
     readonly replication: () => Replication;
     kill(): void;
     start(): void;
@@ -78,6 +81,8 @@
         let stop: (() => void) | undefined;
         let version = 0;
         let isTargetLeaving = (_target: TargetId): boolean => false;
+        let isEvacuated = (_dataCentre: DataCentreId): boolean => false;
+        let liveCount = (): number => 0;
         const start = (): void => {
             const id = toInstanceId(
                 `entry-${String(index).padStart(4, "0")}/${random.below(1e9).toString(36)}-${++incarnation}`,
@@ -114,6 +119,7 @@
                 members,
                 self: id,
                 storeFailureAgeMs: () => replication.storeFailureAgeMs(),
+                copyRevision: () => replication.copyRevision(),
                 onRegistrationLost: () => replication.markRegistrationLost(),
                 onDocumentAccepted: document => {
                     version = document.version;
@@ -152,6 +158,8 @@
                 takeDigest: () => undefined,
                 onDigest: () => {},
             });
+            isEvacuated = projection.isEvacuated;
+            liveCount = () => members.liveMembers().length;
             isTargetLeaving = target => registry.find(target)?.record.isDraining ?? true;
             replications.set(index, replication);
             replication.startPeerSync();
@@ -170,6 +178,8 @@
             isRunning: () => stop !== undefined,
             version: () => version,
             isLeaving: target => isTargetLeaving(target),
+            isEvacuated: dataCentre => isEvacuated(dataCentre),
+            liveCount: () => liveCount(),
             replication: () => replications.get(index)!,
             kill: () => {
                 stop?.();
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -436,6 +436,7 @@
         members: createMembers(timer, self),
         self: self.id,
         storeFailureAgeMs: () => undefined,
+        copyRevision: () => 0,
         onRegistrationLost: () => {},
         onDocumentAccepted: document => acceptedDocuments.push(document),
     });
--- a/packages/steer/src/store/__tests__/storeServer.ts
+++ b/packages/steer/src/store/__tests__/storeServer.ts
@@ -1,7 +1,12 @@
-/** A store under virtual time that can fail for some of its clients: calls take time, and unanswered ones never end. */
+/**
+ * A store under virtual time that can fail for some of its clients, and come back from an older copy: calls take time, and
+ * unanswered ones never end.
+ */
 import type { Timer } from "@pimentospring/core/time/timer";
 import { err, ok, type Result } from "true-myth/result";
 import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreItem, StoreResult } from "../store.js";
+import { memberPrefix } from "../storeItems.js";
+import { eraOf, revisionInEraOf, toStoreRevision } from "../storeRevision.js";
 
 /** How the store treats calls: `silent` drops them, `reset` breaks their connection, `busy` refuses them. */
 export type StoreMode = "up" | "silent" | "reset" | "busy" | "slow";
@@ -26,6 +31,10 @@
     setMode(client: number, mode: StoreMode): void;
     put(key: string, value: string): void;
     remove(key: string): void;
+    /** Returns a function that makes the store come back as it is now, in a new era; pending watches break. */
+    copy(): () => void;
+    /** Members' records in the store. */
+    memberCount(): number;
     /** Drops what a stopped client waits for. */
     disconnect(client: number): void;
     /** Times at which clients got a response. */
@@ -45,18 +54,27 @@
 const resetFailure: StoreFailure = { kind: "unknown", reason: "connection reset" };
 
 export function createStoreServer({ timer, delayMs }: StoreServerOptions): StoreServer {
+    let era = 0;
+    /** As this store counts; responses show it together with the era. */
     let revision = 1;
     let lastLease = 0;
-    const liveLeases = new Set<number>();
-    const items = new Map<string, StoreItem>();
-    const history: StoreEvent[] = [];
+    let liveLeases = new Set<number>();
+    let items = new Map<string, StoreItem>();
+    let history: StoreEvent[] = [];
+    const shownEras = new Map<number, number>();
+    const shownItem = (item: StoreItem): StoreItem => ({ ...item, revision: toStoreRevision(era, item.revision) });
+    const shownEvent = (event: StoreEvent): StoreEvent =>
+        event.kind === "written"
+            ? { kind: "written", item: shownItem(event.item) }
+            : { ...event, revision: toStoreRevision(era, event.revision) };
+    const shownRevision = (): number => toStoreRevision(era, revision);
     const modes = new Map<number, StoreMode>();
     const calls: StoreCall[] = [];
     const responseTimes: { at: number; client: number; }[] = [];
     const watches = new Set<PendingWatch>();
     const modeOf = (client: number): StoreMode => modes.get(client) ?? "up";
     const revisionOf = (event: StoreEvent): number => (event.kind === "written" ? event.item.revision : event.revision);
-    const eventsAfter = (after: number): StoreEvent[] => history.filter(event => revisionOf(event) > after);
+    const eventsAfter = (after: number): StoreEvent[] => history.filter(event => revisionOf(event) > after).map(shownEvent);
     const wakeWatches = (): void => {
         for (const watch of [...watches]) {
             if (watch.after < revision) {
@@ -64,7 +82,8 @@
             }
         }
     };
-    const put = (key: string, value: string): void => {
+    const leasedKeys = new Map<string, number>();
+    const putItem = (key: string, value: string): void => {
         const item = { key, value: Buffer.from(value), revision: ++revision };
         items.set(key, item);
         history.push({ kind: "written", item });
@@ -76,6 +95,7 @@
             wakeWatches();
         }
     };
+    const shownEra = (client: number): number => shownEras.get(client) ?? 0;
     /** Carries out a call after its way to the store; `serve` responds at once or later. */
     const call = <Value>(
         client: number,
@@ -90,9 +110,12 @@
                 if (modeOf(client) === "silent") {
                     return;
                 }
+                const servedEra = era;
                 timer.after(delayMs(client), () => {
                     responseTimes.push({ at: timer.now(), client });
-                    resolve(result);
+                    const isLate = servedEra < shownEra(client);
+                    shownEras.set(client, Math.max(servedEra, shownEra(client)));
+                    resolve(isLate ? err({ kind: "unknown", reason: "a response of an older era" }) : result);
                 });
             };
             timer.after(delayMs(client), () => {
@@ -114,12 +137,17 @@
             call(client, "range", signal, respond => {
                 const found = [...items.values()].filter(item => item.key.startsWith(prefix) && item.key > (after ?? ""));
                 found.sort((a, b) => (a.key < b.key ? -1 : 1));
-                respond(ok({ items: found, hasMore: false, revision }));
+                respond(ok({ items: found.map(shownItem), hasMore: false, revision: shownRevision() }));
             }),
-        watch: (_prefix, after, waitMs, signal) =>
+        watch: (_prefix, afterShown, waitMs, signal) =>
             call<StoreChanges>(client, "watch", signal, respond => {
+                const after = revisionInEraOf(afterShown);
+                if (eraOf(afterShown) !== era) {
+                    respond(err({ kind: "compacted", reason: "status 410" }));
+                    return;
+                }
                 if (after < revision || waitMs === 0) {
-                    respond(ok({ events: eventsAfter(after), revision }));
+                    respond(ok({ events: eventsAfter(after), revision: shownRevision() }));
                     return;
                 }
                 const watch: PendingWatch = {
@@ -127,7 +155,7 @@
                     after,
                     respond: () => {
                         watches.delete(watch);
-                        respond(ok({ events: eventsAfter(after), revision }));
+                        respond(ok({ events: eventsAfter(after), revision: shownRevision() }));
                     },
                     drop: isReset => {
                         watches.delete(watch);
@@ -147,9 +175,12 @@
                     respond(err({ kind: "noLease", reason: "status 404" }));
                     return;
                 }
-                write.puts.forEach(({ key, value }) => put(key, value.toString()));
+                write.puts.forEach(put => {
+                    putItem(put.key, put.value.toString());
+                    leasedKeys.set(put.key, put.lease);
+                });
                 write.removes.forEach(remove);
-                respond(ok(revision));
+                respond(ok(shownRevision()));
             }),
         grantLease: (_lifetimeMs, signal) =>
             call<number>(client, "grantLease", signal, respond => {
@@ -166,8 +197,10 @@
         revokeLease: (lease, signal) =>
             call<void>(client, "revokeLease", signal, respond => {
                 liveLeases.delete(lease);
+                [...leasedKeys].filter(([, keyLease]) => keyLease === lease).forEach(([key]) => remove(key));
                 respond(ok(undefined));
             }),
+        era: () => shownEra(client),
         close: () => {},
     });
     const dropWatches = (client: number, isReset: boolean): void =>
@@ -182,8 +215,20 @@
                 dropWatches(client, mode === "reset");
             }
         },
-        put,
+        put: putItem,
         remove,
+        copy: () => {
+            const copied = { revision, lastLease, liveLeases: [...liveLeases], items: [...items], history: [...history] };
+            return () => {
+                ({ revision, lastLease } = copied);
+                liveLeases = new Set(copied.liveLeases);
+                items = new Map(copied.items);
+                history = [...copied.history];
+                era++;
+                [...watches].forEach(watch => watch.drop(true));
+            };
+        },
+        memberCount: () => [...items.keys()].filter(key => key.startsWith(memberPrefix)).length,
         disconnect: client => dropWatches(client, false),
     };
 }
--- a/packages/steer/src/store/deferredRemovals.ts
+++ b/packages/steer/src/store/deferredRemovals.ts
@@ -21,6 +21,8 @@
 export interface DeferredRemovals {
     /** Records that the target's record was removed. */
     schedule(id: TargetId): void;
+    /** Records that the older copy with which the store came back lacks the target's record. */
+    scheduleMissing(id: TargetId): void;
     /** Removes the scheduled targets now or later; called after each batch of changes. */
     decide(): void;
     /** Cancels a removal because the record was written again. */
@@ -31,6 +33,11 @@
 export const removalDelayMs = 2_600;
 /** The same for records that vanish together while the store works: a target that leaves must be out of use in 2,500 ms. */
 export const batchRemovalDelayMs = 1_900;
+/**
+ * Time within which targets that an older copy of the store lacks write themselves again, and entries that don't watch the
+ * store hear of it.
+ */
+export const missingRemovalDelayMs = 3_300;
 /**
  * Records that expire while the store is away, unnoticed here, vanish together. Fewer removals in a batch are targets that
  * leave: it holds those of up to a second, and more of them in a larger deployment.
@@ -43,6 +50,7 @@
     const pending = new Map<TargetId, Cancel>();
     const scheduled = new Set<TargetId>();
     const defer = (id: TargetId, delayMs: number): void => {
+        pending.get(id)?.();
         const removeNow = (): void => {
             pending.delete(id);
             remove(id);
@@ -55,6 +63,8 @@
     };
     return {
         schedule: id => void scheduled.add(id),
+        // A target that said that it leaves is out of use already, and its record was to go.
+        scheduleMissing: id => options.isDraining(id) ? void scheduled.add(id) : defer(id, missingRemovalDelayMs),
         decide: () => {
             if (scheduled.size === 0) {
                 return;
--- a/packages/steer/src/store/peerMessages.ts
+++ b/packages/steer/src/store/peerMessages.ts
@@ -3,6 +3,8 @@
 import { Packr } from "msgpackr";
 import * as v from "valibot";
 import type { ItemsUpdate } from "./replicatedItems.js";
+import type { StoreEvent, StoreItem } from "./store.js";
+import { eraOf, isEra, isRevisionInEra, revisionInEraOf, toStoreRevision } from "./storeRevision.js";
 
 /** Request for a peer's update after a revision. */
 export interface StateRequest {
@@ -20,9 +22,16 @@
 
 const packr = new Packr({ useRecords: false });
 
-const revisionSchema = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const revisionSchema = v.custom<number>(isRevisionInEra);
+/** Era of all revisions in a message; absent in era 0, which older versions require. */
+const eraSchema = v.optional(v.custom<number>(isEra), 0);
 const bytesSchema = v.pipe(v.instance(Uint8Array), v.transform(bytes => Buffer.from(bytes)));
-const requestSchema = v.object({ id: v.pipe(v.string(), v.transform(toInstanceId)), record: bytesSchema, after: revisionSchema });
+const requestSchema = v.object({
+    id: v.pipe(v.string(), v.transform(toInstanceId)),
+    record: bytesSchema,
+    after: revisionSchema,
+    era: eraSchema,
+});
 const itemSchema = v.object({ key: v.string(), value: bytesSchema, revision: revisionSchema });
 const eventSchema = v.variant("kind", [
     v.object({ kind: v.literal("written"), item: itemSchema }),
@@ -30,25 +39,66 @@
 ]);
 const ageSchema = v.optional(v.pipe(v.number(), v.finite(), v.minValue(0)));
 const updateSchema = v.variant("kind", [
-    v.object({ kind: v.literal("state"), failureAgeMs: ageSchema, revision: revisionSchema, items: v.array(itemSchema) }),
-    v.object({ kind: v.literal("changes"), failureAgeMs: ageSchema, revision: revisionSchema, events: v.array(eventSchema) }),
+    v.object({
+        kind: v.literal("state"),
+        failureAgeMs: ageSchema,
+        era: eraSchema,
+        revision: revisionSchema,
+        items: v.array(itemSchema),
+    }),
+    v.object({
+        kind: v.literal("changes"),
+        failureAgeMs: ageSchema,
+        era: eraSchema,
+        revision: revisionSchema,
+        events: v.array(eventSchema),
+    }),
 ]);
 
-export const encodeStateRequest = (request: StateRequest): Buffer => packr.pack(request);
+const eraFields = (revision: number): { readonly era?: number; } => eraOf(revision) === 0 ? {} : { era: eraOf(revision) };
+
+export const encodeStateRequest = (request: StateRequest): Buffer =>
+    packr.pack({ ...request, after: revisionInEraOf(request.after), ...eraFields(request.after) });
 
 /** Entries of version 0.1 require `isUnsettled`; others ignore it. */
 export const encodeStoreUpdate = ({ failureAgeMs, ...update }: StoreUpdate): Buffer =>
-    packr.pack({ ...update, isUnsettled: failureAgeMs !== undefined, ...(failureAgeMs === undefined ? {} : { failureAgeMs }) });
+    packr.pack({
+        ...mapRevisions(update, revisionInEraOf),
+        ...eraFields(update.revision),
+        isUnsettled: failureAgeMs !== undefined,
+        ...(failureAgeMs === undefined ? {} : { failureAgeMs }),
+    });
 
 /** Returns `undefined` if the bytes are no valid request. */
-export const decodeStateRequest = (bytes: Buffer): StateRequest | undefined => decode(requestSchema, bytes);
+export const decodeStateRequest = (bytes: Buffer): StateRequest | undefined => {
+    const request = decode(requestSchema, bytes);
+    return request === undefined
+        ? undefined
+        : { id: request.id, record: request.record, after: toStoreRevision(request.era, request.after) };
+};
 
 /** Returns `undefined` if the bytes are no valid update; a partly malformed one is not used at all. */
 export const decodeStoreUpdate = (bytes: Buffer): StoreUpdate | undefined => {
-    const update = decode(updateSchema, bytes);
-    return update === undefined ? undefined : { ...update, failureAgeMs: update.failureAgeMs };
+    const decoded = decode(updateSchema, bytes);
+    if (decoded === undefined) {
+        return undefined;
+    }
+    const { era, failureAgeMs, ...update } = decoded;
+    return { ...mapRevisions(update, revision => toStoreRevision(era, revision)), failureAgeMs };
 };
 
+/** Converts all revisions of an update, which are of one era: a replica takes over a new era as a whole. */
+function mapRevisions(update: ItemsUpdate, convert: (revision: number) => number): ItemsUpdate {
+    const convertItem = (item: StoreItem): StoreItem => ({ ...item, revision: convert(item.revision) });
+    const convertEvent = (event: StoreEvent): StoreEvent =>
+        event.kind === "written"
+            ? { kind: "written", item: convertItem(event.item) }
+            : { ...event, revision: convert(event.revision) };
+    return update.kind === "state"
+        ? { kind: "state", revision: convert(update.revision), items: update.items.map(convertItem) }
+        : { kind: "changes", revision: convert(update.revision), events: update.events.map(convertEvent) };
+}
+
 function decode<Value>(schema: v.GenericSchema<unknown, Value>, bytes: Buffer): Value | undefined {
     let raw: unknown;
     try {
--- a/packages/steer/src/store/peerSync.ts
+++ b/packages/steer/src/store/peerSync.ts
@@ -19,6 +19,7 @@
 import type { StoreFailures } from "./storeFailures.js";
 import { decodeMember, encodeMember } from "./storeItems.js";
 import type { StoreReplica } from "./storeReplica.js";
+import { revisionFields } from "./storeRevision.js";
 
 /**
  * Sends an encoded state request to a peer's control address. Resolves to the encoded update, or to `undefined` if the
@@ -123,7 +124,7 @@
     };
     const applyUpdate = (peer: string, update: StoreUpdate): void => {
         if (replica.applyUpdate(update) && (update.kind === "state" || !replica.isConnected())) {
-            log.write(logEvents.stateAdopted, { peer, revision: update.revision, kind: update.kind });
+            log.write(logEvents.stateAdopted, { peer, ...revisionFields(update.revision), kind: update.kind });
         }
     };
     const respond = (stateRequest: StateRequest): Buffer | undefined => {
--- a/packages/steer/src/store/registration.ts
+++ b/packages/steer/src/store/registration.ts
@@ -1,4 +1,7 @@
-/** Keeps this entry's record in the store under a lease, and writes it again if it is lost. */
+/**
+ * Keeps this entry's record in the store under a lease, and writes it again if it is lost. A lease of an older era of the store
+ * is not used again: the store may not know it, or may have given its id to another entry.
+ */
 import type { Random } from "@pimentospring/core/random/random";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
@@ -36,6 +39,8 @@
 export function createRegistration(options: RegistrationOptions): Registration {
     const { store, timer, random, log, key, value } = options;
     let lease: number | undefined;
+    /** Era of the store in which the lease was granted. */
+    let leaseEra = 0;
     let isWritten = false;
     let isDeregistering = false;
 
@@ -58,6 +63,15 @@
             log.write(logEvents.registrationLost, { reason: `record not removed: ${revoked.error.reason}` });
         }
     };
+    const isOfOlderEra = (): boolean => lease !== undefined && leaseEra < store.era();
+    /** Drops a lease of an older era, and with it the record. */
+    const dropOlderLease = (): void => {
+        if (isOfOlderEra()) {
+            lease = undefined;
+            isWritten = false;
+            log.write(logEvents.registrationLost, { reason: "the store came back from an older copy" });
+        }
+    };
     const write = async (): Promise<boolean> => {
         if (lease === undefined) {
             const granted = await observe(store.grantLease(leaseMs));
@@ -70,12 +84,13 @@
                 return false;
             }
             lease = granted.value;
+            leaseEra = store.era();
         }
         const written = await observe(store.write({ expected: [], puts: [{ key, value, lease }], removes: [] }));
         if (written.isErr) {
             lease = written.error.kind === "noLease" ? undefined : lease;
         }
-        return written.isOk;
+        return written.isOk && !isOfOlderEra();
     };
     const renew = async (): Promise<boolean> => {
         const renewed = await observe(store.renewLease(lease!));
@@ -84,12 +99,13 @@
             isWritten = false;
             log.write(logEvents.registrationLost, { reason: renewed.error.reason });
         }
-        return renewed.isOk;
+        return renewed.isOk && !isOfOlderEra();
     };
     const registerOrRenew = async (): Promise<void> => {
         if (isDeregistering) {
             return;
         }
+        dropOlderLease();
         const wasWritten = isWritten;
         const hasSucceeded = isWritten ? await renew() : await write();
         if (!wasWritten && hasSucceeded) {
@@ -106,9 +122,13 @@
         },
         deregister: async () => {
             isDeregistering = true;
-            if (lease !== undefined) {
+            if (lease !== undefined && !isOfOlderEra()) {
                 await revoke(lease);
             }
+            // The older copy may hold the record under a lease that is not this entry's any more.
+            if (isOfOlderEra()) {
+                await store.write({ expected: [], puts: [], removes: [key] });
+            }
         },
     };
 }
--- a/packages/steer/src/store/replicaFreshness.ts
+++ b/packages/steer/src/store/replicaFreshness.ts
@@ -3,6 +3,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
+import { eraOf, revisionInEraOf } from "./storeRevision.js";
 
 export interface ReplicaFreshnessOptions {
     readonly timer: Timer;
@@ -14,8 +15,12 @@
     readonly lastResponseAt: () => number;
 }
 
+/** Revisions are given as the store counts them, each with its era. */
 export interface Freshness extends ReplicaFreshnessStatus {
     readonly revision: number;
+    readonly era: number;
+    /** Newest era heard of from other entries. */
+    readonly peerEra: number;
 }
 
 export interface ReplicaFreshness {
@@ -51,9 +56,11 @@
     const ageOf = (time: number | undefined): number | undefined =>
         time === undefined || time === -Infinity ? undefined : Math.round(timer.now() - time);
     const current = (): Freshness => ({
-        revision: options.revision(),
-        peerRevision,
-        unknownPeerRevision,
+        revision: revisionInEraOf(options.revision()),
+        era: eraOf(options.revision()),
+        peerEra: eraOf(newestRevision()),
+        peerRevision: revisionInEraOf(peerRevision),
+        unknownPeerRevision: revisionInEraOf(unknownPeerRevision),
         pendingMs: ageOf(options.pendingSince()),
         silentMs: ageOf(options.lastResponseAt()),
         staleMs: ageOf(staleSince) ?? 0,
--- a/packages/steer/src/store/replicatedItems.ts
+++ b/packages/steer/src/store/replicatedItems.ts
@@ -1,10 +1,11 @@
 /**
- * The store's items as this entry knows them, with recent changes for peers. Each key's revision only moves forward, so that a late response never restores an
- * older value.
+ * The store's items as this entry knows them, with recent changes for peers. Each key's revision only moves forward, so that a
+ * late response never restores an older value. A new era of the store is taken over as a whole, from a snapshot.
  */
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { StoreEvent, StoreItem } from "./store.js";
+import { eraOf, revisionFields, revisionInEraOf } from "./storeRevision.js";
 
 export interface ReplicatedItemsOptions {
     readonly log: Log;
@@ -23,6 +24,11 @@
     /** Makes the snapshot's items the current ones, except where a newer revision is known. */
     applySnapshot(snapshot: ItemsSnapshot): void;
     revision(): number;
+    /**
+     * Revision up to which items may stem from the older copy with which the current era began. What is newer, the store has
+     * written since; 0 in era 0.
+     */
+    copyRevision(): number;
 }
 
 export interface ItemsSnapshot {
@@ -49,6 +55,7 @@
     /** Revision at which each removed key was removed, kept until the next snapshot. */
     const removalRevisions = new Map<string, number>();
     let revision = 0;
+    let copyRevision = 0;
 
     /** An item that can't be applied must not keep those behind it from being applied. */
     const notify = (event: StoreEvent): void => {
@@ -56,7 +63,7 @@
             options.onEvent(event);
         }
         catch (error) {
-            log.write(logEvents.fault, { reason: (error as Error).stack, revision: revisionOf(event) });
+            log.write(logEvents.fault, { reason: (error as Error).stack, ...revisionFields(revisionOf(event)) });
         }
     };
     const applyEvent = (event: StoreEvent): void => {
@@ -75,6 +82,20 @@
             }
         }
     };
+    /** Everything that the first snapshot of an era holds may stem from the copy. */
+    const enterEra = (snapshot: ItemsSnapshot): void => {
+        copyRevision = snapshot.revision;
+        if (revision > 0) {
+            const known = new Set(snapshot.items.map(({ key }) => key));
+            const missingCount = [...items.keys()].filter(key => !known.has(key)).length;
+            log.write(logEvents.storeCameBackOlder, {
+                ...revisionFields(snapshot.revision),
+                previousRevision: revisionInEraOf(revision),
+                previousEra: eraOf(revision),
+                missingCount,
+            });
+        }
+    };
     return {
         snapshot: () => ({ revision, items: [...items.values()] }),
         updateSince: after =>
@@ -94,6 +115,9 @@
             }
         },
         applySnapshot: snapshot => {
+            if (eraOf(snapshot.revision) > eraOf(revision)) {
+                enterEra(snapshot);
+            }
             const keys = new Set(snapshot.items.map(item => item.key));
             for (const item of [...items.values()]) {
                 if (!keys.has(item.key) && item.revision <= snapshot.revision) {
@@ -108,5 +132,6 @@
             options.onBatchApplied();
         },
         revision: () => revision,
+        copyRevision: () => copyRevision,
     };
 }
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -51,6 +51,8 @@
     /** Takes the heartbeat of an entry that is not a known member. */
     onUnknownHeartbeat(heartbeat: Heartbeat): void;
     freshness(): Freshness;
+    /** Revision up to which items may stem from the older copy with which the store's current era began; 0 in era 0. */
+    copyRevision(): number;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     storeFailureAgeMs(): number | undefined;
     /** Writes this entry's record again. */
@@ -154,6 +156,7 @@
         },
         onUnknownHeartbeat: ({ revision }) => freshness.recordUnknownPeerRevision(revision),
         freshness: freshness.current,
+        copyRevision: replica.copyRevision,
         storeFailureAgeMs: failures.ageMs,
         markRegistrationLost: registration.markLost,
         deregister: registration.deregister,
--- a/packages/steer/src/store/store.ts
+++ b/packages/steer/src/store/store.ts
@@ -4,7 +4,7 @@
  */
 import type { Result } from "true-myth/result";
 
-/** An item as written. Revisions increase across the whole store. */
+/** An item as written. Revisions increase across the whole store and its eras (`storeRevision.ts`). */
 export interface StoreItem {
     readonly key: string;
     readonly value: Buffer;
@@ -60,5 +60,10 @@
     grantLease(lifetimeMs: number, signal: AbortSignal): StoreResult<number>;
     renewLease(lease: number, signal: AbortSignal): StoreResult<void>;
     revokeLease(lease: number, signal: AbortSignal): StoreResult<void>;
+    /**
+     * Newest era that a response has shown. Responses of older eras that arrive later are failures of kind `unknown`; a watch
+     * from a revision of an older era is `compacted`.
+     */
+    era(): number;
     close(): void;
 }
--- a/packages/steer/src/store/storeCalls.ts
+++ b/packages/steer/src/store/storeCalls.ts
@@ -18,6 +18,8 @@
     grantLease(lifetimeMs: number): StoreResult<number>;
     renewLease(lease: number): StoreResult<void>;
     revokeLease(lease: number): StoreResult<void>;
+    /** Newest era of the store that a response has shown. */
+    era(): number;
     close(): void;
     /** Time of the store's last response to any call, on the timer's clock; `-Infinity` before the first. */
     lastResponseAt(): number;
@@ -77,6 +79,7 @@
         grantLease: lifetimeMs => callWithin(callTimeoutMs, signal => store.grantLease(lifetimeMs, signal)),
         renewLease: lease => callWithin(callTimeoutMs, signal => store.renewLease(lease, signal)),
         revokeLease: lease => callWithin(callTimeoutMs, signal => store.revokeLease(lease, signal)),
+        era: () => store.era(),
         close: () => store.close(),
         lastResponseAt: () => responseAt,
     };
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -1,14 +1,22 @@
-/** Applies store events to the daemon's state: configuration, targets, evacuated data centres and members. */
+/**
+ * Applies store events to the daemon's state: configuration, targets, evacuated data centres and members. What is in force does
+ * not go back when the store comes back from an older copy: what the copy lacks stays until its owner has had the time to write
+ * it again, and what was removed lately is not taken from the copy.
+ */
 import type { DataCentreId, InstanceId, TargetId } from "@pimentospring/core/ids";
-import type { Members } from "@pimentospring/core/steering/members";
+import type { MemberRecord, Members } from "@pimentospring/core/steering/members";
 import type { SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
+import type { TargetRecord } from "@pimentospring/core/steering/targetRecord";
 import type { TargetRegistry } from "@pimentospring/core/steering/targetRegistry";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import { createDeferredRemovals } from "./deferredRemovals.js";
+import { createDelayedChanges } from "./delayedChanges.js";
+import { createRemovalRecord } from "./removalRecord.js";
 import type { StoreEvent, StoreItem } from "./store.js";
 import { decodeMember, parseStoreKey, type StoreItemDecoder } from "./storeItems.js";
+import { revisionFields } from "./storeRevision.js";
 
 export interface StoreProjectionOptions {
     readonly timer: Timer;
@@ -19,6 +27,8 @@
     readonly self: InstanceId;
     /** Time since the store's last failure, in milliseconds, if removed records may have expired in it. */
     readonly storeFailureAgeMs: () => number | undefined;
+    /** Revision up to which items may stem from an older copy of the store; 0 if it never came back from one. */
+    readonly copyRevision: () => number;
     /** Called when this entry's own record was removed from the store. */
     readonly onRegistrationLost: () => void;
     /** Called with each newer configuration. */
@@ -36,6 +46,10 @@
 
 /** Faults logged of one document; the rest are counted and shown in the entry's status. */
 const maxLoggedFaults = 20;
+/** Time within which the entries that an older copy lacks register again: two renewals of a lease, and their way here. */
+const memberReturnMs = 6_000;
+/** Time within which the operator writes again what an older copy lacks. */
+const operatorReturnMs = 10_000;
 
 export function createStoreProjection(options: StoreProjectionOptions): StoreProjection {
     const { timer, log, decoder, registry, members } = options;
@@ -45,19 +59,33 @@
         storeFailureAgeMs: options.storeFailureAgeMs,
         targetCount: registry.count,
         isDraining: id => registry.find(id)?.record.isDraining === true,
-        remove: registry.remove,
+        remove: id => removeTarget(id),
         onDeferred: (count, failureAgeMs) => log.write(logEvents.removalDeferred, { count, failureAgeMs }),
     });
+    const delayed = createDelayedChanges(timer);
+    const removed = createRemovalRecord(timer);
     let version = -Infinity;
 
+    const isFromCopy = (revision: number): boolean => revision <= options.copyRevision();
     const logRefusal = (item: StoreItem, reason: string): void =>
-        log.write(logEvents.itemRefused, { key: item.key, revision: item.revision, reason });
+        log.write(logEvents.itemRefused, { key: item.key, ...revisionFields(item.revision), reason });
+    const targetName = (id: TargetId): string => `target ${id}`;
+    const removeTarget = (id: TargetId): void => {
+        const target = registry.find(id);
+        if (target !== undefined) {
+            removed.add(targetName(id), target.record.startedAt);
+        }
+        registry.remove(id);
+    };
     const applyDocument = (item: StoreItem): void => {
         const decoded = decoder.decodeDocument(item.value);
         if (!decoded.isValid) {
             logRefusal(item, decoded.reason);
             return;
         }
+        if (decoded.value.version === version && isFromCopy(item.revision)) {
+            return;
+        }
         if (decoded.value.version <= version) {
             logRefusal(item, `version ${decoded.value.version} is not newer than ${version}`);
             return;
@@ -65,7 +93,7 @@
         version = decoded.value.version;
         options.onDocumentAccepted(decoded.value);
         const { routes, faults } = decoded.value;
-        log.write(logEvents.inForce, { version, revision: item.revision, routes: routes.length, faults: faults.length });
+        log.write(logEvents.inForce, { version, ...revisionFields(item.revision), routes: routes.length, faults: faults.length });
         faults.slice(0, maxLoggedFaults).forEach(fault => log.write(logEvents.documentFault, { version, ...fault }));
     };
     const applyTarget = (id: TargetId, item: StoreItem): void => {
@@ -73,20 +101,94 @@
         if (!decoded.isValid) {
             // A target whose record is malformed must not be used.
             logRefusal(item, decoded.reason);
-            registry.remove(id);
+            removeTarget(id);
+            return;
+        }
+        if (!isFromCopy(item.revision)) {
+            removed.delete(targetName(id));
+        }
+        else if (!isNewsOfCopy(decoded.value)) {
             return;
         }
         removals.cancel(id);
         registry.put(decoded.value);
     };
+    /** Whether a record in an older copy tells more than what is known of its target. */
+    const isNewsOfCopy = (record: TargetRecord): boolean => {
+        const known = registry.find(record.id)?.record;
+        if (removed.has(targetName(record.id), record.startedAt)) {
+            return false;
+        }
+        return known === undefined || record.startedAt > known.startedAt
+            || (record.startedAt === known.startedAt && record.isDraining && !known.isDraining);
+    };
+    const evacuationKey = (dataCentre: DataCentreId): string => `evacuation ${dataCentre}`;
+    const setEvacuated = (dataCentre: DataCentreId, isEvacuated: boolean, revision: number): void => {
+        delayed.cancel(evacuationKey(dataCentre));
+        if (isEvacuated) {
+            evacuatedDataCentres.add(dataCentre);
+            removed.delete(evacuationKey(dataCentre));
+        }
+        else {
+            evacuatedDataCentres.delete(dataCentre);
+            removed.add(evacuationKey(dataCentre));
+        }
+        log.write(logEvents.evacuation, { dataCentre, isEvacuated, ...revisionFields(revision) });
+    };
+    /** The operator writes again what a copy lacks, or removes what it holds again; until then what was in force holds. */
+    const applyEvacuation = (dataCentre: DataCentreId, isEvacuated: boolean, revision: number): void => {
+        if (!isFromCopy(revision)) {
+            setEvacuated(dataCentre, isEvacuated, revision);
+            return;
+        }
+        if (evacuatedDataCentres.has(dataCentre) === isEvacuated) {
+            delayed.cancel(evacuationKey(dataCentre));
+        }
+        else if (isEvacuated && !removed.has(evacuationKey(dataCentre))) {
+            setEvacuated(dataCentre, true, revision);
+        }
+        else {
+            delayed.schedule(
+                evacuationKey(dataCentre),
+                operatorReturnMs,
+                () => setEvacuated(dataCentre, isEvacuated, revision),
+            );
+        }
+    };
+    const isAddressTaken = ({ id, mesh }: MemberRecord): boolean =>
+        [...members.all()].some(({ record }) => record.mesh === mesh && record.id !== id);
     const applyMember = (id: InstanceId, item: StoreItem): void => {
         const decoded = decodeMember(id, item.value);
         if (!decoded.isValid) {
             logRefusal(item, decoded.reason);
             return;
         }
+        delayed.cancel(item.key);
+        if (!isFromCopy(item.revision)) {
+            removed.delete(item.key);
+        }
+        else if (removed.has(item.key) || isAddressTaken(decoded.value)) {
+            // An entry that has left since, or whose successor is known.
+            return;
+        }
         members.addRegistered(decoded.value);
     };
+    const unregister = (id: InstanceId, key: string): void => {
+        removed.add(key);
+        members.markUnregistered(id);
+    };
+    const applyMemberRemoved = (id: InstanceId, key: string, revision: number): void => {
+        if (id === options.self) {
+            options.onRegistrationLost();
+        }
+        delayed.cancel(key);
+        if (isFromCopy(revision)) {
+            delayed.schedule(key, memberReturnMs, () => members.markUnregistered(id));
+        }
+        else {
+            unregister(id, key);
+        }
+    };
     const applyWritten = (item: StoreItem): void => {
         const storeKey = parseStoreKey(item.key, decoder);
         switch (storeKey.kind) {
@@ -97,8 +199,7 @@
                 applyTarget(storeKey.id, item);
                 break;
             case "evacuation":
-                evacuatedDataCentres.add(storeKey.dataCentre);
-                log.write(logEvents.evacuation, { dataCentre: storeKey.dataCentre, isEvacuated: true, revision: item.revision });
+                applyEvacuation(storeKey.dataCentre, true, item.revision);
                 break;
             case "member":
                 applyMember(storeKey.id, item);
@@ -114,22 +215,23 @@
                 // The active configuration stays until a newer one is accepted.
                 log.write(logEvents.itemRefused, {
                     key,
-                    revision,
+                    ...revisionFields(revision),
                     reason: "configuration removed from the store; the active version stays",
                 });
                 break;
             case "target":
-                removals.schedule(storeKey.id);
+                if (isFromCopy(revision)) {
+                    removals.scheduleMissing(storeKey.id);
+                }
+                else {
+                    removals.schedule(storeKey.id);
+                }
                 break;
             case "evacuation":
-                evacuatedDataCentres.delete(storeKey.dataCentre);
-                log.write(logEvents.evacuation, { dataCentre: storeKey.dataCentre, isEvacuated: false, revision });
+                applyEvacuation(storeKey.dataCentre, false, revision);
                 break;
             case "member":
-                members.markUnregistered(storeKey.id);
-                if (storeKey.id === options.self) {
-                    options.onRegistrationLost();
-                }
+                applyMemberRemoved(storeKey.id, key, revision);
                 break;
             case "other":
                 break;
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -10,6 +10,7 @@
 import { createReplicatedItems, type ItemsSnapshot, type ItemsUpdate } from "./replicatedItems.js";
 import type { StoreEvent, StoreFailure, StoreItem, StoreResult } from "./store.js";
 import type { CallLimits, StoreCalls } from "./storeCalls.js";
+import { eraOf, revisionFields } from "./storeRevision.js";
 
 export interface StoreReplicaOptions {
     readonly store: StoreCalls;
@@ -43,6 +44,8 @@
     /** Applies a peer's update if it is newer than this replica. Returns whether it was applied. */
     applyUpdate(update: ItemsUpdate): boolean;
     revision(): number;
+    /** Revision up to which items may stem from the older copy with which the store's current era began; 0 in era 0. */
+    copyRevision(): number;
     /** Records that a peer has reached a revision. A call that stays without a response to it is ended. */
     recordPeerRevision(peerRevision: number): void;
     /** Records that the store did not respond to another call of this entry in time. */
@@ -84,6 +87,8 @@
     readonly revision: number;
     /** Whether the call asks a store that may not respond, and does not wait for changes. */
     readonly isProbe: boolean;
+    /** Whether the call has gone on to read a snapshot. */
+    isReadingSnapshot: boolean;
     readonly abort: AbortController;
 }
 
@@ -119,6 +124,9 @@
             // Uses the first page's revision: the watch then reports again whatever changed while later pages were
             // read.
             firstRevision ??= page.value.revision;
+            if (eraOf(page.value.revision) !== eraOf(firstRevision)) {
+                return err({ kind: "unknown", reason: "the store's era changed between two pages" });
+            }
             readItems.push(...page.value.items);
             if (!page.value.hasMore) {
                 return ok({ revision: firstRevision, items: readItems });
@@ -129,16 +137,20 @@
             }
         }
     };
-    const synchronise = async ({ isProbe, abort }: PendingCall): StoreResult<void> => {
+    const synchronise = async (call: PendingCall): StoreResult<void> => {
+        const { isProbe, abort } = call;
         const limits = { signal: abort.signal, timeoutMs: isProbe ? probeTimeoutMs : undefined };
-        if (items.revision() === 0) {
+        const replaceItems = async (): StoreResult<void> => {
+            call.isReadingSnapshot = true;
             const snapshot = await readSnapshot(limits);
             return snapshot.map(items.applySnapshot);
+        };
+        if (items.revision() === 0) {
+            return replaceItems();
         }
         const changes = await store.watch(prefix, items.revision(), isProbe ? 0 : nextWaitMs(), limits);
         if (changes.isErr && changes.error.kind === "compacted") {
-            const snapshot = await readSnapshot(limits);
-            return snapshot.map(items.applySnapshot);
+            return replaceItems();
         }
         return changes.map(({ events, revision: upTo }) => items.applyChanges(events, upTo));
     };
@@ -148,14 +160,14 @@
             doubtAt = timer.now();
         }
         if (isConnected || failures === 0) {
-            log.write(logEvents.storeFailed, { reason: failure.reason, kind: failure.kind, revision: items.revision() });
+            log.write(logEvents.storeFailed, { reason: failure.reason, kind: failure.kind, ...revisionFields(items.revision()) });
         }
         isConnected = false;
         failures++;
     };
     const recordSuccess = (): void => {
         if (!isConnected) {
-            log.write(logEvents.storeAnswers, { revision: items.revision(), failures });
+            log.write(logEvents.storeAnswers, { ...revisionFields(items.revision()), failures });
         }
         isConnected = true;
         failures = 0;
@@ -192,6 +204,7 @@
             startedAt: timer.now(),
             revision: items.revision(),
             isProbe: isDoubtful(),
+            isReadingSnapshot: false,
             abort: new AbortController(),
         };
         pending = call;
@@ -225,7 +238,14 @@
                 recordResponse(startedAt);
                 recordPeerRevision(revision);
             },
-            Err: ({ kind }) => kind === "unknown" && recordSilence(),
+            Err: ({ kind }) => {
+                if (kind === "unknown") {
+                    recordSilence();
+                }
+                else if (kind === "compacted" && pending?.isReadingSnapshot === false) {
+                    restartCall();
+                }
+            },
         });
     };
     const recordSilence = (): void => {
@@ -235,7 +255,10 @@
         }
     };
     const recordResponse = (callStartedAt: number): void => {
-        const isOvertaken = pending === undefined ? isDoubtful() : pending.isProbe && pending.startedAt < callStartedAt;
+        const isOfOlderEra = pending?.isReadingSnapshot === false && eraOf(pending.revision) < store.era();
+        const isOvertaken = pending === undefined
+            ? isDoubtful()
+            : isOfOlderEra || (pending.isProbe && pending.startedAt < callStartedAt);
         responseAt = timer.now();
         if (isWatchRequired && isOvertaken) {
             restartCall();
@@ -285,6 +308,7 @@
             return true;
         },
         revision: items.revision,
+        copyRevision: items.copyRevision,
         recordPeerRevision,
         recordSilence,
         recordResponse,
