--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -15,6 +15,7 @@
 import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import { Packr } from "msgpackr";
 import { decodeMember, encodeMember } from "../store/storeItems.js";
+import { eraOf, isEra, isRevisionInEra, revisionInEraOf, toStoreRevision } from "../store/storeRevision.js";
 import { decodeQuotaReport, encodeQuotaReport, type QuotaReportRow } from "./quotaCodec.js";
 
 export interface EntryLoads {
@@ -60,8 +61,8 @@
     /** Encoded as in the store; empty if there is none. Older versions send neither this nor what follows. */
     record?: Uint8Array,
     leavingTargets?: readonly string[],
-    /** Not in use. */
-    reserved?: null,
+    /** Era of the revision; era 0 is sent only where something follows. */
+    era?: number,
     quotaReport?: QuotaReportRow,
 ];
 
@@ -69,6 +70,12 @@
 /** Loads are sent in tenths of a slot. */
 const slotUnitsPerSlot = 10;
 const msPerSecond = 1_000;
+/** Rows of a kind that are taken from a datagram; entries send far fewer. */
+const maxRows = { loads: 512, poison: 64, leavingTargets: 64 } as const;
+/** Longest id or fingerprint that a datagram may hold. */
+const maxNameLength = 256;
+/** Largest encoded record that is taken from a datagram. */
+const maxRecordBytes = 2_048;
 
 const packr = new Packr({ useRecords: false });
 
@@ -87,13 +94,17 @@
     const row: HeartbeatRow = [
         heartbeat.sender,
         encodeFlags(heartbeat),
-        heartbeat.revision,
+        revisionInEraOf(heartbeat.revision),
         loads,
         poison,
     ];
+    const era = eraOf(heartbeat.revision);
     if (heartbeat.quotaReport !== undefined) {
         const report = encodeQuotaReport(heartbeat.quotaReport);
-        return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets, null, report]);
+        return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets, era, report]);
+    }
+    if (era > 0) {
+        return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets, era]);
     }
     if (heartbeat.leavingTargets.length > 0) {
         return packr.pack([...row, encodeRecord(heartbeat.record), heartbeat.leavingTargets]);
@@ -120,20 +131,22 @@
 }
 
 function isHeartbeatRow(row: unknown): row is HeartbeatRow {
-    return Array.isArray(row) && row.length >= 5 && typeof row[0] === "string" && Number.isInteger(row[1])
-        && Number.isSafeInteger(row[2]) && row[2] >= 0
+    return Array.isArray(row) && row.length >= 5 && isName(row[0]) && Number.isInteger(row[1])
+        && isRevisionInEra(row[2]) && (row[7] === undefined || isEra(row[7]))
         && Array.isArray(row[3]) && row[3].every(isLoadsRow) && Array.isArray(row[4]) && row[4].every(isPoisonRow)
         && (row[5] === undefined || row[5] instanceof Uint8Array)
-        && (row[6] === undefined || Array.isArray(row[6]) && row[6].every(id => typeof id === "string"));
+        && (row[6] === undefined || Array.isArray(row[6]) && row[6].every(isName));
 }
 
+const isName = (value: unknown): value is string => typeof value === "string" && value.length <= maxNameLength;
+
 function isLoadsRow(row: unknown): row is LoadsRow {
-    return Array.isArray(row) && typeof row[0] === "string" && typeof row[1] === "string" && Array.isArray(row[2])
-        && row[2].every(item => Array.isArray(item) && typeof item[0] === "string" && Number.isFinite(item[1]));
+    return Array.isArray(row) && isName(row[0]) && isName(row[1]) && Array.isArray(row[2])
+        && row[2].every(item => Array.isArray(item) && isName(item[0]) && Number.isFinite(item[1]));
 }
 
 function isPoisonRow(row: unknown): row is PoisonRow {
-    return Array.isArray(row) && typeof row[0] === "string" && Number.isFinite(row[1]) && typeof row[2] === "string"
+    return Array.isArray(row) && isName(row[0]) && Number.isFinite(row[1]) && isName(row[2])
         && (row[3] === undefined || (Number.isFinite(row[3]) && row[3] >= 0));
 }
 
@@ -148,15 +161,19 @@
         isLeaving: (row[1] & flags.leaving) !== 0,
         isWatching: (row[1] & flags.following) !== 0,
         requestsRecord: (row[1] & flags.requestsRecord) !== 0,
-        record: row[5] === undefined || row[5].length === 0 ? undefined : toRecord(row[0], row[5]),
-        leavingTargets: (row[6] ?? []).map(toTargetIncarnationId),
-        revision: row[2],
-        loads: row[3].map(([dataCentre, entry, loads]) => ({
+        record: row[5] === undefined || row[5].length === 0 || row[5].length > maxRecordBytes
+            ? undefined
+            : toRecord(row[0], row[5]),
+        leavingTargets: (row[6] ?? []).slice(0, maxRows.leavingTargets).map(toTargetIncarnationId),
+        revision: toStoreRevision(row[7] ?? 0, row[2]),
+        loads: row[3].slice(0, maxRows.loads).map(([dataCentre, entry, loads]) => ({
             dataCentre: toDataCentreId(dataCentre),
             entry,
             loads: loads.map(([service, slots]) => ({ service: toServiceId(service), slots: slots / slotUnitsPerSlot })),
         })),
-        poison: row[4].filter(namesIncarnation).map(([fingerprint, deaths, targetIncarnation, ageSeconds = 0]) => ({
+        poison: row[4].slice(0, maxRows.poison).filter(namesIncarnation).map((
+            [fingerprint, deaths, targetIncarnation, ageSeconds = 0],
+        ) => ({
             fingerprint: fingerprint as Fingerprint,
             targetIncarnation: toTargetIncarnationId(targetIncarnation),
             isCleared: deaths === 0,
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -113,7 +113,7 @@
     /** Whether all listeners are open and the entry has joined. */
     let isServing = false;
 
-    const members = createMembers(timer, self);
+    const members = createMembers(timer, self, member => mesh.greetRegistered(member));
     const poisonList = createPoisonList({ timer, isTrialEntry: members.hasLowestId });
     const poisonReporting = createPoisonReporting({
         timer,
@@ -197,6 +197,7 @@
         members,
         self: instance,
         storeFailureAgeMs: () => replication.storeFailureAgeMs(),
+        copyRevision: () => replication.copyRevision(),
         onRegistrationLost: () => replication.markRegistrationLost(),
         onDocumentAccepted: next => {
             document = next;
@@ -258,6 +259,12 @@
         heartbeat.leavingTargets.forEach(registry.markLeaving);
         replication.onHeartbeat(heartbeat, sender.record);
     };
+    /** Entries that leave are no members any more for an entry that has just started, and may be the only ones that know. */
+    const onUnknownHeartbeat = (heartbeat: Heartbeat): void => {
+        poisonReporting.receiveUnconfirmed(heartbeat.poison);
+        heartbeat.leavingTargets.forEach(registry.markLeavingUnconfirmed);
+        replication.onUnknownHeartbeat(heartbeat);
+    };
     const mesh = createMesh({
         timer,
         log,
@@ -274,7 +281,7 @@
         poisonReports: poisonList.reports,
         isWatching: replica.isWatching,
         onHeartbeat,
-        onUnknownHeartbeat: replication.onUnknownHeartbeat,
+        onUnknownHeartbeat,
         takeDigest: steering.ownAttempts.takeDigest,
         onDigest: steering.peerAttempts.apply,
         quotaReports: steering.quotaLimit,
@@ -293,7 +300,7 @@
             region: settings.region,
             version: document?.version ?? 0,
             documentFaults: document?.faults ?? [],
-            revision: replica.revision(),
+            revision: replication.freshness().revision,
             isWatching: replica.isWatching(),
             freshness: replication.freshness(),
             isLeaving: stopRequestedAt !== undefined,
--- a/packages/steer/src/store/replicatedItems.ts
+++ b/packages/steer/src/store/replicatedItems.ts
@@ -1,10 +1,11 @@
 /**
- * The store's items as this entry knows them, with recent changes for peers. Each key's revision only moves forward, so that a late response never restores an
- * older value.
+ * The store's items as this entry knows them, with recent changes for peers. Each key's revision only moves forward, so that a
+ * late response never restores an older value. A new era of the store is taken over as a whole, from a snapshot.
  */
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { StoreEvent, StoreItem } from "./store.js";
+import { eraOf, revisionFields, revisionInEraOf } from "./storeRevision.js";
 
 export interface ReplicatedItemsOptions {
     readonly log: Log;
@@ -25,6 +26,11 @@
     /** Makes the snapshot's items the current ones, except where a newer revision is known. */
     applySnapshot(snapshot: ItemsSnapshot): void;
     revision(): number;
+    /**
+     * Revision up to which items may stem from the older copy with which the current era began. What is newer, the store has
+     * written since; 0 in era 0.
+     */
+    copyRevision(): number;
 }
 
 export interface ItemsSnapshot {
@@ -51,6 +57,7 @@
     /** Revision at which each removed key was removed, kept until the next snapshot. */
     const removalRevisions = new Map<string, number>();
     let revision = 0;
+    let copyRevision = 0;
 
     /** An item that can't be applied must not keep those behind it from being applied. */
     const notify = (event: StoreEvent): void => {
@@ -58,7 +65,7 @@
             options.onEvent(event);
         }
         catch (error) {
-            log.write(logEvents.fault, { reason: (error as Error).stack, revision: revisionOf(event) });
+            log.write(logEvents.fault, { reason: (error as Error).stack, ...revisionFields(revisionOf(event)) });
         }
     };
     const applyEvent = (event: StoreEvent): void => {
@@ -81,6 +88,20 @@
         options.redact === undefined ? item : { ...item, value: options.redact(item.key, item.value) };
     const redactEvent = (event: StoreEvent): StoreEvent =>
         event.kind === "written" ? { ...event, item: redactItem(event.item) } : event;
+    /** Everything that the first snapshot of an era holds may stem from the copy. */
+    const enterEra = (snapshot: ItemsSnapshot): void => {
+        copyRevision = snapshot.revision;
+        if (revision > 0) {
+            const known = new Set(snapshot.items.map(({ key }) => key));
+            const missingCount = [...items.keys()].filter(key => !known.has(key)).length;
+            log.write(logEvents.storeCameBackOlder, {
+                ...revisionFields(snapshot.revision),
+                previousRevision: revisionInEraOf(revision),
+                previousEra: eraOf(revision),
+                missingCount,
+            });
+        }
+    };
     return {
         snapshot: () => ({ revision, items: [...items.values()] }),
         updateSince: after =>
@@ -101,6 +122,9 @@
             }
         },
         applySnapshot: snapshot => {
+            if (eraOf(snapshot.revision) > eraOf(revision)) {
+                enterEra(snapshot);
+            }
             const keys = new Set(snapshot.items.map(item => item.key));
             for (const item of [...items.values()]) {
                 if (!keys.has(item.key) && item.revision <= snapshot.revision) {
@@ -115,5 +139,6 @@
             options.onBatchApplied();
         },
         revision: () => revision,
+        copyRevision: () => copyRevision,
     };
 }
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -55,6 +55,8 @@
     freshness(): Freshness;
     /** Time since the store last responded or a peer was last heard from, in milliseconds. */
     contactAgeMs(): number;
+    /** Revision up to which items may stem from the older copy with which the store's current era began; 0 in era 0. */
+    copyRevision(): number;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     storeFailureAgeMs(): number | undefined;
     /** Writes this entry's record again. */
@@ -162,6 +164,7 @@
         onUnknownHeartbeat: ({ revision }) => freshness.recordUnknownPeerRevision(revision),
         freshness: freshness.current,
         contactAgeMs: () => timer.now() - Math.max(startedAt, lastPeerAt, store.lastResponseAt()),
+        copyRevision: replica.copyRevision,
         storeFailureAgeMs: failures.ageMs,
         markRegistrationLost: registration.markLost,
         deregister: registration.deregister,
