--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -172,8 +172,9 @@
         if (region === self.region || options.coversDataCentre(dataCentre)) {
             return true;
         }
-        const allowance = spillover.slotAllowance(job.service, dataCentre) ?? 0;
-        const maxInFlight = isRemoteObject(job) ? remoteBurstFactor * allowance + 1 : allowance;
+        const maxInFlight = isRemoteObject(job)
+            ? remoteBurstFactor * (spillover.slotAllowance(job.service, dataCentre) ?? 0) + 1
+            : spillover.wholeSlotAllowance(job.service, dataCentre) ?? 0;
         return options.inFlightCountAt(job.service, dataCentre) + 1 <= maxInFlight;
     };
     const mayUseTarget = (job: Job<Answer>, target: Target, now: number): boolean => {
