--- a/packages/core/src/steering/offeredLoad.ts
+++ b/packages/core/src/steering/offeredLoad.ts
@@ -23,8 +23,6 @@
 /** Work of a request that is assumed before the first request. */
 const initialWorkMs = 300;
 const smoothingFactor = 0.05;
-/** Weight, in completed requests, of the assumption that is replaced by what the first requests take. */
-const assumedSamples = 3;
 
 interface ServiceArrivals {
     /** Exponentially decayed number of arrivals. */
@@ -32,8 +30,6 @@
     decayedAt: number;
     readonly firstArrivalAt: number;
     meanWorkMs: number;
-    /** Completed requests so far. */
-    completed: number;
 }
 
 export function createOfferedLoad(timer: Timer): OfferedLoad {
@@ -46,7 +42,7 @@
         recordArrival: (service, workMs) => {
             const known = loads.get(service);
             if (known === undefined) {
-                loads.set(service, { arrivals: 1, decayedAt: timer.now(), firstArrivalAt: timer.now(), meanWorkMs: workMs, completed: 0 });
+                loads.set(service, { arrivals: 1, decayedAt: timer.now(), firstArrivalAt: timer.now(), meanWorkMs: workMs });
                 return;
             }
             decay(known);
@@ -55,9 +51,7 @@
         recordWork: (service, workMs) => {
             const load = loads.get(service);
             if (load !== undefined) {
-                load.completed++;
-                const weight = Math.max(smoothingFactor, 1 / (load.completed + assumedSamples));
-                load.meanWorkMs += weight * (workMs - load.meanWorkMs);
+                load.meanWorkMs += smoothingFactor * (workMs - load.meanWorkMs);
             }
         },
         requiredSlots: service => {
--- a/packages/core/src/steering/spillover.ts
+++ b/packages/core/src/steering/spillover.ts
@@ -6,7 +6,6 @@
  */
 import type { DataCentreId, ServiceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
-import { createSlotTurns } from "./slotTurns.js";
 
 /** Load that an entry's callers offer for a service. */
 export interface ServiceLoad {
@@ -22,8 +21,6 @@
      * recently.
      */
     slotAllowance(service: ServiceId, dataCentre: DataCentreId): number | undefined;
-    /** The same in whole slots, which entries with less than one each get in turns. */
-    wholeSlotAllowance(service: ServiceId, dataCentre: DataCentreId): number | undefined;
     /** Fraction of this entry's load that the plan serves in other regions. */
     remoteFraction(service: ServiceId): number;
     /** Summary of a service's slot allowances, for logs. */
@@ -79,7 +76,6 @@
     const { timer, self } = options;
     const peerLoads = new Map<string, { readonly load: EntryLoad; readonly service: ServiceId; readonly receivedAt: number; }>();
     const plans = new Map<ServiceId, Plan>();
-    const roundInTurns = createSlotTurns(timer, self.entry);
 
     const currentLoads = (service: ServiceId): EntryLoad[] => {
         const loads: EntryLoad[] = [{
@@ -128,10 +124,6 @@
             }
         },
         slotAllowance: (service, dataCentre) => planOf(service).allowances.get(dataCentre),
-        wholeSlotAllowance: (service, dataCentre) => {
-            const share = planOf(service).allowances.get(dataCentre);
-            return share === undefined ? undefined : roundInTurns(`${service} ${dataCentre}`, share);
-        },
         remoteFraction: service => {
             let remote = 0;
             let total = 0;
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -172,9 +172,8 @@
         if (region === self.region || options.coversDataCentre(dataCentre)) {
             return true;
         }
-        const maxInFlight = isRemoteObject(job)
-            ? remoteBurstFactor * (spillover.slotAllowance(job.service, dataCentre) ?? 0) + 1
-            : spillover.wholeSlotAllowance(job.service, dataCentre) ?? 0;
+        const allowance = spillover.slotAllowance(job.service, dataCentre) ?? 0;
+        const maxInFlight = isRemoteObject(job) ? remoteBurstFactor * allowance + 1 : allowance;
         return options.inFlightCountAt(job.service, dataCentre) + 1 <= maxInFlight;
     };
     const mayUseTarget = (job: Job<Answer>, target: Target, now: number): boolean => {
