fix(core): further copies of an object are made for room, not for the price of transfers

Cause: a data centre made its own copy of an object as soon as the transfer prices of earlier requests added up to 0.3; with bodies of 60 kB one request was enough. Each copy is a slow run that is late for its caller, and it evicts another object, so that at the start of traffic most runs were on objects that another data centre of the region already had.

Change: a copy is disfavoured by its transfer price and a margin, and made where the targets that have the object are full.

--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -103,10 +103,6 @@
 const evictionPrice = 0.25;
 /** Makes entries try a new target soon; otherwise nothing would ever be learned about it. */
 const untriedBonus = 1;
-/** Transfer price that requests for an object have to add up to before another copy of it is made. */
-const copyPrice = 0.3;
-/** Outweighs a target elsewhere that has the object cached. */
-const dueCopyBonus = 1;
 /** By how much a shared copy is preferred to a local one that is not due. */
 const sharedCopyMargin = 0.1;
 /** Weight of the rendezvous order of targets, on which all entries agree. */
@@ -215,18 +211,10 @@
         return cachedFraction * workTimes.warmMs(route) + (1 - cachedFraction) * workTimes.coldObjectMs(route);
     };
     /**
-     * Preference for caching an object at a local target. It is negative, so that the data centres of a region share one
-     * copy, until the requests that went elsewhere for it have cost about as much as the slow run of another copy.
+     * Preference against a further copy of an object at a local target: its slow run would be late for its caller, and the copy
+     * evicts another object. It is made only where the targets that have the object are full.
      */
-    const copyPreference = (job: Job<Answer>): number => {
-        const { objectId } = job.request;
-        if (objectId === undefined) {
-            return 0;
-        }
-        const earlierUses = objectAffinity.recentUses(job.service, objectKey(job.route, objectId)) - 1;
-        const price = transferPriceOf(job, options.prices.dataCentre);
-        return earlierUses * price >= copyPrice ? dueCopyBonus : -price - sharedCopyMargin;
-    };
+    const copyPreference = (job: Job<Answer>): number => -transferPriceOf(job, options.prices.dataCentre) - sharedCopyMargin;
     /** Makes entries without better information agree on a target for each object. */
     const rendezvousPreference = (job: Job<Answer>, target: Target): number => {
         const { objectId } = job.request;
