fix(core): requests without a workspace wait their turn too

Cause: an arrival on a public route without a key took a free slot ahead of the queued requests of workspaces. Change: the order of the queue holds for each arrival where the document has workspaces.

--- a/packages/core/src/steering/__tests__/workspaceOrder.test.ts
+++ b/packages/core/src/steering/__tests__/workspaceOrder.test.ts
@@ -149,12 +149,18 @@
 test("a slot that became free goes to the request whose turn it is, not to the one that arrives", () => {
     const directory = directoryOf(workspaceOf("flood"), workspaceOf("calm"));
     const [flood, calm] = directory.workspaces.map(({ keys }) => ({ keyDigest: keys[0] }));
-    const bench = createTestBench({ workspaces: () => directory, targets: [record("one", { slots: 1 })] });
-    bench.submit("runs", flood);
-    bench.submit("queued", calm);
-    bench.registry.put(record("one", { slots: 2 }));
-    bench.submit("arrives", flood);
-    assert.deepEqual(bench.sent.map(({ job }) => job.request.id), ["runs", "queued"]);
+    for (const arrival of [flood, { path: "/open/1" }]) {
+        const bench = createTestBench({
+            workspaces: () => directory,
+            routes: [route(), route({ prefix: "/open/", isPublic: true })],
+            targets: [record("one", { slots: 1 })],
+        });
+        bench.submit("runs", flood);
+        bench.submit("queued", calm);
+        bench.registry.put(record("one", { slots: 2 }));
+        bench.submit("arrives", arrival);
+        assert.deepEqual(bench.sent.map(({ job }) => job.request.id), ["runs", "queued"]);
+    }
 });
 
 // Guards against workspaces whose regions are full and that hold up the queue for all others.
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -252,7 +252,7 @@
     /** Requests that are served before an arrival get free slots before it, if they can use them. */
     const placeArrival = (queued: QueuedRequest<Answer>): ReturnType<typeof trySend> => {
         const { job } = queued;
-        if (job.terms.workspace !== undefined && queue.queuedCount(job.service) > 1) {
+        if (job.terms.directory.needsKeys && queue.queuedCount(job.service) > 1) {
             dispatchService(job.service);
         }
         return job.state === "waiting" ? trySend(queued) : job.state === "sent" ? "sent" : "refused";
