fix(core): count others' use after a cut and after restarts

A data centre that was cut off took the first report of changes for all of the others' use and admitted up to 1.15 of the bound (8 instances, 4.7 times the quota). Such a report is now ignored, and a relay that hears another one anew repeats all counts. Use that a restarted data centre's relay doesn't know stays counted for a window. A starting instance admits its equal share over time until it is in contact with most others; before, a restarted data centre used its part at once (1.05).

--- a/packages/core/src/limits/__tests__/faultSchedules.ts
+++ b/packages/core/src/limits/__tests__/faultSchedules.ts
@@ -5,7 +5,7 @@
 export const runMs = 24_000;
 const faultKinds = ["join", "leave", "restart", "pause", "isolate", "isolateDataCentre", "restartDataCentre", "lose"] as const;
 
-interface Fault {
+export interface Fault {
     readonly kind: typeof faultKinds[number];
     readonly atMs: number;
     readonly durationMs: number;
--- a/packages/core/src/limits/__tests__/quotaLimit.test.ts
+++ b/packages/core/src/limits/__tests__/quotaLimit.test.ts
@@ -6,7 +6,7 @@
 import { createRandom } from "../../random/random.js";
 import { createVirtualTimer } from "../../time/virtualTimer.js";
 import { createSharedLimit } from "../quotaLimit.js";
-import { boundUse, runMs, schedules } from "./faultSchedules.js";
+import { boundUse, type Fault, runMs, schedules } from "./faultSchedules.js";
 import { bounds, createSimulation, maxInWindow, quotaOf, windowBound } from "./fixture.js";
 
 /** Schedules by number of instances; `PIMENTO_SCHEDULES` sets another number for all. */
@@ -24,6 +24,26 @@
     });
 }
 
+/** Schedules that exceeded the bound before a fix. */
+const fault = (kind: Fault["kind"], atMs: number, durationMs: number): Fault => ({ kind, atMs, durationMs, position: 0 });
+const demand = { loadBefore: 0.08, loadAfter: 4.7, skew: 1.2 };
+
+test("a data centre that was cut off counts the others' use once it is back, though they report only changes", () => {
+    const faults = [fault("isolateDataCentre", 3_458, 7_046)];
+    for (const seed of [1_004_696_444, 1, 2]) {
+        const use = boundUse(8, { ...demand, seed, ratePerSecond: 491, changeAtMs: 8_117, faults });
+        assert.ok(use <= 1, `${use.toFixed(3)} of the bound`);
+    }
+});
+
+test("a data centre that has restarted adds its fair part over time, not at once", () => {
+    const faults = [fault("restartDataCentre", 5_633, 5_725), fault("pause", 11_938, 5_831)];
+    for (const seed of [1, 2, 3]) {
+        const use = boundUse(8, { ...demand, seed, ratePerSecond: 60, changeAtMs: 8_646, faults });
+        assert.ok(use <= 1, `${use.toFixed(3)} of the bound`);
+    }
+});
+
 test("a workspace whose demand stays below its quota is never refused, also just after all instances have started", () => {
     for (const seed of [1, 2, 3]) {
         const simulation = createSimulation(seed, 71);
--- a/packages/core/src/limits/quotaAggregator.ts
+++ b/packages/core/src/limits/quotaAggregator.ts
@@ -71,6 +71,8 @@
     const { timer, self } = options;
     const instances = new Map<number, Source>();
     const dataCentres = new Map<DataCentreId, Source>();
+    /** Use that the successors of data centres' relays don't report, by relay. */
+    const formerSources = new Map<string, Source>();
     const sent = new Map<number, SentUse>();
     let completeAt = -Infinity;
     let reportedAt = -Infinity;
@@ -99,6 +101,11 @@
             sums.set(key, (sums.get(key) ?? 0) + Math.round(count + growth));
         });
     };
+    /** A relay that has just started doesn't know what instances of its data centre admitted before they restarted too. */
+    const keepFormerUse = (former: Source, uses: ReadonlyMap<number, number>): void => {
+        const unknown = [...former.uses].map(([key, count]) => [key, Math.max(0, count - (uses.get(key) ?? 0))] as const);
+        formerSources.set(`${former.relay}`, { ...former, uses: new Map(unknown), growth: new Map() });
+    };
     const growthSince = (known: Source | undefined, uses: ReadonlyMap<number, number>): Map<number, number> => {
         const growth = new Map<number, number>();
         if (known !== undefined && isFresh(known) && ageMs(known) > 0) {
@@ -148,12 +155,20 @@
             if (known !== undefined && known.relay !== relay && ageMs(known) < relayChangeMs) {
                 return;
             }
-            const uses = report.isComplete || known?.relay !== relay ? new Map<number, number>() : new Map(known.uses);
-            // A new relay's first report may name only what has changed: what its predecessor said stands until a complete one.
-            if (!report.isComplete && known !== undefined && known.relay !== relay) {
-                known.uses.forEach((count, key) => uses.set(key, count));
+            const isContinued = known?.relay === relay && isFresh(known);
+            if (!isContinued) {
+                // What the other relay has missed has to be repeated to it.
+                completeAt = -Infinity;
+            }
+            // Without what came before it, a report of changes doesn't tell the use.
+            if (!report.isComplete && !isContinued) {
+                return;
             }
+            const uses = report.isComplete ? new Map<number, number>() : new Map(known!.uses);
             report.uses.forEach(({ key, count }) => uses.set(key, count));
+            if (known !== undefined && known.relay !== relay) {
+                keepFormerUse(known, uses);
+            }
             dataCentres.set(dataCentre, {
                 relay,
                 uses,
@@ -170,11 +185,13 @@
         total: () => {
             removeExpired(instances);
             removeExpired(dataCentres);
+            removeExpired(formerSources);
             const live = new Map<number, number>();
             const silent = new Map<number, number>();
             const connected = connectedDataCentres();
             instances.forEach(source => addUses(isFresh(source) ? live : silent, source, maxInstanceReportAgeMs));
             dataCentres.forEach(source => addUses(connected.has(source) ? live : silent, source, maxDataCentreReportAgeMs));
+            formerSources.forEach(source => addUses(silent, source, Infinity));
             const keys = new Set([...live.keys(), ...silent.keys()]);
             const uses = [...keys].map((key): TotalUse => ({
                 key,
@@ -201,7 +218,7 @@
             const all = [...sums].map(([key, count]): KeyUse => ({ key, count }));
             const isComplete = now - completeAt >= completeReportIntervalMs;
             const uses = isComplete ? all.filter(({ count }) => count > 0) : all.filter(isDue);
-            if (uses.length === 0 && now - reportedAt < idleReportIntervalMs) {
+            if (!isComplete && uses.length === 0 && now - reportedAt < idleReportIntervalMs) {
                 return undefined;
             }
             reportedAt = now;
--- a/packages/core/src/limits/quotaAllowance.ts
+++ b/packages/core/src/limits/quotaAllowance.ts
@@ -42,7 +42,7 @@
 }
 
 /** Parts of the overshoot and of the slack that are used on purpose; the rest covers the delay of reports. */
-const usedOvershootFraction = 0.4;
+const usedOvershootFraction = 0.35;
 const usedSlackFraction = 0.4;
 /** Part of the group's limit up to which requests beyond the share are admitted freely. */
 const freeUseFraction = 0.75;
--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -70,8 +70,10 @@
 const recentSlices = 4;
 /** Requests beyond its share that an instance may admit before the others know of them. */
 const maxFreeTakes = 5;
-/** An instance that has just started admits this many requests, and its equal share over time, before it hears from the others. */
-const maxStartTakes = 2;
+/** Requests that an instance may admit just after its start, regardless of its share. */
+const maxStartTakes = 3;
+/** Part of its equal share that an instance may admit just after its start. */
+const startFraction = 0.15;
 const startGraceMs = 1_500;
 const minRetryAfterMs = 250;
 const evictionIntervalMs = 1_000;
@@ -171,17 +173,22 @@
         const position = (options.instances().indexOf(options.self) + hash) % instanceCount();
         return Math.floor((position + 1) * share) - Math.floor(position * share);
     };
-    /** Part of a window that has passed since the first report. */
-    const startedPart = (): number => reportsSince === undefined ? 0 : (timer.now() - reportsSince) / windowMs();
-    const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - (reportsSince ?? Infinity) < startGraceMs;
+    /** Windows that have passed since the first report. */
+    const startedWindows = (): number => reportsSince === undefined ? 0 : (timer.now() - reportsSince) / windowMs();
+    /** Whether this instance has just started and not yet heard from most others, which may have used what it would admit. */
+    const isStarting = (): boolean => startedWindows() < 1 && 2 * view.groupSize() <= instanceCount();
+    /** What a starting instance may have admitted: its equal share over time, and at first a few requests. */
+    const startAllowance = (quota: Quota): number =>
+        equalShare(quota) * (startedWindows() + startFraction)
+        + (startedWindows() * windowMs() < startGraceMs ? maxStartTakes : 0);
     const mayTake = (state: KeyState<Key>, allowance: Allowance): boolean => {
+        if (isStarting()) {
+            return state.own.total() + 1 <= startAllowance(state.quota);
+        }
         const unreported = unreportedOf(state);
         if (unreported + 1 <= allowance.share) {
             return true;
         }
-        if (isStarting()) {
-            return state.own.total() < maxStartTakes + equalShare(state.quota) * startedPart();
-        }
         return allowance.groupLimit < 1
             ? state.own.total() + 1 <= wholeShare(state)
             : unreported < maxFreeTakes && random.next() < allowance.freeProbability;
