--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -77,7 +77,6 @@
 const startGraceMs = 1_500;
 const minRetryAfterMs = 250;
 const evictionIntervalMs = 1_000;
-const msPerSecond = 1_000;
 
 interface KeyState<Key> {
     readonly key: Key;
@@ -177,13 +176,15 @@
     const startedWindows = (): number => reportsSince === undefined ? 0 : (timer.now() - reportsSince) / windowMs();
     /** Whether this instance has just started and not yet heard from most others, which may have used what it would admit. */
     const isStarting = (): boolean => startedWindows() < 1 && 2 * view.groupSize() <= instanceCount();
-    /** What a starting instance may have admitted: its equal share over time, and at first a few requests. */
-    const startAllowance = (quota: Quota): number =>
-        equalShare(quota) * (startedWindows() + startFraction)
-        + (startedWindows() * windowMs() < startGraceMs ? maxStartTakes : 0);
+    /** What a starting instance may have admitted: what its group's equal share over time leaves to it, and a few requests at first. */
+    const startAllowance = ({ hash, quota }: KeyState<Key>): number => {
+        const groupPart = view.groupSize() * equalShare(quota) * (startedWindows() + startFraction);
+        const startTakes = startedWindows() * windowMs() < startGraceMs ? maxStartTakes : 0;
+        return Math.max(0, groupPart - view.othersUse(hash).count) + startTakes;
+    };
     const mayTake = (state: KeyState<Key>, allowance: Allowance): boolean => {
         if (isStarting()) {
-            return state.own.total() + 1 <= startAllowance(state.quota);
+            return state.own.total() + 1 <= startAllowance(state);
         }
         const unreported = unreportedOf(state);
         if (unreported + 1 <= allowance.share) {
@@ -284,7 +285,7 @@
                     used: state.own.total() + others.count + others.silentCount,
                     groupLimit: allowance.groupLimit,
                     share: Math.max(0, allowance.share - unreportedOf(state)),
-                    isOverQuota: timer.now() - state.lastRefusedAt < msPerSecond * Math.ceil(state.windowMs / msPerSecond),
+                    isOverQuota: timer.now() - state.lastRefusedAt < state.windowMs,
                 };
             }),
     };
--- a/packages/core/src/steering/steeringStatus.ts
+++ b/packages/core/src/steering/steeringStatus.ts
@@ -1,5 +1,5 @@
 /** Status that a steering entry reports to operators as JSON on its control address. */
-import type { DataCentreId, InstanceId, RegionId, ServiceId, TargetId } from "../ids.js";
+import type { DataCentreId, InstanceId, RegionId, ServiceId, TargetId, WorkspaceId } from "../ids.js";
 import type { DocumentFault } from "./steeringDocument.js";
 
 export interface TargetStatus {
@@ -26,6 +26,21 @@
     readonly targets: readonly TargetStatus[];
 }
 
+/** Use of a workspace's quota, as an entry knows it. */
+export interface QuotaStatus {
+    readonly workspace: WorkspaceId;
+    readonly ratePerSecond: number;
+    readonly burst: number;
+    /** Requests admitted in the last window by all entries. */
+    readonly used: number;
+    /** Requests that the entries in contact with this one may admit in a window. */
+    readonly limit: number;
+    /** Requests that this entry may admit now. */
+    readonly share: number;
+    /** Whether this entry has refused a request for the quota in the last window. */
+    readonly isOverQuota: boolean;
+}
+
 /** How current an entry's copy of the store is; times in milliseconds, `undefined` ones are left out. */
 export interface ReplicaFreshnessStatus {
     /** Highest store revision announced by a member, and by an entry that is not a known member. */
@@ -58,6 +73,8 @@
     /** Other live entries. */
     readonly entries: readonly { readonly instance: InstanceId; readonly control: string; }[];
     readonly services: readonly ServiceStatus[];
+    /** Absent from entries of versions before quotas. */
+    readonly quotas?: readonly QuotaStatus[];
 }
 
 /** How an entry would handle a request; fields are `undefined` if no route matches. */
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -195,6 +195,13 @@
         "The requests answered since the previous such line that have no line 700: of each its id, target, status and the bytes of its body, "
             + "and the connection's end if that ended the body; notListed counts those for which the line had no room.",
     ),
+    overQuota: defineEvent(
+        706,
+        "overQuota",
+        "info",
+        "A workspace was refused requests for its quota: what all entries admitted in the last window, what those in contact may admit, "
+            + "and what this entry may admit now; over counts the workspaces, of which those with the most use are listed.",
+    ),
     targetChanged: defineEvent(710, "targetChanged", "info", "A target was added, changed or removed in the store."),
     targetJudged: defineEvent(
         711,
--- a/packages/steer/src/observe/statusRoutes.ts
+++ b/packages/steer/src/observe/statusRoutes.ts
@@ -1,5 +1,6 @@
 /** Operators' routes: the entry's status, and the route that a request would take. */
-import type { DataCentreId, ServiceId } from "@pimentospring/core/ids";
+import type { DataCentreId, ServiceId, WorkspaceId } from "@pimentospring/core/ids";
+import type { ReportedLimit } from "@pimentospring/core/limits/quotaLimit";
 import type { Members } from "@pimentospring/core/steering/members";
 import type { OfferedLoad } from "@pimentospring/core/steering/offeredLoad";
 import type { RemoteObjects } from "@pimentospring/core/steering/remoteObjects";
@@ -12,6 +13,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import { type Routes, sendJson } from "@pimentospring/runtime/http/jsonServer";
 import type { TargetResponse } from "../targets/targetResponse.js";
+import { quotaStatuses } from "./quotaLog.js";
 
 export interface StatusRoutesOptions {
     readonly timer: Timer;
@@ -21,6 +23,7 @@
     readonly remoteObjects: RemoteObjects;
     readonly offeredLoad: OfferedLoad;
     readonly dispatcher: RequestDispatcher<TargetResponse>;
+    readonly quotaLimit: Pick<ReportedLimit<WorkspaceId>, "status">;
     readonly services: () => Iterable<ServiceId>;
     readonly routes: () => RouteTable | undefined;
     /** Identity, configuration and store state of this entry. */
@@ -66,6 +69,7 @@
         inFlight: dispatcher.inFlightCount(),
         entries: options.members.liveMembers().map(({ record }) => ({ instance: record.id, control: record.control })),
         services: [...options.services()].map(serviceStatus),
+        quotas: quotaStatuses(options.quotaLimit),
     });
     const explain = (host: string, path: string): RouteExplanation => {
         const route = options.routes()?.find(host, path);
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -24,6 +24,7 @@
 import { createMemoryMonitor } from "./observe/memoryMonitor.js";
 import { collectGarbage, countOpenDescriptors, readMemoryUsage, readResidentBytes } from "./observe/memoryUsage.js";
 import type { SteerMetrics } from "./observe/metrics.js";
+import { registerQuotaGauges, startQuotaLog } from "./observe/quotaLog.js";
 import { createRequestLog } from "./observe/requestLog.js";
 import { createRouteStatistics } from "./observe/routeStatistics.js";
 import { startServiceLog } from "./observe/serviceLog.js";
@@ -332,6 +333,8 @@
         openDescriptors: countOpenDescriptors,
     });
 
+    registerQuotaGauges(metrics, steering.quotaLimit);
+
     /** The mesh is last, as it announces this entry at once. */
     const openListeners = async (): Promise<boolean> => {
         const onError = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
@@ -368,6 +371,7 @@
             replication.start();
             loopMonitor.start();
             memoryMonitor.start();
+            startQuotaLog({ timer, log, quotaLimit: steering.quotaLimit });
             startServiceLog({
                 timer,
                 log,
