feat(core): report the use of quotas by default while they are used

A wiring that doesn't say whether there are quotas would otherwise keep every instance in its starting phase. quotaLimit.test.ts, quotaAggregator.test.ts: 16 passed.

--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -19,8 +19,8 @@
     readonly self: InstanceId;
     readonly dataCentre: DataCentreId;
     readonly bounds: () => QuotaBounds;
-    /** Whether there are limits at all; without them nothing is reported. */
-    readonly isEnabled: () => boolean;
+    /** Whether there are limits at all; without them nothing is reported. Absent: while requests are taken. */
+    readonly isEnabled?: (() => boolean) | undefined;
     /** All instances that may admit requests, this one included, in an order that all agree on. */
     readonly instances: () => readonly InstanceId[];
 }
@@ -111,6 +111,7 @@
     });
     /** An instance that has started during a fault may not know those that its relay knows. */
     const instanceCount = (): number => Math.max(1, options.instances().length, view.knownCount());
+    const isEnabled = (): boolean => options.isEnabled?.() ?? states.size > 0;
     let sequence = 0;
     /** Time of the first report; before it this instance can't have heard from others. */
     let reportsSince: number | undefined;
@@ -250,7 +251,7 @@
     return {
         tryTake,
         takeReport: position => {
-            if (!options.isEnabled()) {
+            if (!isEnabled()) {
                 return undefined;
             }
             reportsSince ??= timer.now();
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -56,7 +56,7 @@
     readonly routeTable: () => RouteTable | undefined;
     readonly findService: (id: ServiceId) => Service | undefined;
     readonly isEvacuated: (dataCentre: DataCentreId) => boolean;
-    /** Whether the document in force has quotas; without any, instances don't report their use. */
+    /** Whether the document in force has quotas; without any, instances don't report their use. Absent: while quotas are used. */
     readonly hasQuotas?: () => boolean;
     readonly onTargetChanged: TargetRegistryOptions["onChanged"];
     readonly onTargetHealthChanged: TargetHealthOptions["onChanged"];
@@ -109,7 +109,7 @@
         self: self.id,
         dataCentre: self.dataCentre,
         bounds: () => bounds().quotaBounds ?? defaultQuotaBounds,
-        isEnabled: () => options.hasQuotas?.() ?? false,
+        isEnabled: options.hasQuotas,
         instances: members.limitSharers,
     });
     const topology = createTopology({ self, regions: () => bounds().regions, members });
