--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -19,8 +19,8 @@
     readonly self: InstanceId;
     readonly dataCentre: DataCentreId;
     readonly bounds: () => QuotaBounds;
-    /** Whether there are limits at all; without them nothing is reported. */
-    readonly isEnabled: () => boolean;
+    /** Whether there are limits at all; without them nothing is reported. Absent: while requests are taken. */
+    readonly isEnabled?: (() => boolean) | undefined;
     /** All instances that may admit requests, this one included, in an order that all agree on. */
     readonly instances: () => readonly InstanceId[];
 }
@@ -70,12 +70,13 @@
 const recentSlices = 4;
 /** Requests beyond its share that an instance may admit before the others know of them. */
 const maxFreeTakes = 5;
-/** An instance that has just started admits this many requests, and its equal share over time, before it hears from the others. */
-const maxStartTakes = 2;
+/** Requests that an instance may admit just after its start, regardless of its share. */
+const maxStartTakes = 3;
+/** Part of its equal share that an instance may admit just after its start. */
+const startFraction = 0.15;
 const startGraceMs = 1_500;
 const minRetryAfterMs = 250;
 const evictionIntervalMs = 1_000;
-const msPerSecond = 1_000;
 
 interface KeyState<Key> {
     readonly key: Key;
@@ -110,6 +111,7 @@
     });
     /** An instance that has started during a fault may not know those that its relay knows. */
     const instanceCount = (): number => Math.max(1, options.instances().length, view.knownCount());
+    const isEnabled = (): boolean => options.isEnabled?.() ?? states.size > 0;
     let sequence = 0;
     /** Time of the first report; before it this instance can't have heard from others. */
     let reportsSince: number | undefined;
@@ -171,17 +173,24 @@
         const position = (options.instances().indexOf(options.self) + hash) % instanceCount();
         return Math.floor((position + 1) * share) - Math.floor(position * share);
     };
-    /** Part of a window that has passed since the first report. */
-    const startedPart = (): number => reportsSince === undefined ? 0 : (timer.now() - reportsSince) / windowMs();
-    const isStarting = (): boolean => !view.hasEverHadContact() && timer.now() - (reportsSince ?? Infinity) < startGraceMs;
+    /** Windows that have passed since the first report. */
+    const startedWindows = (): number => reportsSince === undefined ? 0 : (timer.now() - reportsSince) / windowMs();
+    /** Whether this instance has just started and not yet heard from most others, which may have used what it would admit. */
+    const isStarting = (): boolean => startedWindows() < 1 && 2 * view.groupSize() <= instanceCount();
+    /** What a starting instance may have admitted: what its group's equal share over time leaves to it, and a few requests at first. */
+    const startAllowance = ({ hash, quota }: KeyState<Key>): number => {
+        const groupPart = view.groupSize() * equalShare(quota) * (startedWindows() + startFraction);
+        const startTakes = startedWindows() * windowMs() < startGraceMs ? maxStartTakes : 0;
+        return Math.max(0, groupPart - view.othersUse(hash).count) + startTakes;
+    };
     const mayTake = (state: KeyState<Key>, allowance: Allowance): boolean => {
+        if (isStarting()) {
+            return state.own.total() + 1 <= startAllowance(state);
+        }
         const unreported = unreportedOf(state);
         if (unreported + 1 <= allowance.share) {
             return true;
         }
-        if (isStarting()) {
-            return state.own.total() < maxStartTakes + equalShare(state.quota) * startedPart();
-        }
         return allowance.groupLimit < 1
             ? state.own.total() + 1 <= wholeShare(state)
             : unreported < maxFreeTakes && random.next() < allowance.freeProbability;
@@ -242,7 +251,7 @@
     return {
         tryTake,
         takeReport: position => {
-            if (!options.isEnabled()) {
+            if (!isEnabled()) {
                 return undefined;
             }
             reportsSince ??= timer.now();
@@ -277,7 +286,7 @@
                     used: state.own.total() + others.count + others.silentCount,
                     groupLimit: allowance.groupLimit,
                     share: Math.max(0, allowance.share - unreportedOf(state)),
-                    isOverQuota: timer.now() - state.lastRefusedAt < msPerSecond * Math.ceil(state.windowMs / msPerSecond),
+                    isOverQuota: timer.now() - state.lastRefusedAt < state.windowMs,
                 };
             }),
     };
--- a/packages/core/src/steering/steeringStatus.ts
+++ b/packages/core/src/steering/steeringStatus.ts
@@ -38,6 +38,21 @@
     readonly refused: number;
 }
 
+/** Use of a workspace's quota, as an entry knows it. */
+export interface QuotaStatus {
+    readonly workspace: WorkspaceId;
+    readonly ratePerSecond: number;
+    readonly burst: number;
+    /** Requests admitted in the last window by all entries. */
+    readonly used: number;
+    /** Requests that the entries in contact with this one may admit in a window. */
+    readonly limit: number;
+    /** Requests that this entry may admit now. */
+    readonly share: number;
+    /** Whether this entry has refused a request for the quota in the last window. */
+    readonly isOverQuota: boolean;
+}
+
 /** How current an entry's copy of the store is; times in milliseconds, `undefined` ones are left out. */
 export interface ReplicaFreshnessStatus {
     /** Highest store revision announced by a member, and by an entry that is not a known member. */
@@ -72,6 +87,8 @@
     readonly services: readonly ServiceStatus[];
     /** `undefined` from entries of versions before it was reported. */
     readonly workspaces: readonly WorkspaceStatus[] | undefined;
+    /** Absent from entries of versions before quotas. */
+    readonly quotas?: readonly QuotaStatus[];
 }
 
 /** How an entry would handle a request; fields are `undefined` if no route matches. */
