fix(steer): a record in an older copy of the store may expire before its target has written it again

Cause: if no call of an entry failed while the store was replaced by its copy, a record whose lease in the copy ended soon after was taken for a target that leaves, and removed at once.

Change: the beginning of an era counts as a failure of the store, so that removals wait as they do after an outage.

Result: olderStore.test (a quiet return) failed before, 1,250 ms after the return, and passes now.

--- a/packages/steer/src/store/__tests__/listPages.test.ts
+++ b/packages/steer/src/store/__tests__/listPages.test.ts
@@ -28,6 +28,7 @@
         maxRetryIntervalMs: () => 1_000,
         onEvent: event => void events.push(event),
         onBatchApplied: () => {},
+        onNewEra: () => {},
         onStoreAdvanced: () => {},
     });
     const advance = async (durationMs: number): Promise<void> => {
--- a/packages/steer/src/store/__tests__/olderStore.test.ts
+++ b/packages/steer/src/store/__tests__/olderStore.test.ts
@@ -137,3 +137,14 @@
     await watch({ ...deployment, entries: others }, 3_000, entry => entry.liveCount() === others.length - 1);
     others.forEach(entry => entry.kill());
 });
+
+// Guards against a target that drops out of use: its record in the copy hung from a lease that ended before it wrote itself again.
+test("a target whose record in the copy expires right after the return stays in use until it is written again", async () => {
+    const deployment = await startDeployment(8, 6, 1);
+    const { store, entries, timer } = deployment;
+    store.copy()("quiet");
+    timer.after(1_200, () => store.remove(targetKey(kept)));
+    timer.after(1_900, () => store.put(targetKey(kept), formatTarget(false)));
+    await watch(deployment, 6_000, entry => !entry.isLeaving(kept));
+    entries.forEach(entry => entry.kill());
+});
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -53,6 +53,7 @@
             onEvent(event);
         },
         onBatchApplied: () => {},
+        onNewEra: () => {},
         onStoreAdvanced: () => {},
     });
     replica.start();
--- a/packages/steer/src/store/__tests__/storeServer.ts
+++ b/packages/steer/src/store/__tests__/storeServer.ts
@@ -31,8 +31,11 @@
     setMode(client: number, mode: StoreMode): void;
     put(key: string, value: string): void;
     remove(key: string): void;
-    /** Returns a function that makes the store come back as it is now, in a new era; pending watches break. */
-    copy(): () => void;
+    /**
+     * Returns a function that makes the store come back as it is now, in a new era. Pending watches break, or get a 410 if the
+     * return is `quiet`.
+     */
+    copy(): (way?: "quiet") => void;
     /** Members' records in the store. */
     memberCount(): number;
     /** Drops what a stopped client waits for. */
@@ -46,11 +49,13 @@
     readonly after: number;
     readonly respond: () => void;
     readonly drop: (isReset: boolean) => void;
+    readonly refuse: () => void;
 }
 
 const serviceMs = 4;
 const slowServiceMs = 200;
 const busyFailure: StoreFailure = { kind: "refused", reason: "status 503" };
+const compactedFailure: StoreFailure = { kind: "compacted", reason: "status 410" };
 const resetFailure: StoreFailure = { kind: "unknown", reason: "connection reset" };
 
 export function createStoreServer({ timer, delayMs }: StoreServerOptions): StoreServer {
@@ -143,7 +148,7 @@
             call<StoreChanges>(client, "watch", signal, respond => {
                 const after = revisionInEraOf(afterShown);
                 if (eraOf(afterShown) !== era) {
-                    respond(err({ kind: "compacted", reason: "status 410" }));
+                    respond(err(compactedFailure));
                     return;
                 }
                 if (after < revision || waitMs === 0) {
@@ -157,6 +162,10 @@
                         watches.delete(watch);
                         respond(ok({ events: eventsAfter(after), revision: shownRevision() }));
                     },
+                    refuse: () => {
+                        watches.delete(watch);
+                        respond(err(compactedFailure));
+                    },
                     drop: isReset => {
                         watches.delete(watch);
                         if (isReset) {
@@ -219,13 +228,13 @@
         remove,
         copy: () => {
             const copied = { revision, lastLease, liveLeases: [...liveLeases], items: [...items], history: [...history] };
-            return () => {
+            return way => {
                 ({ revision, lastLease } = copied);
                 liveLeases = new Set(copied.liveLeases);
                 items = new Map(copied.items);
                 history = [...copied.history];
                 era++;
-                [...watches].forEach(watch => watch.drop(true));
+                [...watches].forEach(watch => way === "quiet" ? watch.refuse() : watch.drop(true));
             };
         },
         memberCount: () => [...items.keys()].filter(key => key.startsWith(memberPrefix)).length,
--- a/packages/steer/src/store/replicatedItems.ts
+++ b/packages/steer/src/store/replicatedItems.ts
@@ -12,6 +12,8 @@
     readonly onEvent: (event: StoreEvent) => void;
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
+    /** Called before the first snapshot of a new era replaces the items. */
+    readonly onNewEra: () => void;
 }
 
 export interface ReplicatedItems {
@@ -86,6 +88,7 @@
     const enterEra = (snapshot: ItemsSnapshot): void => {
         copyRevision = snapshot.revision;
         if (revision > 0) {
+            options.onNewEra();
             const known = new Set(snapshot.items.map(({ key }) => key));
             const missingCount = [...items.keys()].filter(key => !known.has(key)).length;
             log.write(logEvents.storeCameBackOlder, {
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -104,6 +104,8 @@
                 announceRevision();
             }
         },
+        // Records in the copy may expire before their targets have written them again.
+        onNewEra: () => failures.record(timer.now()),
         onStoreAdvanced: announceRevision,
     });
     const registration = createRegistration({
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -30,6 +30,8 @@
     readonly onEvent: (event: StoreEvent) => void;
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
+    /** Called when the store turns out to have come back from an older copy. */
+    readonly onNewEra: () => void;
     /** Called when a call to the store has brought a newer revision. */
     readonly onStoreAdvanced: () => void;
 }
