--- a/packages/soak/src/faults/faultInjectors.ts
+++ b/packages/soak/src/faults/faultInjectors.ts
@@ -11,6 +11,9 @@
 const stormIntervalMs = 150;
 const stormChangeCount = 8;
 const reuseGraceMs = 400;
+const olderStoreAwayMs = 300;
+/** Targets write again what they wrote within about this time. */
+const writeAgainDelayMs = 1_500;
 const noFault: ProxyFault = { kind: "none" };
 
 const onTargetHost =
@@ -57,6 +60,19 @@
     cluster.store.setFaultStatus(undefined);
 };
 
+/** The store is away for a moment and comes back as it was; the operator and the targets write again what they wrote. */
+const comeBackOlder: FaultInjector = async (cluster, fault) => {
+    const comeBack = cluster.store.copy();
+    await cluster.sleep(fault.forMs);
+    cluster.store.setFaultStatus(503);
+    await cluster.sleep(olderStoreAwayMs);
+    comeBack();
+    cluster.store.setFaultStatus(undefined);
+    await cluster.sleep(writeAgainDelayMs);
+    cluster.operator.writeAgain();
+    await cluster.sleep(writeAgainDelayMs);
+};
+
 const storeLink = (proxyFault: ProxyFault): FaultInjector => async (cluster, fault) => {
     const proxy = pick(cluster.storeLinks, fault);
     proxy.setFault(proxyFault);
@@ -105,6 +121,7 @@
         cluster.store.compact();
         await cluster.sleep(0);
     },
+    storeComesBackOlder: comeBackOlder,
     storeLinkDelay: storeLink({ kind: "delay", delayMs }),
     storeLinkReset: storeLink({ kind: "reset" }),
     storeLinkSilence: storeLink({ kind: "silence" }),
--- a/packages/soak/src/faults/schedule.ts
+++ b/packages/soak/src/faults/schedule.ts
@@ -48,6 +48,9 @@
     "targetRepeatsAnswers",
 ] as const;
 
+/** A store that loses what it was told. Drawn on its own too. */
+export const lostStoreKinds = ["storeComesBackOlder"] as const;
+
 /** What happens to the daemons' processes, ports and settings files. Drawn on their own too. */
 export const processKinds = [
     "daemonOverlap",
@@ -67,6 +70,7 @@
     | typeof noticeKinds[number]
     | typeof responseKinds[number]
     | typeof answerKinds[number]
+    | typeof lostStoreKinds[number]
     | ProcessFaultKind;
 
 export interface Fault {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -13,6 +13,7 @@
     readonly seconds: number;
     readonly gap: number;
     readonly processGap: number;
+    readonly lostStoreGap: number;
     readonly callers: number;
     readonly outlastingReaders: boolean;
     readonly net: number;
@@ -38,6 +39,7 @@
             faultPhaseMs: flags.seconds * 1_000,
             meanGapMs: flags.gap,
             meanProcessGapMs: flags.processGap,
+            meanLostStoreGapMs: flags.lostStoreGap,
             callers,
             hasOutlastingReaders: flags.outlastingReaders,
             loopbackSubnet: net,
@@ -66,6 +68,7 @@
     .option("--seconds <n>", "Length of the fault phase", { default: 16 })
     .option("--gap <ms>", "Mean gap between the starts of faults", { default: 500 })
     .option("--process-gap <ms>", "The same for faults of the daemons' processes; 0 for none", { default: 1_000 })
+    .option("--lost-store-gap <ms>", "The same for returns of the store from an older copy; 0 for none", { default: 0 })
     .option("--callers <n>", "Concurrent callers", { default: 12 })
     .option("--no-outlasting-readers", "No callers that read more slowly than a stopping daemon can wait for")
     .option("--net <n>", "Third byte of the loopback addresses, for parallel runs", { default: 81 })
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -12,6 +12,7 @@
     createFaultSchedule,
     type Fault,
     type FaultKind,
+    lostStoreKinds,
     noticeKinds,
     processKinds,
     responseKinds,
@@ -28,6 +29,8 @@
     readonly meanGapMs: number;
     /** The same for faults of the daemons' processes, ports and settings files; 0 for none of them. */
     readonly meanProcessGapMs: number;
+    /** The same for returns of the store from an older copy; 0 for none. */
+    readonly meanLostStoreGapMs: number;
     readonly callers: number;
     /** Whether some callers read more slowly than a stopping daemon can wait for. */
     readonly hasOutlastingReaders: boolean;
@@ -57,6 +60,7 @@
 const answerSeedOffset = 4_000_000;
 /** Seed offset of the shapes of the targets' answers. */
 const shapeSeedOffset = 5_000_000;
+const lostStoreSeedOffset = 6_000_000;
 /** Faults that are drawn on their own are this much rarer than other faults. */
 const rareGapFactor = 3;
 const calmPhaseMs = 8_000;
@@ -123,7 +127,8 @@
 }
 
 /** Each group of kinds is drawn on its own, so that a new one leaves the other faults of a seed as they were. */
-function drawFaults({ seed, faultPhaseMs, meanGapMs, meanProcessGapMs }: SoakOptions): readonly Fault[] {
+function drawFaults(options: SoakOptions): readonly Fault[] {
+    const { seed, faultPhaseMs, meanGapMs, meanProcessGapMs, meanLostStoreGapMs } = options;
     const draw = (seedOffset: number, gapMs: number, kinds?: readonly FaultKind[]): readonly Fault[] =>
         createFaultSchedule(createRandom(seed + seedOffset), faultPhaseMs, gapMs, kinds);
     return [
@@ -132,6 +137,7 @@
         ...draw(responseSeedOffset, rareGapFactor * meanGapMs, responseKinds),
         ...draw(answerSeedOffset, rareGapFactor * meanGapMs, answerKinds),
         ...(meanProcessGapMs === 0 ? [] : draw(processSeedOffset, meanProcessGapMs, processKinds)),
+        ...(meanLostStoreGapMs === 0 ? [] : draw(lostStoreSeedOffset, meanLostStoreGapMs, lostStoreKinds)),
     ];
 }
 
--- a/packages/standin/src/direct/operatorStandin.ts
+++ b/packages/standin/src/direct/operatorStandin.ts
@@ -27,6 +27,8 @@
     withdraw(targetId: string): void;
     /** Starts or ends the evacuation of a data centre, during which its targets get no requests. */
     evacuate(dataCentre: string, isEvacuated: boolean): void;
+    /** Writes and removes again what a store that came back from an older copy may have lost. */
+    writeAgain(): void;
 }
 
 export const standinHost = "a.example";
@@ -34,6 +36,20 @@
 
 export function createOperator(store: StoreStandin): Operator {
     let sequence = 0;
+    /** What was written last under each key; `undefined` where it was removed. */
+    const written = new Map<string, object | undefined>();
+    const apply = (value: object | undefined, key: string): void => {
+        if (value === undefined) {
+            store.remove(key);
+        }
+        else {
+            store.put(key, value);
+        }
+    };
+    const write = (key: string, value: object | undefined): void => {
+        written.set(key, value);
+        apply(value, key);
+    };
     const routeItem = (route: RouteItem): object => ({
         resourceKind: "routes",
         metadata: { name: route.prefix },
@@ -57,10 +73,10 @@
                 metadata: { name },
                 specification: { healthCheckPath: "/health" },
             }));
-            store.put("op/config", { version, resources: [...routes.map(routeItem), ...services] });
+            write("op/config", { version, resources: [...routes.map(routeItem), ...services] });
         },
         announce: target =>
-            store.put(targetKey(target.id), {
+            write(targetKey(target.id), {
                 service: target.service,
                 address: target.address,
                 zone: target.dataCentre,
@@ -71,15 +87,8 @@
                 sequence: ++sequence,
                 born: target.startedAt,
             }),
-        withdraw: id => store.remove(targetKey(id)),
-        evacuate: (dataCentre, isEvacuated) => {
-            const key = `op/evacuate/${dataCentre}`;
-            if (isEvacuated) {
-                store.put(key, {});
-            }
-            else {
-                store.remove(key);
-            }
-        },
+        withdraw: id => write(targetKey(id), undefined),
+        evacuate: (dataCentre, isEvacuated) => write(`op/evacuate/${dataCentre}`, isEvacuated ? {} : undefined),
+        writeAgain: () => written.forEach(apply),
     };
 }
