--- a/packages/steer/src/store/__tests__/olderStore.test.ts
+++ b/packages/steer/src/store/__tests__/olderStore.test.ts
@@ -1,5 +1,7 @@
 /** A store that comes back from an older copy, in a new era: what is in force at the entries never goes back. */
 import { type TargetId, toDataCentreId, toTargetId } from "@pimentospring/core/ids";
+import { type Log, silentLog } from "@pimentospring/runtime/logs/log";
+import type { LogEvent } from "@pimentospring/runtime/logs/logEvents";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { configurationKey, evacuationKey, formatConfiguration, formatTarget, targetKey } from "./deploymentItems.js";
@@ -15,8 +17,8 @@
 const [kept, added, removed, draining] = targets as [TargetId, TargetId, TargetId, TargetId];
 const dataCentre = toDataCentreId("dc-1");
 
-async function startDeployment(entryCount: number, dataCentreCount: number, seed: number): Promise<Deployment> {
-    const deployment = createDeployment({ entryCount, dataCentreCount, seed });
+async function startDeployment(entryCount: number, dataCentreCount: number, seed: number, log = silentLog): Promise<Deployment> {
+    const deployment = createDeployment({ entryCount, dataCentreCount, seed, log });
     const { store, timer, random, entries, run } = deployment;
     store.put(configurationKey, formatConfiguration(1));
     targets.filter(id => id !== added).forEach(id => store.put(targetKey(id), formatTarget(false)));
@@ -148,3 +150,19 @@
     await watch(deployment, 6_000, entry => !entry.isLeaving(kept));
     entries.forEach(entry => entry.kill());
 });
+
+test("a return is logged once by each entry, and that the version in force is written again is no refusal", async () => {
+    const names: string[] = [];
+    const log = { write: ({ name }: LogEvent) => names.push(name) } as unknown as Log;
+    const deployment = await startDeployment(4, 2, 1, log);
+    const { store, entries, run } = deployment;
+    await loseChanges(deployment, () => store.put(configurationKey, formatConfiguration(2)));
+    await run(2_000);
+    const refusedOlder = names.filter(name => name === "itemRefused").length;
+    store.put(configurationKey, formatConfiguration(2));
+    await run(2_000);
+    entries.forEach(entry => entry.kill());
+    assert.equal(refusedOlder, entries.length);
+    assert.equal(names.filter(name => name === "itemRefused").length, entries.length);
+    assert.equal(names.filter(name => name === "storeCameBackOlder").length, entries.length);
+});
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -16,7 +16,7 @@
 import { createRemovalRecord } from "./removalRecord.js";
 import type { StoreEvent, StoreItem } from "./store.js";
 import { decodeMember, parseStoreKey, type StoreItemDecoder } from "./storeItems.js";
-import { revisionFields } from "./storeRevision.js";
+import { eraOf, revisionFields } from "./storeRevision.js";
 
 export interface StoreProjectionOptions {
     readonly timer: Timer;
@@ -83,7 +83,8 @@
             logRefusal(item, decoded.reason);
             return;
         }
-        if (decoded.value.version === version && isFromCopy(item.revision)) {
+        // After a return from an older copy, the copy or the operator brings the version in force once more.
+        if (decoded.value.version === version && eraOf(item.revision) > 0) {
             return;
         }
         if (decoded.value.version <= version) {
