--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -54,6 +54,7 @@
             onEvent(event);
         },
         onBatchApplied: () => {},
+        onNewEra: () => {},
         onStoreAdvanced: () => {},
     });
     replica.start();
--- a/packages/steer/src/store/replicatedItems.ts
+++ b/packages/steer/src/store/replicatedItems.ts
@@ -14,6 +14,8 @@
     readonly onBatchApplied: () => void;
     /** Replaces secrets in a value before it is kept; values that hold none stay as they are. */
     readonly redact?: (key: string, value: Buffer) => Buffer;
+    /** Called before the first snapshot of a new era replaces the items. */
+    readonly onNewEra: () => void;
 }
 
 export interface ReplicatedItems {
@@ -92,6 +94,7 @@
     const enterEra = (snapshot: ItemsSnapshot): void => {
         copyRevision = snapshot.revision;
         if (revision > 0) {
+            options.onNewEra();
             const known = new Set(snapshot.items.map(({ key }) => key));
             const missingCount = [...items.keys()].filter(key => !known.has(key)).length;
             log.write(logEvents.storeCameBackOlder, {
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -109,6 +109,8 @@
                 announceRevision();
             }
         },
+        // Records in the copy may expire before their targets have written them again.
+        onNewEra: () => failures.record(timer.now()),
         onStoreAdvanced: announceRevision,
         redact: options.redact,
     });
--- a/packages/steer/src/store/storeReplica.ts
+++ b/packages/steer/src/store/storeReplica.ts
@@ -31,6 +31,8 @@
     /** Called after all events of a batch. */
     readonly onBatchApplied: () => void;
     readonly redact?: ReplicatedItemsOptions["redact"];
+    /** Called when the store turns out to have come back from an older copy. */
+    readonly onNewEra: () => void;
     /** Called when a call to the store has brought a newer revision. */
     readonly onStoreAdvanced: () => void;
 }
