test(steer): callers outside the limits against the deployed daemon

Cause: callers that are not under our control ended a daemon by its memory, or kept it from answering others. Files named *.serial.test.ts run after all others, one at a time.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,6 +1,7 @@
 /**
  * `node scripts/runTests.mjs [part of a path]`: runs the compiled tests with node:test; their sources are
- * `__tests__/<name>.test.ts`. Tests listed in KNOWN-RED.txt run too and may fail; if one of them passes, the run fails
+ * `__tests__/<name>.test.ts`. Files named `<name>.serial.test.ts` run after all others, one at a time: what they check needs the
+ * machine for itself. Tests listed in KNOWN-RED.txt run too and may fail; if one of them passes, the run fails
  * until its entry is removed.
  */
 import { readdirSync, readFileSync } from "node:fs";
@@ -46,21 +47,30 @@
 const knownFailures = readKnownFailures();
 const outcomes = { failed: [], knownFailed: [], knownPassed: [], passed: 0 };
 
-const stream = run({ files, concurrency: 4 });
-stream.on("test:pass", ({ name }) => {
-    outcomes.passed++;
-    if (knownFailures.has(name)) {
-        outcomes.knownPassed.push(name);
+async function runFiles(group, concurrency) {
+    if (group.length === 0) {
+        return;
     }
-});
-stream.on("test:fail", ({ name }) => {
-    (knownFailures.has(name) ? outcomes.knownFailed : outcomes.failed).push(name);
-});
-stream.on("end", () => {
-    outcomes.knownFailed.forEach(name => console.log(`known red: ${name}`));
-    outcomes.knownPassed.forEach(name => console.log(`listed in KNOWN-RED.txt but passed: ${name}`));
-    const unexpected = outcomes.failed.length + outcomes.knownPassed.length;
-    console.log(`${outcomes.passed - outcomes.knownPassed.length} passed, ${unexpected} failed`);
-    process.exitCode = unexpected === 0 && outcomes.passed + outcomes.knownFailed.length > 0 ? 0 : 1;
-});
-stream.compose(new spec()).pipe(process.stdout);
+    const stream = run({ files: group, concurrency });
+    stream.on("test:pass", ({ name }) => {
+        outcomes.passed++;
+        if (knownFailures.has(name)) {
+            outcomes.knownPassed.push(name);
+        }
+    });
+    stream.on("test:fail", ({ name }) => {
+        (knownFailures.has(name) ? outcomes.knownFailed : outcomes.failed).push(name);
+    });
+    const ended = new Promise(resolve => stream.once("end", resolve));
+    stream.compose(new spec()).pipe(process.stdout, { end: false });
+    await ended;
+}
+
+const isSerial = file => file.endsWith(".serial.test.js");
+await runFiles(files.filter(file => !isSerial(file)), 4);
+await runFiles(files.filter(isSerial), 1);
+outcomes.knownFailed.forEach(name => console.log(`known red: ${name}`));
+outcomes.knownPassed.forEach(name => console.log(`listed in KNOWN-RED.txt but passed: ${name}`));
+const unexpected = outcomes.failed.length + outcomes.knownPassed.length;
+console.log(`${outcomes.passed - outcomes.knownPassed.length} passed, ${unexpected} failed`);
+process.exitCode = unexpected === 0 && outcomes.passed + outcomes.knownFailed.length > 0 ? 0 : 1;
--- a/scripts/src/__tests__/memoryDeployment.ts
+++ b/scripts/src/__tests__/memoryDeployment.ts
@@ -3,7 +3,7 @@
 import { createOperator, standinHost } from "@pimentospring/standin/direct/operatorStandin";
 import { startStoreStandin } from "@pimentospring/standin/direct/storeStandin";
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { connect, type Socket } from "node:net";
 import { tmpdir } from "node:os";
@@ -27,10 +27,16 @@
     readonly child: ChildProcess;
     readonly log: () => string;
     readonly metrics: () => Promise<string>;
+    /** Opens a connection to the callers' listener. */
+    readonly connectCaller: () => Socket;
     /** Largest resident size so far; throws if the process has ended. */
     readonly peakResidentBytes: () => number;
+    /** Descriptors that the process has open; throws if it has ended. */
+    readonly openDescriptors: () => number;
     /** Status of a small request. */
     readonly sendSmall: () => Promise<number>;
+    /** Status of a request with a body, which its caller awaits without a deadline of its own. */
+    readonly sendBody: (bodyBytes: number) => Promise<number>;
     /** Reads answers of `answerBytes` until `until`, each at `bytesPerTick` every 20 ms, and counts how they end. */
     readonly readSlowly: (callers: number, answerBytes: number, bytesPerTick: number, until: number) => Promise<AnswerCounts>;
     /** Sends requests with bodies of `bodyBytes` until `until`. */
@@ -102,6 +108,15 @@
     return {
         child,
         log: () => log,
+        connectCaller,
+        openDescriptors: () => readdirSync(`/proc/${child.pid}/fd`).length,
+        sendBody: async bodyBytes => {
+            const headers = { "host": standinHost, "x-request-id": `body-${bodyBytes}` };
+            const url = `http://${addressOf("callers")}/a/10`;
+            const response = await request(url, { method: "POST", headers, body: maxAnswer.subarray(0, bodyBytes), reset: true });
+            await response.body.dump();
+            return response.statusCode;
+        },
         metrics: async () => await (await request(`http://${addressOf("metrics")}/metrics`)).body.text(),
         peakResidentBytes: () => {
             const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
