fix(core): tables keyed by what callers choose are bounded and fair

Cause: a caller of ever new objects filled the table of recent uses and the list of objects for digests, which had no bound, and one with many refusals displaced those of other callers. Change: 20,000 objects of a service in a period, where keys that are used once displace each other; 2,000 to 4,000 objects that wait for a digest; of 4,000 refusals, the address that has most loses its oldest.

--- a/packages/core/src/results/resultCode.ts
+++ b/packages/core/src/results/resultCode.ts
@@ -175,6 +175,13 @@
         "The request line and headers are larger than the configured limit.",
     ),
     unknownRoute: result(4014, "unknownRoute", "notRun", 404, "No route of the configuration matches the host and path."),
+    tooMuchFraming: result(
+        4017,
+        "tooMuchFraming",
+        "notRun",
+        400,
+        "Chunk extensions, chunk sizes or trailers of the request take many times the bytes of its body; send larger chunks.",
+    ),
     unauthorised: result(
         4016,
         "unauthorised",
--- a/packages/core/src/steering/attemptDigest.ts
+++ b/packages/core/src/steering/attemptDigest.ts
@@ -34,6 +34,8 @@
 
 /** Objects named in one digest, so that it fits into a datagram; the others follow in the next one. */
 export const maxStartedObjects = 90;
+/** Objects that wait for a digest; the oldest are dropped, as by then targets have worked on many others. */
+export const maxWaitingObjects = 2_000;
 
 export function createOwnAttempts(): OwnAttempts {
     const busyTargets = new Set<Target>();
@@ -52,6 +54,9 @@
         recordStarted: (target, object) => {
             hasChanged = true;
             started.push({ target: target.hashSeed, object });
+            if (started.length >= 2 * maxWaitingObjects) {
+                started = started.slice(-maxWaitingObjects);
+            }
         },
         takeDigest: () => {
             if (!hasChanged && busyTargets.size === 0) {
--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -3,6 +3,7 @@
  * slot pressure; a caller whom targets with free slots refused comes back at once, while its response can still be in
  * time. Retries go before other late requests, so that no request is refused twice.
  */
+import type { Fingerprint } from "../ids.js";
 import type { Random } from "../random/random.js";
 import type { Timer } from "../time/timer.js";
 import type { Job, SteeringRequest } from "./job.js";
@@ -15,25 +16,52 @@
 }
 
 const refusalRetentionMs = 8_000;
-const maxRefusals = 4_000;
+export const maxRefusals = 4_000;
 
 export function createCallerRetryTracker(timer: Timer): CallerRetryTracker {
-    const refusedAt = new Map<string, number>();
-    /** The same request of another caller is no retry. */
-    const keyOf = ({ callerAddress, fingerprint }: SteeringRequest): string => `${callerAddress} ${fingerprint()}`;
+    /** By caller address, as the same request of another caller is no retry. */
+    const refusedAt = new Map<string, Map<Fingerprint, number>>();
+    let count = 0;
+    const remove = (address: string, fingerprint: Fingerprint): void => {
+        const refusals = refusedAt.get(address);
+        if (refusals?.delete(fingerprint) === true) {
+            count--;
+        }
+        if (refusals?.size === 0) {
+            refusedAt.delete(address);
+        }
+    };
+    /** The oldest of the address that has most, so that a caller with many refusals does not displace those of others. */
+    const removeOne = (lastAddress: string): void => {
+        const lastCount = refusedAt.get(lastAddress)?.size ?? 0;
+        let most = lastAddress;
+        if (lastCount <= maxRefusals / refusedAt.size) {
+            for (const [address, refusals] of refusedAt) {
+                if (refusals.size > refusedAt.get(most)!.size) {
+                    most = address;
+                }
+            }
+        }
+        remove(most, refusedAt.get(most)!.keys().next().value!);
+    };
     return {
-        recordRefusal: request => {
-            const key = keyOf(request);
-            refusedAt.delete(key);
-            refusedAt.set(key, timer.now());
-            if (refusedAt.size > maxRefusals) {
-                refusedAt.delete(refusedAt.keys().next().value!);
+        recordRefusal: ({ callerAddress, fingerprint }) => {
+            remove(callerAddress, fingerprint());
+            const refusals = refusedAt.get(callerAddress) ?? new Map<Fingerprint, number>();
+            refusedAt.set(callerAddress, refusals.set(fingerprint(), timer.now()));
+            if (++count > maxRefusals) {
+                removeOne(callerAddress);
             }
         },
-        consumeRefusal: request => {
-            const key = keyOf(request);
-            const at = refusedAt.get(key);
-            return at !== undefined && refusedAt.delete(key) && timer.now() - at < refusalRetentionMs;
+        consumeRefusal: ({ callerAddress, fingerprint }) => {
+            const refusals = refusedAt.get(callerAddress);
+            // The fingerprint reads the whole body.
+            const at = refusals === undefined ? undefined : refusals.get(fingerprint());
+            if (at === undefined) {
+                return false;
+            }
+            remove(callerAddress, fingerprint());
+            return timer.now() - at < refusalRetentionMs;
         },
     };
 }
--- a/packages/core/src/steering/objectAffinity.ts
+++ b/packages/core/src/steering/objectAffinity.ts
@@ -44,6 +44,10 @@
 /** Fraction of the estimated cache capacity that is relied on. */
 const usableCacheFraction = 0.95;
 const usagePeriodMs = 10_000;
+/** Objects of a service that are counted in a period, as callers choose their keys. */
+export const maxCountedObjects = 20_000;
+/** Objects looked at for one that may be forgotten. */
+const evictionCandidates = 8;
 
 interface Usage {
     current: Map<number, number>;
@@ -75,6 +79,22 @@
     return usableCacheFraction * cacheCapacity >= Math.max(1, objectCount);
 }
 
+/**
+ * Makes room for another object. Of the oldest ones, the first that was used just once is forgotten: keys that are never used again
+ * displace each other, not the objects that are in use. False if all of these were used again.
+ */
+function makeRoom(counts: Map<number, number>): boolean {
+    for (let looked = 0; looked < evictionCandidates; looked++) {
+        const [key, count] = counts.entries().next().value!;
+        counts.delete(key);
+        if (count === 1) {
+            return true;
+        }
+        counts.set(key, count);
+    }
+    return false;
+}
+
 export function createObjectAffinity(timer: Timer): ObjectAffinity {
     const usageByService = new Map<ServiceId, Usage>();
     const usageOf = (service: ServiceId): Usage => {
@@ -93,7 +113,10 @@
     return {
         recordUse: (service, key) => {
             const { current } = usageOf(service);
-            current.set(key, (current.get(key) ?? 0) + 1);
+            const count = current.get(key) ?? 0;
+            if (count > 0 || current.size < maxCountedObjects || makeRoom(current)) {
+                current.set(key, count + 1);
+            }
         },
         recentUses: (service, key) => {
             const { current, previous } = usageOf(service);
