fix(runtime): bound what callers of the other listeners can hold

Cause: readiness, directory, metrics and control had no bound on connections or on requests sent ahead, 60 s for a head and 300 s for a body, and kept each chunk of a body as a buffer. Blank lines behind a response keep a connection of the runtime open for ever. On the callers' listener, connections on which bytes arrive that begin no request are closed after 20 s, or for another caller.

--- a/packages/runtime/src/http/jsonServer.ts
+++ b/packages/runtime/src/http/jsonServer.ts
@@ -38,9 +38,12 @@
     return listen(server, host, port, onError);
 }
 
+/** Timeouts for receiving a request's head and the whole of it. */
+const receptionTimeouts = { headersTimeout: 5_000, requestTimeout: 15_000, connectionsCheckingInterval: 1_000 };
+
 export function createRouter(routes: Routes, onError: (error: Error) => void): Server {
     const prefixes = Object.keys(routes).filter(route => route.endsWith("/"));
-    return createServer((request, response) => {
+    return createServer(receptionTimeouts, (request, response) => {
         const url = parseTarget(request.url ?? "/");
         if (url === undefined) {
             sendJson(response, 400, { error: "the request target is not a URL" });
@@ -88,18 +91,30 @@
 
 /** Reads the body of a request or a response, of at most `maxBytes`; rejects a larger one and closes its connection. */
 export async function readBody(message: AsyncIterable<unknown>, maxBytes: number): Promise<Buffer> {
-    const chunks: Buffer[] = [];
+    let blocks: Buffer[] = [];
+    let smallChunks: Buffer[] = [];
     let size = 0;
     for await (const chunk of message) {
         size += (chunk as Buffer).length;
         if (size > maxBytes) {
             throw new Error(`the body is larger than ${maxBytes} bytes`);
         }
-        chunks.push(chunk as Buffer);
+        // Each chunk costs an object, and may keep the read that it is part of.
+        smallChunks.push(chunk as Buffer);
+        if (smallChunks.length >= maxJoinedChunks) {
+            blocks.push(Buffer.concat(smallChunks));
+            smallChunks = [];
+        }
+        if (blocks.length >= maxJoinedChunks) {
+            blocks = [Buffer.concat(blocks)];
+        }
     }
-    return Buffer.concat(chunks);
+    return Buffer.concat([...blocks, ...smallChunks]);
 }
 
+/** Chunks of a body that are kept before they are joined. */
+const maxJoinedChunks = 1_024;
+
 /** Splits `host:port`. */
 export function splitAddress(address: string): { readonly host: string; readonly port: number; } {
     const colon = address.lastIndexOf(":");
--- a/packages/runtime/src/http/serverConnections.ts
+++ b/packages/runtime/src/http/serverConnections.ts
@@ -14,6 +14,8 @@
     closeIdle(): void;
     /** Closes the first-opened of the idle connections; false if none is idle. */
     closeOneIdle(): boolean;
+    /** Closes the connection on which a request's head has been arriving for the longest time; false if there is none such. */
+    closeOneReceiving(): boolean;
     /** Closes the connections on which a request's head is being received; returns how many. */
     closeReceiving(): number;
     /** Closes all connections, with a reset those on which a response has been sent in part; returns the number of these. */
@@ -32,6 +34,11 @@
 
 /** Time for the first request of a new connection. */
 const firstRequestMs = 500;
+/** Heads that have been arriving for less time are those of ordinary callers. */
+const minReceivingMs = 1_000;
+/** Bytes that arrive on an idle connection for this long are no request: heads have a timeout, but blank lines begin none. */
+const maxReceivingMs = 20_000;
+const checkIntervalMs = 1_000;
 
 interface ConnectionState {
     readonly openResponses: Set<ServerResponse>;
@@ -39,6 +46,8 @@
     idleAtBytes: number;
     /** Time from which it may be closed while it is idle. */
     closableAt: number;
+    /** Since when bytes of no complete head arrive, as of the last check. */
+    receivingSince: number | undefined;
 }
 
 function giveUp(response: ServerResponse): void {
@@ -52,7 +61,12 @@
     let openRequests = 0;
     server.on("connection", (socket: Socket) => {
         const openResponses = new Set<ServerResponse>();
-        states.set(socket, { openResponses, idleAtBytes: 0, closableAt: timer.now() + firstRequestMs });
+        states.set(socket, {
+            openResponses,
+            idleAtBytes: 0,
+            closableAt: timer.now() + firstRequestMs,
+            receivingSince: undefined,
+        });
         // Before the runtime, which would end the connection in order behind the part of a response that it holds.
         socket.prependOnceListener("end", () => {
             if ([...openResponses].some(({ headersSent, writableEnded }) => headersSent && !writableEnded)) {
@@ -72,6 +86,7 @@
         }
         openRequests++;
         state.openResponses.add(response);
+        state.receivingSince = undefined;
         // Comes when the response is with the operating system, or has been given up.
         response.once("close", () => {
             openRequests--;
@@ -80,6 +95,17 @@
             state.closableAt = timer.now();
         });
     });
+    const isReceiving = (socket: Socket, { openResponses, idleAtBytes }: ConnectionState): boolean =>
+        openResponses.size === 0 && socket.bytesRead !== idleAtBytes;
+    const checkReceiving = (): void => {
+        for (const [socket, state] of states) {
+            state.receivingSince = isReceiving(socket, state) ? state.receivingSince ?? timer.now() : undefined;
+            if (timer.now() - (state.receivingSince ?? Infinity) >= maxReceivingMs) {
+                socket.destroy();
+            }
+        }
+    };
+    server.on("listening", () => server.once("close", timer.subscribe(checkIntervalMs, checkReceiving)));
     const isClosable = (socket: Socket, state: ConnectionState): boolean =>
         state.openResponses.size === 0 && socket.bytesRead === state.idleAtBytes && timer.now() >= state.closableAt;
     return {
@@ -101,10 +127,20 @@
             }
             return false;
         },
-        closeReceiving: () => {
-            const receiving = [...states].filter(([socket, { openResponses, idleAtBytes }]) =>
-                openResponses.size === 0 && socket.bytesRead !== idleAtBytes
+        closeOneReceiving: () => {
+            const receiving = [...states].filter(([, state]) =>
+                timer.now() - (state.receivingSince ?? Infinity) >= minReceivingMs
+            );
+            const since = ([, state]: typeof receiving[number]): number => state.receivingSince ?? Infinity;
+            const longest = receiving.reduce<typeof receiving[number] | undefined>(
+                (most, entry) => most === undefined || since(entry) < since(most) ? entry : most,
+                undefined,
             );
+            longest?.[0].destroy();
+            return longest !== undefined;
+        },
+        closeReceiving: () => {
+            const receiving = [...states].filter(([socket, state]) => isReceiving(socket, state));
             receiving.forEach(([socket]) => socket.destroy());
             return receiving.length;
         },
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -166,6 +166,14 @@
         "warn",
         "The stop cut responses that their callers had not read whole; the line gives each request with the bytes sent and due.",
     ),
+    callersOutsideLimits: defineEvent(
+        504,
+        "callersOutsideLimits",
+        "warn",
+        "Callers went beyond what a connection may hold: requests or connections were ended. The line counts, since the last one, bodies that "
+            + "arrived too slowly, bodies with too much framing, heads that made room for other callers, and connections whose responses "
+            + "were not read.",
+    ),
     changeSubmitted: defineEvent(600, "changeSubmitted", "info", "An operator submitted a change; the line is the audit record."),
     operatorRefused: defineEvent(601, "operatorRefused", "warn", "A request without a valid operator token was refused."),
     requestEnded: defineEvent(
