fix(steer): count what callers make the daemon hold by what it costs

Cause: each chunk of a body was a buffer of its own, counted by its bytes; requests sent ahead were all started and their responses kept; the runtime ends a body that never ends after 60 s only. Change: bodies are copied into blocks, which count whole; a stalled body makes room for others; trailers and other framing have the time of a head (408) and 16 times the body's bytes (400, 4017); bodies have a minimum rate of 64 bytes/s after 15 s. A read goes to the parser in pieces; per connection 128 requests are read and 32 started, none beyond 1 MB of unread responses; 4,000 requests in all. Requests behind a response that closes the connection are not started.

--- a/packages/steer/src/callers/__tests__/requestFingerprint.test.ts
+++ b/packages/steer/src/callers/__tests__/requestFingerprint.test.ts
@@ -12,6 +12,7 @@
     header: () => undefined,
     body: Buffer.from("body"),
     callerAddress: "100.64.0.9",
+    receivedAt: 0,
     ...fields,
 });
 const fingerprintOf = (fields: Partial<CallerRequest> = {}, objectId: string | undefined = "7"): string =>
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -13,10 +13,13 @@
 import type { ResponseBody } from "../targets/responseBody.js";
 import type { ResponseBuffers } from "../targets/responseBuffers.js";
 import { createBodyBuffer } from "./bodyBuffer.js";
+import type { CallerLimitLog } from "./callerLimitLog.js";
 import { type CallerResponder, createResponder } from "./callerResponder.js";
 import type { CallerResponseEnd, ResponseProgress } from "./callerResponseEnd.js";
+import { createConnectionInput } from "./connectionInput.js";
 import { createCountedResponses } from "./countedResponses.js";
 import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
+import { createOpenBodies, type OpenBodies, type OpenBody } from "./openBodies.js";
 
 export interface CallerRequest {
     readonly method: string;
@@ -27,6 +30,8 @@
     readonly header: (name: string) => string | undefined;
     readonly body: Buffer;
     readonly callerAddress: string;
+    /** When it had been received whole, on the timer's clock; it may wait behind others of its connection. */
+    readonly receivedAt: number;
 }
 
 export interface CallerServerOptions {
@@ -42,6 +47,8 @@
     readonly isMemoryScarce: () => boolean;
     /** Counts responses until their callers have read them. */
     readonly responseBuffers: ResponseBuffers;
+    /** Told of what callers did beyond the limits. */
+    readonly limitLog?: CallerLimitLog;
     /** Told how each response of a target ended towards its caller. */
     readonly onResponseEnd?: (end: CallerResponseEnd) => void;
     /**
@@ -106,6 +113,8 @@
     const { log, timer, responseBuffers, onRequest } = options;
     const countedResponses = createCountedResponses({ timer, buffers: responseBuffers, onEnd: options.onResponseEnd });
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes, options.onBodyBytes);
+    const recordLimit = options.limitLog?.record ?? (() => {});
+    const openBodies = createOpenBodies({ timer, maxFramingMs: () => limits.headerTimeoutMs });
     const bodyAllocations = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
@@ -124,10 +133,18 @@
     };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
+        if (input.isEnding(request.socket)) {
+            // Behind a response that closes the connection: counts as not read.
+            return;
+        }
+        if (!response.shouldKeepAlive) {
+            input.endAfter(response);
+        }
         const endResponse = (body: ResponseBody, requestId: string): void => countedResponses.end(response, body, requestId);
         const responder = createResponder({ response, isKeepAliveDisabled: () => isKeepAliveDisabled, endResponse });
         /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
         const refuseUnread = (result: Result, retryAfterMs?: number): void => {
+            input.endAfter(response);
             const endRefusal = (body: string): void => endAfterRequest(request, response, timer, body);
             createResponder({ response, isKeepAliveDisabled: () => true, endResponse, endRefusal }).refuse(result, retryAfterMs);
         };
@@ -148,7 +165,7 @@
             return;
         }
         const { maxBodyBytes } = limits;
-        readBody({ request, response, maxBodyBytes, memoryQuota, bodyAllocations }, outcome => {
+        readBody({ request, response, maxBodyBytes, memoryQuota, bodyAllocations, openBodies }, outcome => {
             switch (outcome) {
                 case "tooLarge":
                     refuseUnread(results.bodyTooLarge);
@@ -156,18 +173,29 @@
                 case "noMemory":
                     refuseForMemory();
                     return;
+                case "tooSlow":
+                    recordLimit("slowBody");
+                    refuseUnread(results.requestTooSlow);
+                    return;
+                case "framing":
+                    recordLimit("framing");
+                    refuseUnread(results.tooMuchFraming);
+                    return;
             }
+            const receivedAt = timer.now();
             // Waits for another read of the sockets, so that a caller that disconnected while the event loop was
             // blocked is detected before its request is forwarded.
             afterNextPoll(() => {
                 if (request.socket.destroyed || request.socket.readableEnded) {
                     return;
                 }
-                const onCallerLeft = submit(toCallerRequest(request, outcome), responder);
-                response.once("close", () => {
-                    if (!response.writableEnded) {
-                        onCallerLeft();
-                    }
+                input.enter(response, () => {
+                    const onCallerLeft = submit(toCallerRequest(request, outcome, receivedAt), responder);
+                    response.once("close", () => {
+                        if (!response.writableEnded) {
+                            onCallerLeft();
+                        }
+                    });
                 });
             });
         });
@@ -181,13 +209,21 @@
         noDelay: true,
     }, handle);
     const connections = trackConnections({ server, timer });
+    const input = createConnectionInput({
+        server,
+        timer,
+        unreadBytesOf: countedResponses.unreadBytesOf,
+        onUnread: () => recordLimit("unread"),
+    });
     server.maxConnections = options.maxConnections;
     let dropsLoggedAt = -Infinity;
     let loggedDrops = 0;
     server.on("drop", () => {
         droppedConnections++;
         // Makes room for the next one.
-        connections.closeOneIdle();
+        if (!connections.closeOneIdle() && connections.closeOneReceiving()) {
+            recordLimit("slowHead");
+        }
         if (timer.now() >= dropsLoggedAt + dropLogIntervalMs) {
             log.write(logEvents.callersDropped, { count: droppedConnections - loggedDrops, open: connections.openCount() });
             dropsLoggedAt = timer.now();
@@ -261,42 +297,71 @@
     readonly memoryQuota: MemoryQuota;
     /** Bounds the memory of bodies that are allocated before they have arrived. */
     readonly bodyAllocations: MemoryQuota;
+    readonly openBodies: OpenBodies;
 }
 
+type BodyOutcome = Buffer | "tooLarge" | "noMemory" | "tooSlow" | "framing";
+
 /** Reads the body. `done` is not called if the caller disconnects before its request is complete. */
-function readBody(reading: BodyReading, done: (outcome: Buffer | "tooLarge" | "noMemory") => void): void {
-    const { request, response, maxBodyBytes, memoryQuota } = reading;
-    const body = createBodyBuffer(Number(request.headers["content-length"] ?? 0), reading.bodyAllocations);
+function readBody(reading: BodyReading, done: (outcome: BodyOutcome) => void): void {
+    const { request, response, maxBodyBytes, memoryQuota, openBodies } = reading;
+    const body = createBodyBuffer({
+        expectedBytes: Number(request.headers["content-length"] ?? 0),
+        allocations: reading.bodyAllocations,
+        reserve: bytes => {
+            while (!memoryQuota.tryTake(bytes)) {
+                if (!openBodies.giveUpStalled()) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        release: memoryQuota.giveBack,
+    });
     let size = 0;
-    const giveUp = (outcome: "tooLarge" | "noMemory"): void => {
+    const giveUp = (outcome: BodyOutcome): void => {
         request.off("data", onData).off("end", onEnd);
+        openBodies.remove(openBody);
         body.clear();
         done(outcome);
     };
+    const openBody: OpenBody = {
+        size: () => size,
+        connectionBytes: () => request.socket.bytesRead,
+        giveUp,
+    };
     const onData = (chunk: Buffer): void => {
         if (size + chunk.length > maxBodyBytes) {
             giveUp("tooLarge");
             return;
         }
-        if (!memoryQuota.tryTake(chunk.length)) {
+        size += chunk.length;
+        openBodies.recordProgress(openBody);
+        if (!body.add(chunk)) {
             giveUp("noMemory");
-            return;
         }
-        size += chunk.length;
-        body.add(chunk);
     };
-    const onEnd = (): void => done(body.take());
+    const onEnd = (): void => {
+        openBodies.remove(openBody);
+        done(body.take());
+    };
+    if (hasBody(request)) {
+        openBodies.add(openBody);
+    }
     request.on("data", onData);
     request.on("end", onEnd);
     request.on("error", () => {
         // The caller disconnected before the request was complete: nothing was routed and no response is expected.
     });
     response.once("close", () => {
-        memoryQuota.giveBack(size);
+        openBodies.remove(openBody);
         body.clear();
     });
 }
 
+const hasBody = ({ headers }: IncomingMessage): boolean =>
+    headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+
 /**
  * Ends a response to a request that is not read whole. The body is sent at once; the rest of the request is read and
  * dropped before the connection closes, up to a time limit.
@@ -316,7 +381,7 @@
     request.resume();
 }
 
-function toCallerRequest(request: IncomingMessage, body: Buffer): CallerRequest {
+function toCallerRequest(request: IncomingMessage, body: Buffer, receivedAt: number): CallerRequest {
     return {
         method: request.method ?? "GET",
         path: request.url ?? "/",
@@ -328,5 +393,6 @@
         },
         body,
         callerAddress: request.socket.remoteAddress ?? "",
+        receivedAt,
     };
 }
--- a/packages/steer/src/callers/countedResponses.ts
+++ b/packages/steer/src/callers/countedResponses.ts
@@ -2,6 +2,7 @@
 import type { Timer } from "@pimentospring/core/time/timer";
 import { cutResponse } from "@pimentospring/runtime/http/responseCut";
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { ResponseBody } from "../targets/responseBody.js";
 import type { ResponseBuffer, ResponseBuffers } from "../targets/responseBuffers.js";
 import type { CallerResponseEnd, CutReason, ResponseProgress } from "./callerResponseEnd.js";
@@ -13,6 +14,8 @@
      * gets no complete response.
      */
     end(response: ServerResponse, body: ResponseBody, requestId: string): void;
+    /** Bytes of response bodies that a connection's caller has yet to read. */
+    unreadBytesOf(socket: Socket): number;
     /** Resets the connections of the responses that are being written, as the process stops; returns what was cut. */
     cutOpen(): readonly ResponseProgress[];
 }
@@ -34,6 +37,9 @@
 
 export function createCountedResponses({ timer, buffers, onEnd = () => {} }: CountedResponsesOptions): CountedResponses {
     const openResponses = new Set<OpenResponse>();
+    const unreadBytes = new WeakMap<Socket, number>();
+    const unreadBytesOf = (socket: Socket): number => unreadBytes.get(socket) ?? 0;
+    const addUnread = (socket: Socket, bytes: number): void => void unreadBytes.set(socket, unreadBytesOf(socket) + bytes);
     const end: CountedResponses["end"] = (response, body, requestId) => {
         const { socket } = response.req;
         const dueBytes = hasResponseBody(response.req.method, response.statusCode) ? body.length : 0;
@@ -61,6 +67,7 @@
             parts[nextPart++] = noBytes;
             return response.write(part, error => {
                 heldBytes -= part.length;
+                addUnread(socket, -part.length);
                 lastSentAt = timer.now();
                 buffers.recordSent(buffer, part.length);
                 // A write that is dropped as the connection is destroyed is reported without an error, too.
@@ -85,6 +92,7 @@
         });
         response.once("close", () => {
             buffers.remove(buffer);
+            addUnread(socket, -heldBytes);
             openResponses.delete(openResponse);
             onEnd({
                 ...openResponse.progress(),
@@ -93,6 +101,7 @@
             });
         });
         openResponses.add(openResponse);
+        addUnread(socket, heldBytes);
         buffers.addUnread(buffer);
         sendParts();
     };
@@ -101,5 +110,5 @@
             cut("stop");
             return progress();
         });
-    return { end, cutOpen };
+    return { end, unreadBytesOf, cutOpen };
 }
--- a/packages/steer/src/callers/requestHandler.ts
+++ b/packages/steer/src/callers/requestHandler.ts
@@ -58,9 +58,14 @@
                 responder.refuse(results.leaving, leavingRetryAfterMs);
                 return () => {};
             }
-            const arrivedAt = timer.now();
+            const arrivedAt = caller.receivedAt;
             const head = headerCodec.decodeCallerHeaders(caller.header);
             const deadlineAt = arrivedAt + (head.deadlineMs ?? defaultDeadlineMs);
+            if (timer.now() >= deadlineAt) {
+                // It waited behind other requests of its connection.
+                responder.refuse(results.deadlinePassed, undefined);
+                return () => {};
+            }
             const fingerprint = createRequestFingerprint(caller, head.objectId);
             const request: SteeringRequest = {
                 id: toRequestId(head.id ?? ""),
--- a/packages/steer/src/observe/metrics.ts
+++ b/packages/steer/src/observe/metrics.ts
@@ -16,6 +16,8 @@
     recordPoisonEvidence(event: PoisonEvidence, count: number): void;
     /** Counts a target's response by how it ended towards its caller. */
     recordCallerResponse(outcome: string): void;
+    /** Counts a request or connection that was ended as its caller went beyond a limit. */
+    recordCallerLimit(limit: string): void;
     recordStoreCall(kind: string, outcome: string): void;
     /** Registers a gauge that calls `read` on each scrape. */
     registerGauge(name: string, help: string, read: () => number): void;
@@ -95,6 +97,14 @@
         labelNames: ["outcome"],
         registers,
     });
+    const callerLimits = new Counter({
+        name: "pimento_caller_limits_total",
+        help:
+            "Requests and connections ended as their callers went beyond a limit: slow bodies, framing of bodies, heads that made room for "
+            + "others, unread responses",
+        labelNames: ["limit"],
+        registers,
+    });
     const storeCalls = new Counter({
         name: "pimento_store_calls_total",
         help: "Calls to the platform's store, by kind and outcome",
@@ -122,6 +132,7 @@
         recordDroppedLogLine: () => droppedLogLines.inc(),
         recordPoisonEvidence: (event, count) => poisonEvidence.inc({ event }, count),
         recordCallerResponse: outcome => callerResponses.inc({ outcome }),
+        recordCallerLimit: limit => callerLimits.inc({ limit }),
         recordStoreCall: (kind, outcome) => storeCalls.inc({ kind, outcome }),
         registerGauge: (name, help, read) => {
             new Gauge({
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -8,11 +8,13 @@
 import { createSteering, type Steering } from "@pimentospring/core/steering/steering";
 import type { Service, SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
 import type { Target } from "@pimentospring/core/steering/target";
+import { boundConnections } from "@pimentospring/runtime/http/boundedConnections";
 import { createRouter, listenOn } from "@pimentospring/runtime/http/jsonServer";
 import { type ListenerOptions, openListener } from "@pimentospring/runtime/http/openListener";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { CountedTimer } from "@pimentospring/runtime/time/countedTimer";
+import { createCallerLimitLog } from "./callers/callerLimitLog.js";
 import { createCallerResponseLog } from "./callers/callerResponseLog.js";
 import { createCallerServer } from "./callers/callerServer.js";
 import { createRequestHandler } from "./callers/requestHandler.js";
@@ -84,6 +86,8 @@
 const fileDescriptorsForFiles = 200;
 /** Part of the connections for callers; the rest is for targets, other entries and the store. */
 const callerConnectionFraction = 0.75;
+/** Connections to the control address: operators, and other entries while the store is unavailable. */
+const maxControlConnections = 100;
 /** Requests that arrive later than this after the stop request are refused. */
 const acceptGraceMs = 3_000;
 const listenerCloseDelayMs = 4_500;
@@ -215,6 +219,7 @@
         maxConnections: maxCallerConnections(settings.limits.fileDescriptors),
         isMemoryScarce: () => memoryMonitor.isScarce() || (memoryMonitor.isHigh() && responseBuffers.isScarce()),
         responseBuffers,
+        limitLog: createCallerLimitLog({ timer, log, recordMetric: metrics.recordCallerLimit }),
         onResponseEnd: callerResponseLog.onEnd,
         onRequest: requestHandler.handle,
     });
@@ -335,6 +340,7 @@
     const openListeners = async (): Promise<boolean> => {
         const onError = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
         const controlServer = createRouter({ ...replication.routes, ...statusRoutes }, onError);
+        boundConnections(controlServer, maxControlConnections);
         const isCancelled = (): boolean => stopRequestedAt !== undefined;
         const open = (name: "control" | "callers" | "mesh", bind: ListenerOptions["open"]): Promise<boolean> =>
             openListener({ timer, log, name, address: settings[name], open: bind, isCancelled });
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -70,6 +70,8 @@
 const maxHeadBytes = 16 * 1_024;
 /** Requests that a connection carries before it is closed, which bounds the ids that it remembers. */
 export const maxRequestsPerConnection = 256;
+/** Length of the ids that a connection remembers, beyond which it is closed: callers choose ids. */
+const maxCarriedLength = 64 * 1_024;
 
 interface Connection {
     readonly client: Client;
@@ -80,6 +82,7 @@
      */
     readonly carried: Set<string>;
     requestCount: number;
+    carriedLength: number;
     /** `undefined` until the connection is established. */
     socket: net.Socket | undefined;
     /** How the target has ended the connection. */
@@ -121,6 +124,7 @@
             address,
             carried: new Set(),
             requestCount: 0,
+            carriedLength: 0,
             socket: undefined,
             connectionEnd: () => "none",
         };
@@ -146,13 +150,14 @@
         connection.requestCount++;
         if (id !== undefined) {
             connection.carried.add(id);
+            connection.carriedLength += id.length;
         }
     };
     const addIdle = (connection: Connection): void => {
         if (!all.has(connection)) {
             return;
         }
-        if (connection.requestCount >= maxRequestsPerConnection) {
+        if (connection.requestCount >= maxRequestsPerConnection || connection.carriedLength >= maxCarriedLength) {
             discard(connection);
             return;
         }
