--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { type Fingerprint, toDataCentreId, toRegionId } from "../../ids.js";
 import type { FinalResponse } from "../job.js";
+import { maxBodyBytesPerTarget } from "../target.js";
 import { createTestBench, healthyResponse, noHealthResponse, record, route, type TestBench } from "./fixture.js";
 
 const codeOf = (response: FinalResponse<string> | undefined): number | string | undefined =>
@@ -33,6 +34,21 @@
     assert.equal(bench.sent.length, 5);
 });
 
+// Guards against CRASH: large bodies filled the memory of a target whose slots were free.
+test("a target gets no more bytes of bodies than it may hold, but any single body", () => {
+    const bench = createTestBench({ routes: [route({ objectiveMs: 600 })] });
+    const sizes = [2 * maxBodyBytesPerTarget, maxBodyBytesPerTarget / 2, maxBodyBytesPerTarget / 2, 1, 0];
+    sizes.forEach((bodyBytes, index) => bench.submit(`r${index}`, { bodyBytes }));
+    const targets = new Set(bench.sent.map(({ target }) => target));
+    assert.equal(targets.size, 2);
+    // The body of one byte finds no room, the request without a body does.
+    assert.deepEqual(bench.sent.map(({ job }) => job.request.id), ["r0", "r1", "r2", "r4"]);
+    bench.respond(bench.sent[0]!);
+    assert.equal(bench.sent.length, 5);
+    bench.sent.slice(1).forEach(attempt => bench.respond(attempt));
+    assert.ok([...targets].every(({ bodyBytesInFlight }) => bodyBytesInFlight === 0));
+});
+
 test("an at-most-once request that may have run is neither retried nor reported as not run", () => {
     const bench = createTestBench({ routes: [atMostOnceRoute] });
     bench.submit("a");
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -105,15 +105,16 @@
     const inFlight = createInFlightCounts();
     let attempts = 0;
 
-    const adjustInFlight = (target: Target, change: number): void => {
+    const adjustInFlight = ({ target, job }: Attempt<Answer>, change: 1 | -1): void => {
         inFlight.adjust(target, change);
         target.inFlight += change;
+        target.bodyBytesInFlight += change * job.request.bodyBytes;
         options.ownAttempts.recordInFlight(target);
         rates.adjustInFlight(target.record.service, change);
     };
 
     const releaseSlot = (attempt: Attempt<Answer>): void => {
-        adjustInFlight(attempt.target, -1);
+        adjustInFlight(attempt, -1);
         attempt.job.attempt = undefined;
     };
     const abort = (attempt: Attempt<Answer>): void => {
@@ -177,7 +178,7 @@
         job.state = "sent";
         job.attempt = attempt;
         job.triedTargets.add(target.record.id);
-        adjustInFlight(target, 1);
+        adjustInFlight(attempt, 1);
         target.recentArrivals.add();
         target.isUntried = false;
         options.regionShift.recordSent(!options.isOwnRegion(target));
--- a/packages/core/src/steering/target.ts
+++ b/packages/core/src/steering/target.ts
@@ -27,6 +27,8 @@
     coldUntil: number;
     /** Requests of this entry in flight at the target. */
     inFlight: number;
+    /** Bytes of these requests' bodies. */
+    bodyBytesInFlight: number;
     /** Requests that other entries of the data centre have told of. */
     peersInFlight: number;
     /** Whether it may be dead: nothing is sent to it until a health check succeeds. */
@@ -68,6 +70,7 @@
         hashSeed: hashText(record.id),
         coldUntil: timer.now() + record.coldMs,
         inFlight: 0,
+        bodyBytesInFlight: 0,
         peersInFlight: 0,
         isSuspect: false,
         ejectedUntil: -Infinity,
@@ -101,6 +104,13 @@
     target.failureRate += failureSmoothingFactor * ((isFailure ? 1 : 0) - target.failureRate);
 }
 
+/** Bodies that this entry has in flight at a target together: a target ends when what it holds exceeds its memory. */
+export const maxBodyBytesPerTarget = 16 * 1_024 * 1_024;
+
+/** Whether the target may hold a body of that size besides those it has. One that is larger than the limit has it alone. */
+export const hasRoomForBody = ({ bodyBytesInFlight }: Target, bodyBytes: number): boolean =>
+    bodyBytes === 0 || bodyBytesInFlight === 0 || bodyBytesInFlight + bodyBytes <= maxBodyBytesPerTarget;
+
 /** Hash that identifies an object; object ids are unique only within a route's prefix. */
 export const objectKey = (route: Route, object: string): number => hashText(`${route.prefix}${object}`);
 
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -14,7 +14,7 @@
 import type { RemoteObjects } from "./remoteObjects.js";
 import type { Spillover } from "./spillover.js";
 import type { Route } from "./steeringDocument.js";
-import { expectedSlowness, freeSlots, isCold, objectKey, type Target } from "./target.js";
+import { expectedSlowness, freeSlots, hasRoomForBody, isCold, objectKey, type Target } from "./target.js";
 import type { TargetRegistry } from "./targetRegistry.js";
 import type { WorkTimes } from "./workTimes.js";
 
@@ -310,7 +310,7 @@
             const { targets, copy } = candidateTargets(job, now);
             for (const target of targets) {
                 const scored = scoreTarget(job, target, target === copy, now);
-                if (!isFreeNow(target, now)) {
+                if (!isFreeNow(target, now) || !hasRoomForBody(target, job.request.bodyBytes)) {
                     bestFullScore = Math.max(bestFullScore, scored.score);
                 }
                 else {
--- a/packages/entry/src/callers/callerBody.ts
+++ b/packages/entry/src/callers/callerBody.ts
@@ -8,17 +8,18 @@
     onComplete: (body: Uint8Array) => void,
     onIncomplete: () => void,
 ): void {
-    const chunks: Buffer[] = [];
+    // In one place, as each chunk costs an object, and may keep the read that it is part of.
+    const body = Buffer.allocUnsafeSlow(length);
     let size = 0;
     let isEnded = false;
     request.on("data", (chunk: Buffer) => {
-        chunks.push(chunk);
+        chunk.copy(body, size);
         size += chunk.length;
     });
     request.on("end", () => {
         isEnded = true;
         if (size === length) {
-            onComplete(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size));
+            onComplete(body);
         }
         else {
             onIncomplete();
--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import { parseAddress } from "@pimentospring/core/lookup/prefix";
 import { type Result, results } from "@pimentospring/core/results/resultCode";
 import type { Timer } from "@pimentospring/core/time/timer";
+import { createConnectionInput } from "@pimentospring/runtime/http/connectionInput";
 import { sendJson } from "@pimentospring/runtime/http/jsonServer";
 import { refuseMalformedRequests } from "@pimentospring/runtime/http/malformedRequests";
 import { cutResponse } from "@pimentospring/runtime/http/responseCut";
@@ -160,6 +161,7 @@
             }
         });
     });
+    createConnectionInput({ server, timer: options.timer, unreadBytesOf: () => 0, onUnread: () => {} });
     refuseMalformedRequests({
         server,
         timer: options.timer,
--- a/packages/steer/src/callers/connectionInput.ts
+++ b/packages/runtime/src/http/connectionInput.ts
@@ -44,6 +44,8 @@
     readonly socket: Socket;
     readonly waiting: Map<ServerResponse, () => void>;
     openRequests: number;
+    /** The one that is read last; the rest of it is read whatever the number of requests. */
+    lastRequest: IncomingMessage | undefined;
     startedRequests: number;
     isEnding: boolean;
     /** Bytes that were read and that the parser has yet to get. */
@@ -65,9 +67,16 @@
     const states = new Map<Socket, ConnectionState>();
     let totalRequests = 0;
 
-    const mayRead = ({ socket, openRequests }: ConnectionState): boolean =>
-        openRequests < (totalRequests < maxTotalRequests ? maxOpenRequests : 1) && !isPausedByRuntime(socket);
+    const mayRead = ({ socket, openRequests, lastRequest }: ConnectionState): boolean => {
+        const hasRoom = openRequests < (totalRequests < maxTotalRequests ? maxOpenRequests : 1);
+        return (hasRoom || lastRequest?.complete === false) && !isPausedByRuntime(socket);
+    };
     const startWaiting = (state: ConnectionState): void => {
+        if (state.socket.destroyed || state.socket.readableEnded) {
+            // The caller has left.
+            state.waiting.clear();
+            return;
+        }
         for (const [response, start] of state.waiting) {
             if (state.startedRequests >= maxStartedRequests || unreadBytesOf(state.socket) >= maxUnreadBytes) {
                 return;
@@ -129,6 +138,7 @@
             socket,
             waiting: new Map(),
             openRequests: 0,
+            lastRequest: undefined,
             startedRequests: 0,
             isEnding: false,
             rest: noBytes,
@@ -146,12 +156,13 @@
             state.rest = noBytes;
         });
     });
-    server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
-        const state = states.get(socket);
+    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+        const state = states.get(request.socket);
         if (state === undefined) {
             return;
         }
         state.openRequests++;
+        state.lastRequest = request;
         totalRequests++;
         response.once("close", () => {
             state.openRequests--;
--- a/packages/steer/src/callers/__tests__/connectionInput.test.ts
+++ b/packages/steer/src/callers/__tests__/connectionInput.test.ts
@@ -83,6 +83,22 @@
     await until(() => started.length === 30);
 });
 
+// Guards against a body that was no longer read as its connection had as many requests as are allowed.
+test("the last request of as many as are read gets its body read, and does not wait for the others", async context => {
+    const { callers, connectCaller } = await startServer(context);
+    const { socket } = connectCaller();
+    socket.write(Array.from({ length: 127 }, (_, index) => get(index)).join(""));
+    await until(() => callers.openRequestCount() === 127);
+    const bodyBytes = 600_000;
+    socket.write(
+        get("body", `Content-Length: ${bodyBytes}`).replace("GET", "POST") + "x".repeat(bodyBytes) + get("next").repeat(2_000),
+    );
+    await until(() => callers.bodyBytes() >= bodyBytes);
+    await delay(50);
+    // Those of a piece of a read, at most, beyond the bound.
+    assert.ok(callers.openRequestCount() < 528, `${callers.openRequestCount()}`);
+});
+
 test("no request is started while its caller leaves many bytes of responses unread", async context => {
     const { started, connectCaller } = await startServer(context, each => answer(each, Buffer.alloc(8_000_000)));
     const { socket } = connectCaller();
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import { type Result, results } from "@pimentospring/core/results/resultCode";
 import type { CallerLimits } from "@pimentospring/core/steering/steeringDocument";
 import type { Timer } from "@pimentospring/core/time/timer";
+import { createConnectionInput } from "@pimentospring/runtime/http/connectionInput";
 import { refuseMalformedRequests } from "@pimentospring/runtime/http/malformedRequests";
 import { trackConnections } from "@pimentospring/runtime/http/serverConnections";
 import type { Log } from "@pimentospring/runtime/logs/log";
@@ -16,7 +17,7 @@
 import type { CallerLimitLog } from "./callerLimitLog.js";
 import { type CallerResponder, createResponder } from "./callerResponder.js";
 import type { CallerResponseEnd, ResponseProgress } from "./callerResponseEnd.js";
-import { createConnectionInput } from "./connectionInput.js";
+
 import { createCountedResponses } from "./countedResponses.js";
 import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
 import { createOpenBodies, type OpenBodies, type OpenBody } from "./openBodies.js";
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -92,6 +92,9 @@
     );
 }
 
+/** Unknown entries that are asked for their records in a heartbeat interval. */
+const maxAskedEntries = 1_000;
+
 export function createMesh(options: MeshOptions): Mesh {
     const { timer, log, socket, self, members } = options;
     const digestRelay = createDigestRelay();
@@ -150,8 +153,11 @@
         record: undefined,
         leavingTargets: options.leavingTargets(),
     });
-    const unexpired = (received: ReadonlyMap<string, ReceivedLoads>): EntryLoads[] =>
-        [...received.values()].filter(({ receivedAt }) => timer.now() - receivedAt < loadExpiryMs).map(({ loads }) => loads);
+    /** Forgets the expired ones. */
+    const unexpired = (received: Map<string, ReceivedLoads>): EntryLoads[] => {
+        received.forEach(({ receivedAt }, entry) => timer.now() - receivedAt >= loadExpiryMs && received.delete(entry));
+        return [...received.values()].map(({ loads }) => loads);
+    };
     const sendHeartbeats = (): void => {
         const own = options.ownLoads();
         const relayByDataCentre = relays();
@@ -214,7 +220,7 @@
     const mayAsk = (entry: InstanceId): boolean => {
         const now = timer.now();
         askedAt.forEach((at, asked) => now - at >= heartbeatIntervalMs && askedAt.delete(asked));
-        if (askedAt.has(entry)) {
+        if (askedAt.has(entry) || askedAt.size >= maxAskedEntries) {
             return false;
         }
         askedAt.set(entry, now);
