--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -158,6 +158,7 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
         `${(10_000).toString(16)}\r\n${"a".repeat(10_000)}\r\n`,
     ],
+    "a body in 1-byte chunks": ["HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n".repeat(5_000)],
     "trailers": ["HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "X-More: and more\r\n".repeat(500)],
 } as const;
 
