perf(runtime): a request that may start at once is not queued

Cause: each request took a map entry, two listeners and a microtask for the bounds on its connection's input. Change: one listener; only requests that have to wait are queued, and only their connections looked at again.

--- a/packages/runtime/src/http/connectionInput.ts
+++ b/packages/runtime/src/http/connectionInput.ts
@@ -43,10 +43,10 @@
 interface ConnectionState {
     readonly socket: Socket;
     readonly waiting: Map<ServerResponse, () => void>;
+    readonly started: Set<ServerResponse>;
     openRequests: number;
     /** The one that is read last; the rest of it is read whatever the number of requests. */
     lastRequest: IncomingMessage | undefined;
-    startedRequests: number;
     isEnding: boolean;
     /** Bytes that were read and that the parser has yet to get. */
     rest: Buffer;
@@ -71,6 +71,8 @@
         const hasRoom = openRequests < (totalRequests < maxTotalRequests ? maxOpenRequests : 1);
         return (hasRoom || lastRequest?.complete === false) && !isPausedByRuntime(socket);
     };
+    const hasRoomToStart = ({ socket, started }: ConnectionState): boolean =>
+        started.size < maxStartedRequests && unreadBytesOf(socket) < maxUnreadBytes;
     const startWaiting = (state: ConnectionState): void => {
         if (state.socket.destroyed || state.socket.readableEnded) {
             // The caller has left.
@@ -78,12 +80,11 @@
             return;
         }
         for (const [response, start] of state.waiting) {
-            if (state.startedRequests >= maxStartedRequests || unreadBytesOf(state.socket) >= maxUnreadBytes) {
+            if (!hasRoomToStart(state)) {
                 return;
             }
             state.waiting.delete(response);
-            state.startedRequests++;
-            response.once("close", () => state.startedRequests--);
+            state.started.add(response);
             start();
         }
     };
@@ -137,9 +138,9 @@
         const state: ConnectionState = {
             socket,
             waiting: new Map(),
+            started: new Set(),
             openRequests: 0,
             lastRequest: undefined,
-            startedRequests: 0,
             isEnding: false,
             rest: noBytes,
             pieceBytes: minPieceBytes,
@@ -167,16 +168,20 @@
         response.once("close", () => {
             state.openRequests--;
             totalRequests--;
-            state.waiting.delete(response);
+            if (!state.started.delete(response)) {
+                state.waiting.delete(response);
+            }
             if (!response.shouldKeepAlive) {
                 state.isEnding = true;
                 state.waiting.clear();
             }
-            // Once the runtime has begun the next response.
-            queueMicrotask(() => {
-                startWaiting(state);
-                state.feed();
-            });
+            if (state.waiting.size > 0 || state.isPaused) {
+                // Once the runtime has begun the next response.
+                queueMicrotask(() => {
+                    startWaiting(state);
+                    state.feed();
+                });
+            }
         });
     });
     const isHeldUp = (state: ConnectionState): boolean => state.isPaused || state.waiting.size > 0;
@@ -199,10 +204,16 @@
     return {
         enter: (response, start) => {
             const state = states.get(response.req.socket);
-            if (state !== undefined) {
-                state.waiting.set(response, start);
-                startWaiting(state);
+            if (state === undefined) {
+                return;
+            }
+            if (state.waiting.size === 0 && hasRoomToStart(state)) {
+                state.started.add(response);
+                start();
+                return;
             }
+            state.waiting.set(response, start);
+            startWaiting(state);
         },
         endAfter: response => {
             const state = states.get(response.req.socket);
