feat(bench): cost of the bounds on callers' connections

Change: npm run bench -- callers compares a bare server with and without the bounds, and the difference with a forwarded request. Copying of bodies into blocks is not measured.

--- a/bench/src/bench.ts
+++ b/bench/src/bench.ts
@@ -1,4 +1,5 @@
-/** `npm run bench -- [forward|policy|capacity|notices]`: runs one benchmark or all; each prints Markdown tables for `docs/`. */
+/** `npm run bench -- [forward|policy|capacity|notices|callers]`: runs one benchmark or all; each prints Markdown tables for `docs/`. */
+import { callerBench } from "./callerBench.js";
 import { capacityBench } from "./capacityBench.js";
 import { forwardBench } from "./forwardBench.js";
 import { noticeBench } from "./noticeBench.js";
@@ -9,6 +10,7 @@
     policy: policyBench,
     capacity: capacityBench,
     notices: noticeBench,
+    callers: callerBench,
 };
 
 const selected = process.argv[2];
