--- a/packages/core/src/steering/callerRetries.ts
+++ b/packages/core/src/steering/callerRetries.ts
@@ -17,28 +17,61 @@
 type AskedRequest = Pick<Job<unknown>, "request" | "terms">;
 
 const refusalRetentionMs = 8_000;
-const maxRefusals = 4_000;
+export const maxRefusals = 4_000;
 
 export function createCallerRetryTracker(timer: Timer): CallerRetryTracker {
-    const refusedAt = new Map<string, number>();
-    /** The same request of another caller is no retry, nor is the one with another key where requests need keys. */
-    const keyOf = ({ request, terms }: AskedRequest): string => {
-        const { callerAddress, keyDigest, fingerprint } = request;
-        return `${callerAddress} ${(terms.directory.needsKeys ? keyDigest : undefined) ?? ""} ${fingerprint()}`;
+    /** By caller address, as the same request of another caller is no retry. */
+    const refusedAt = new Map<string, Map<string, number>>();
+    /** The same request with another key is no retry where requests need keys. The fingerprint reads the whole body. */
+    const contentOf = ({ request, terms }: AskedRequest): string =>
+        `${(terms.directory.needsKeys ? request.keyDigest : undefined) ?? ""} ${request.fingerprint()}`;
+    let count = 0;
+    const remove = (address: string, content: string): void => {
+        const refusals = refusedAt.get(address);
+        if (refusals?.delete(content) === true) {
+            count--;
+        }
+        if (refusals?.size === 0) {
+            refusedAt.delete(address);
+        }
+    };
+    /** The oldest of the address that has most, so that a caller with many refusals does not displace those of others. */
+    const removeOne = (lastAddress: string): void => {
+        const lastCount = refusedAt.get(lastAddress)?.size ?? 0;
+        let most = lastAddress;
+        if (lastCount <= maxRefusals / refusedAt.size) {
+            for (const [address, refusals] of refusedAt) {
+                if (refusals.size > refusedAt.get(most)!.size) {
+                    most = address;
+                }
+            }
+        }
+        remove(most, refusedAt.get(most)!.keys().next().value!);
     };
     return {
         recordRefusal: asked => {
-            const key = keyOf(asked);
-            refusedAt.delete(key);
-            refusedAt.set(key, timer.now());
-            if (refusedAt.size > maxRefusals) {
-                refusedAt.delete(refusedAt.keys().next().value!);
+            const { callerAddress } = asked.request;
+            const content = contentOf(asked);
+            remove(callerAddress, content);
+            const refusals = refusedAt.get(callerAddress) ?? new Map<string, number>();
+            refusedAt.set(callerAddress, refusals.set(content, timer.now()));
+            if (++count > maxRefusals) {
+                removeOne(callerAddress);
             }
         },
         consumeRefusal: asked => {
-            const key = keyOf(asked);
-            const at = refusedAt.get(key);
-            return at !== undefined && refusedAt.delete(key) && timer.now() - at < refusalRetentionMs;
+            const { callerAddress } = asked.request;
+            const refusals = refusedAt.get(callerAddress);
+            if (refusals === undefined) {
+                return false;
+            }
+            const content = contentOf(asked);
+            const at = refusals.get(content);
+            if (at === undefined) {
+                return false;
+            }
+            remove(callerAddress, content);
+            return timer.now() - at < refusalRetentionMs;
         },
     };
 }
--- a/packages/steer/src/callers/__tests__/requestFingerprint.test.ts
+++ b/packages/steer/src/callers/__tests__/requestFingerprint.test.ts
@@ -13,6 +13,7 @@
     body: Buffer.from("body"),
     callerAddress: "100.64.0.9",
     removeHeaders: () => {},
+    receivedAt: 0,
     ...fields,
 });
 const fingerprintOf = (fields: Partial<CallerRequest> = {}, objectId: string | undefined = "7"): string =>
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import { type Result, results } from "@pimentospring/core/results/resultCode";
 import type { CallerLimits } from "@pimentospring/core/steering/steeringDocument";
 import type { Timer } from "@pimentospring/core/time/timer";
+import { createConnectionInput } from "@pimentospring/runtime/http/connectionInput";
 import { refuseMalformedRequests } from "@pimentospring/runtime/http/malformedRequests";
 import { trackConnections } from "@pimentospring/runtime/http/serverConnections";
 import type { Log } from "@pimentospring/runtime/logs/log";
@@ -13,10 +14,13 @@
 import type { ResponseBody } from "../targets/responseBody.js";
 import type { ResponseBuffers } from "../targets/responseBuffers.js";
 import { createBodyBuffer } from "./bodyBuffer.js";
+import type { CallerLimitLog } from "./callerLimitLog.js";
 import { type CallerResponder, createResponder } from "./callerResponder.js";
 import type { CallerResponseEnd, ResponseProgress } from "./callerResponseEnd.js";
+
 import { createCountedResponses } from "./countedResponses.js";
 import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
+import { createOpenBodies, type OpenBodies, type OpenBody } from "./openBodies.js";
 
 export interface CallerRequest {
     readonly method: string;
@@ -29,6 +33,8 @@
     readonly callerAddress: string;
     /** Removes the headers for whose lower-case name `isRemoved` holds from memory. */
     readonly removeHeaders: (isRemoved: (name: string) => boolean) => void;
+    /** When it had been received whole, on the timer's clock; it may wait behind others of its connection. */
+    readonly receivedAt: number;
 }
 
 export interface CallerServerOptions {
@@ -44,6 +50,8 @@
     readonly isMemoryScarce: () => boolean;
     /** Counts responses until their callers have read them. */
     readonly responseBuffers: ResponseBuffers;
+    /** Told of what callers did beyond the limits. */
+    readonly limitLog?: CallerLimitLog;
     /** Told how each response of a target ended towards its caller. */
     readonly onResponseEnd?: (end: CallerResponseEnd) => void;
     /**
@@ -108,6 +116,8 @@
     const { log, timer, responseBuffers, onRequest } = options;
     const countedResponses = createCountedResponses({ timer, buffers: responseBuffers, onEnd: options.onResponseEnd });
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes, options.onBodyBytes);
+    const recordLimit = options.limitLog?.record ?? (() => {});
+    const openBodies = createOpenBodies({ timer, maxFramingMs: () => limits.headerTimeoutMs });
     const bodyAllocations = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
@@ -126,10 +136,18 @@
     };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
+        if (input.isEnding(request.socket)) {
+            // Behind a response that closes the connection: counts as not read.
+            return;
+        }
+        if (!response.shouldKeepAlive) {
+            input.endAfter(response);
+        }
         const endResponse = (body: ResponseBody, requestId: string): void => countedResponses.end(response, body, requestId);
         const responder = createResponder({ response, isKeepAliveDisabled: () => isKeepAliveDisabled, endResponse });
         /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
         const refuseUnread = (result: Result, retryAfterMs?: number): void => {
+            input.endAfter(response);
             const endRefusal = (body: string): void => endAfterRequest(request, response, timer, body);
             createResponder({ response, isKeepAliveDisabled: () => true, endResponse, endRefusal }).refuse(result, retryAfterMs);
         };
@@ -150,7 +168,7 @@
             return;
         }
         const { maxBodyBytes } = limits;
-        readBody({ request, response, maxBodyBytes, memoryQuota, bodyAllocations }, outcome => {
+        readBody({ request, response, maxBodyBytes, memoryQuota, bodyAllocations, openBodies }, outcome => {
             switch (outcome) {
                 case "tooLarge":
                     refuseUnread(results.bodyTooLarge);
@@ -158,18 +176,29 @@
                 case "noMemory":
                     refuseForMemory();
                     return;
+                case "tooSlow":
+                    recordLimit("slowBody");
+                    refuseUnread(results.requestTooSlow);
+                    return;
+                case "framing":
+                    recordLimit("framing");
+                    refuseUnread(results.tooMuchFraming);
+                    return;
             }
+            const receivedAt = timer.now();
             // Waits for another read of the sockets, so that a caller that disconnected while the event loop was
             // blocked is detected before its request is forwarded.
             afterNextPoll(() => {
                 if (request.socket.destroyed || request.socket.readableEnded) {
                     return;
                 }
-                const onCallerLeft = submit(toCallerRequest(request, outcome), responder);
-                response.once("close", () => {
-                    if (!response.writableEnded) {
-                        onCallerLeft();
-                    }
+                input.enter(response, () => {
+                    const onCallerLeft = submit(toCallerRequest(request, outcome, receivedAt), responder);
+                    response.once("close", () => {
+                        if (!response.writableEnded) {
+                            onCallerLeft();
+                        }
+                    });
                 });
             });
         });
@@ -183,13 +212,21 @@
         noDelay: true,
     }, handle);
     const connections = trackConnections({ server, timer });
+    const input = createConnectionInput({
+        server,
+        timer,
+        unreadBytesOf: countedResponses.unreadBytesOf,
+        onUnread: () => recordLimit("unread"),
+    });
     server.maxConnections = options.maxConnections;
     let dropsLoggedAt = -Infinity;
     let loggedDrops = 0;
     server.on("drop", () => {
         droppedConnections++;
         // Makes room for the next one.
-        connections.closeOneIdle();
+        if (!connections.closeOneIdle() && connections.closeOneReceiving()) {
+            recordLimit("slowHead");
+        }
         if (timer.now() >= dropsLoggedAt + dropLogIntervalMs) {
             log.write(logEvents.callersDropped, { count: droppedConnections - loggedDrops, open: connections.openCount() });
             dropsLoggedAt = timer.now();
@@ -263,42 +300,71 @@
     readonly memoryQuota: MemoryQuota;
     /** Bounds the memory of bodies that are allocated before they have arrived. */
     readonly bodyAllocations: MemoryQuota;
+    readonly openBodies: OpenBodies;
 }
 
+type BodyOutcome = Buffer | "tooLarge" | "noMemory" | "tooSlow" | "framing";
+
 /** Reads the body. `done` is not called if the caller disconnects before its request is complete. */
-function readBody(reading: BodyReading, done: (outcome: Buffer | "tooLarge" | "noMemory") => void): void {
-    const { request, response, maxBodyBytes, memoryQuota } = reading;
-    const body = createBodyBuffer(Number(request.headers["content-length"] ?? 0), reading.bodyAllocations);
+function readBody(reading: BodyReading, done: (outcome: BodyOutcome) => void): void {
+    const { request, response, maxBodyBytes, memoryQuota, openBodies } = reading;
+    const body = createBodyBuffer({
+        expectedBytes: Number(request.headers["content-length"] ?? 0),
+        allocations: reading.bodyAllocations,
+        reserve: bytes => {
+            while (!memoryQuota.tryTake(bytes)) {
+                if (!openBodies.giveUpStalled()) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        release: memoryQuota.giveBack,
+    });
     let size = 0;
-    const giveUp = (outcome: "tooLarge" | "noMemory"): void => {
+    const giveUp = (outcome: BodyOutcome): void => {
         request.off("data", onData).off("end", onEnd);
+        openBodies.remove(openBody);
         body.clear();
         done(outcome);
     };
+    const openBody: OpenBody = {
+        size: () => size,
+        connectionBytes: () => request.socket.bytesRead,
+        giveUp,
+    };
     const onData = (chunk: Buffer): void => {
         if (size + chunk.length > maxBodyBytes) {
             giveUp("tooLarge");
             return;
         }
-        if (!memoryQuota.tryTake(chunk.length)) {
+        size += chunk.length;
+        openBodies.recordProgress(openBody);
+        if (!body.add(chunk)) {
             giveUp("noMemory");
-            return;
         }
-        size += chunk.length;
-        body.add(chunk);
     };
-    const onEnd = (): void => done(body.take());
+    const onEnd = (): void => {
+        openBodies.remove(openBody);
+        done(body.take());
+    };
+    if (hasBody(request)) {
+        openBodies.add(openBody);
+    }
     request.on("data", onData);
     request.on("end", onEnd);
     request.on("error", () => {
         // The caller disconnected before the request was complete: nothing was routed and no response is expected.
     });
     response.once("close", () => {
-        memoryQuota.giveBack(size);
+        openBodies.remove(openBody);
         body.clear();
     });
 }
 
+const hasBody = ({ headers }: IncomingMessage): boolean =>
+    headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+
 /**
  * Ends a response to a request that is not read whole. The body is sent at once; the rest of the request is read and
  * dropped before the connection closes, up to a time limit.
@@ -318,7 +384,7 @@
     request.resume();
 }
 
-function toCallerRequest(request: IncomingMessage, body: Buffer): CallerRequest {
+function toCallerRequest(request: IncomingMessage, body: Buffer, receivedAt: number): CallerRequest {
     return {
         method: request.method ?? "GET",
         path: request.url ?? "/",
@@ -331,6 +397,7 @@
         body,
         removeHeaders: isRemoved => removeHeaders(request, isRemoved),
         callerAddress: request.socket.remoteAddress ?? "",
+        receivedAt,
     };
 }
 
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -113,6 +113,9 @@
     );
 }
 
+/** Unknown entries that are asked for their records in a heartbeat interval. */
+const maxAskedEntries = 1_000;
+
 export function createMesh(options: MeshOptions): Mesh {
     const { timer, log, socket, self, members } = options;
     const digestRelay = createDigestRelay();
@@ -174,6 +177,7 @@
         record: undefined,
         leavingTargets: options.leavingTargets(),
     });
+    /** Forgets the expired ones. */
     const unexpired = (received: Map<string, ReceivedLoads>): EntryLoads[] => {
         received.forEach(({ receivedAt }, entry) => timer.now() - receivedAt >= loadExpiryMs && received.delete(entry));
         return [...received.values()].map(({ loads }) => loads);
--- a/packages/steer/src/observe/metrics.ts
+++ b/packages/steer/src/observe/metrics.ts
@@ -17,6 +17,8 @@
     recordPoisonEvidence(event: PoisonEvidence, count: number): void;
     /** Counts a target's response by how it ended towards its caller. */
     recordCallerResponse(outcome: string): void;
+    /** Counts a request or connection that was ended as its caller went beyond a limit. */
+    recordCallerLimit(limit: string): void;
     recordStoreCall(kind: string, outcome: string): void;
     /** Registers counters of workspaces, which call `read` on each scrape and show only what it returns. */
     registerWorkspaceCounters(read: () => readonly WorkspaceCounts[]): void;
@@ -98,6 +100,14 @@
         labelNames: ["outcome"],
         registers,
     });
+    const callerLimits = new Counter({
+        name: "pimento_caller_limits_total",
+        help:
+            "Requests and connections ended as their callers went beyond a limit: slow bodies, framing of bodies, heads that made room for "
+            + "others, unread responses",
+        labelNames: ["limit"],
+        registers,
+    });
     const storeCalls = new Counter({
         name: "pimento_store_calls_total",
         help: "Calls to the platform's store, by kind and outcome",
@@ -125,6 +135,7 @@
         recordDroppedLogLine: () => droppedLogLines.inc(),
         recordPoisonEvidence: (event, count) => poisonEvidence.inc({ event }, count),
         recordCallerResponse: outcome => callerResponses.inc({ outcome }),
+        recordCallerLimit: limit => callerLimits.inc({ limit }),
         recordStoreCall: (kind, outcome) => storeCalls.inc({ kind, outcome }),
         registerWorkspaceCounters: read => {
             new Counter({
--- a/packages/steer/src/store/__tests__/redactedItems.test.ts
+++ b/packages/steer/src/store/__tests__/redactedItems.test.ts
@@ -17,6 +17,7 @@
         log: silentLog,
         onEvent: event => events.push(event),
         onBatchApplied: () => {},
+        onNewEra: () => {},
         redact: (key, value) => key === "other" ? value : Buffer.from("digest"),
     });
     items.applySnapshot({ revision: 2, items: [item("a", 1), item("other", 2)] });
