--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -113,9 +113,6 @@
     );
 }
 
-/** Unknown entries that are asked for their records in a heartbeat interval. */
-const maxAskedEntries = 1_000;
-
 export function createMesh(options: MeshOptions): Mesh {
     const { timer, log, socket, self, members } = options;
     const digestRelay = createDigestRelay();
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -32,6 +32,7 @@
 import { createRouteStatistics } from "./observe/routeStatistics.js";
 import { startServiceLog } from "./observe/serviceLog.js";
 import { createStatusRoutes } from "./observe/statusRoutes.js";
+import { targetLogFields } from "./observe/targetLogFields.js";
 import { createWorkspaceStatistics } from "./observe/workspaceStatistics.js";
 import { createPoisonReporting } from "./poison/poisonReporting.js";
 import type { SteerSettings } from "./settings/settings.js";
@@ -463,13 +464,3 @@
     "control",
     "limits",
 ] as const satisfies readonly (keyof SteerSettings)[];
-
-const targetLogFields = (
-    target: Target,
-    change: string,
-): { readonly target: string; readonly service: string; readonly change: string; readonly dataCentre: string; } => ({
-    target: target.record.id,
-    service: target.record.service,
-    dataCentre: target.record.dataCentre,
-    change,
-});
