--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -7,7 +7,6 @@
 import { createRouteTable, type RouteTable } from "@pimentospring/core/steering/routeTable";
 import { createSteering, type Steering } from "@pimentospring/core/steering/steering";
 import type { Service, SteeringDocument } from "@pimentospring/core/steering/steeringDocument";
-import type { Target } from "@pimentospring/core/steering/target";
 import { createWorkspaceDirectory, emptyWorkspaceDirectory } from "@pimentospring/core/steering/workspaceDirectory";
 import { boundConnections } from "@pimentospring/runtime/http/boundedConnections";
 import { createRouter, listenOn } from "@pimentospring/runtime/http/jsonServer";
