test(harness): load patterns that exceed the slots unless objects are warm

The experiment prints the share of warm runs, the busiest target's runs over the mean, and the share in time by region and second.

--- a/bench/src/experiment.ts
+++ b/bench/src/experiment.ts
@@ -32,11 +32,17 @@
     const headings = ["class", "requests", "in time", "late", "refused", "failed", "value"];
     printTable(earlier === undefined ? headings : [...headings, "change"], rows);
     printTable(
-        ["service", "arrivals", "at closed targets", "at leaving targets"],
-        Object.entries(result.services).map(([name, { sent, sentToPausedTargets, sentToLeavingTargets }]) =>
-            [name, sent, sentToPausedTargets, sentToLeavingTargets].map(String)
-        ),
+        ["service", "arrivals", "at closed targets", "at leaving targets", "warm runs", "hottest target"],
+        Object.entries(result.services).map(([name, service]) => [
+            name,
+            ...[service.sent, service.sentToPausedTargets, service.sentToLeavingTargets].map(String),
+            (service.warmRuns / service.runs).toFixed(3),
+            `${service.hottestTargetRatio.toFixed(2)} of mean`,
+        ]),
     );
+    const inTimeRow = ([name, outcome]: readonly [string, ClassOutcome]): string[] => [name, ratio(outcome.inTime, outcome)];
+    printTable(["region", "in time"], Object.entries(result.regions).map(inTimeRow));
+    printTable(["second", "in time"], result.seconds.map((outcome, second) => inTimeRow([String(second + 1), outcome])));
 }
 
 /** Throws if the file holds the result of another experiment, which can't be compared. */
--- a/packages/harness/src/steering/experiment.ts
+++ b/packages/harness/src/steering/experiment.ts
@@ -1,8 +1,10 @@
 /** Plays a named load pattern with several seeds and sums the outcomes, so that two versions of the code can be compared. */
 import { fleetSimulation, karooSimulation } from "./loadPatterns.js";
+import { regionOf } from "./network.js";
 import { noticePatterns } from "./noticePatterns.js";
 import type { ClassOutcome, ServiceOutcome, SteeringSimulationOptions } from "./simulationOptions.js";
 import { createSteeringSimulation, type SteeringSimulation } from "./steeringSimulation.js";
+import { warmObjectPatterns } from "./warmObjectPatterns.js";
 
 export interface LoadPattern {
     readonly description: string;
@@ -52,10 +54,14 @@
         createOptions: karooSimulation,
     },
     ...noticePatterns,
+    ...warmObjectPatterns,
 };
 
-/** Arrivals at the targets of a service. */
-export type ServiceArrivals = Pick<ServiceOutcome, "sent" | "sentToPausedTargets" | "sentToLeavingTargets">;
+/** Arrivals and runs at the targets of a service; the ratio is the largest of all seeds. */
+export type ServiceArrivals = Pick<
+    ServiceOutcome,
+    "sent" | "sentToPausedTargets" | "sentToLeavingTargets" | "runs" | "warmRuns" | "hottestTargetRatio"
+>;
 
 export interface ExperimentResult {
     readonly pattern: string;
@@ -65,6 +71,10 @@
     readonly classes: Readonly<Record<string, ClassOutcome>>;
     /** Sums over all seeds, by service. */
     readonly services: Readonly<Record<string, ServiceArrivals>>;
+    /** Sums over all seeds, by region of the callers. */
+    readonly regions: Readonly<Record<string, ClassOutcome>>;
+    /** Sums over all seeds, by second of the first sending. */
+    readonly seconds: readonly ClassOutcome[];
 }
 
 export interface ExperimentOptions {
@@ -89,6 +99,8 @@
     const perSecond = options.perSecond ?? pattern.perSecond;
     const classes: Record<string, ClassOutcome> = {};
     const services: Record<string, ServiceArrivals> = {};
+    const regions: Record<string, ClassOutcome> = {};
+    const seconds: ClassOutcome[] = [];
     for (const seed of options.seeds) {
         options.onProgress(seed);
         const simulationOptions = pattern.createOptions(seed, perSecond);
@@ -104,8 +116,14 @@
         for (const { name } of simulationOptions.services) {
             services[name] = addArrivals(services[name], simulation.serviceOutcome(name));
         }
+        for (const region of new Set(Object.keys(simulationOptions.entryCounts).map(regionOf))) {
+            regions[region] = addOutcomes(regions[region], simulation.regionOutcome(region));
+        }
+        simulation.secondOutcomes().forEach((outcome, second) => {
+            seconds[second] = addOutcomes(seconds[second], outcome);
+        });
     }
-    return { pattern: options.pattern, perSecond, seeds: options.seeds, classes, services };
+    return { pattern: options.pattern, perSecond, seeds: options.seeds, classes, services, regions, seconds };
 }
 
 function addOutcomes(sum: ClassOutcome | undefined, outcome: ClassOutcome): ClassOutcome {
@@ -123,5 +141,8 @@
         sent: (sum?.sent ?? 0) + arrivals.sent,
         sentToPausedTargets: (sum?.sentToPausedTargets ?? 0) + arrivals.sentToPausedTargets,
         sentToLeavingTargets: (sum?.sentToLeavingTargets ?? 0) + arrivals.sentToLeavingTargets,
+        runs: (sum?.runs ?? 0) + arrivals.runs,
+        warmRuns: (sum?.warmRuns ?? 0) + arrivals.warmRuns,
+        hottestTargetRatio: Math.max(sum?.hottestTargetRatio ?? 0, arrivals.hottestTargetRatio),
     };
 }
--- a/packages/harness/src/steering/sharedTarget.ts
+++ b/packages/harness/src/steering/sharedTarget.ts
@@ -35,6 +35,10 @@
     /** Accepts a request; the returned function abandons it, as a closed connection does. */
     accept(work: SharedTargetRequest): () => void;
     running(): number;
+    /** Runs that were started. */
+    runs(): number;
+    /** Runs that were started on a cached object. */
+    warmRuns(): number;
     queued(): number;
     /** From now on refuses this fraction of the requests as not run, although it has free slots. */
     setShedFraction(fraction: number): void;
@@ -61,6 +65,8 @@
     const running = new Set<SharedTargetRequest>();
     const queue: SharedTargetRequest[] = [];
     let hasCrashed = false;
+    let runs = 0;
+    let warmRuns = 0;
     let shedFraction = 0;
     let pausedUntil = -Infinity;
     let isLeaving = false;
@@ -96,7 +102,10 @@
     };
     const start = (work: SharedTargetRequest): void => {
         running.add(work);
-        const workRatio = cacheObject(work.object) ? traits.cachedWorkRatio : 1;
+        const isWarm = cacheObject(work.object);
+        runs++;
+        warmRuns += isWarm ? 1 : 0;
+        const workRatio = isWarm ? traits.cachedWorkRatio : 1;
         timer.after(work.workMs * workRatio * currentSlowness(), () => finish(work));
     };
     const startQueued = (): void => {
@@ -148,6 +157,8 @@
             };
         },
         running: () => running.size,
+        runs: () => runs,
+        warmRuns: () => warmRuns,
         queued: () => queue.length,
         setShedFraction: fraction => {
             shedFraction = fraction;
--- a/packages/harness/src/steering/simulatedCallers.ts
+++ b/packages/harness/src/steering/simulatedCallers.ts
@@ -21,6 +21,8 @@
     workMsOf(request: string): number;
     classOutcome(name: string): ClassOutcome;
     regionOutcome(region: RegionId): ClassOutcome;
+    /** Of the requests first sent in each second since the start. */
+    secondOutcomes(): readonly ClassOutcome[];
 }
 
 export interface SimulatedCallersOptions {
@@ -52,13 +54,17 @@
 export function createSimulatedCallers(options: SimulatedCallersOptions): SimulatedCallers {
     const { timer, random, simulation } = options;
     const dataCentres = Object.keys(simulation.entryCounts);
+    const regions = [...new Set(dataCentres.map(regionOf))];
     const classOutcomes = new Map(simulation.classes.map(({ name }) => [name, noOutcome()]));
     const regionOutcomes = new Map(dataCentres.map(name => [regionOf(name), noOutcome()]));
+    const secondOutcomes: ClassOutcome[] = [];
     const workMsByRequest = new Map<string, number>();
+    const startedAt = timer.now();
     let requestCount = 0;
     let isLoadRunning = true;
 
     const count = ({ trafficClass, firstSentAt, dataCentre }: Caller, event: keyof ClassOutcome): void => {
+        (secondOutcomes[Math.floor((firstSentAt - startedAt) / 1_000)] ??= noOutcome())[event]++;
         if (firstSentAt >= (simulation.countedFromMs ?? 0)) {
             classOutcomes.get(trafficClass.name)![event]++;
             regionOutcomes.get(regionOf(dataCentre))![event]++;
@@ -103,10 +109,26 @@
         const spread = 1 + workDeviationRatio * (2 * random.next() - 1) * Math.sqrt(3);
         return trafficClass.workMs * spread * (random.next() < straggler.fraction ? straggler.factor : 1);
     };
+    const drawObject = ({ objectCount, skew = 0, popularFraction = 0 }: TrafficClass, dataCentre: DataCentreId): string => {
+        if (popularFraction > 0 && random.next() < popularFraction) {
+            return "popular";
+        }
+        const index = skew === 0 ? random.below(objectCount) : Math.floor(objectCount * random.next() ** (1 / (1 - skew)));
+        return `${regionOf(dataCentre)}${index}`;
+    };
+    /** Current demand of a region as a multiple of its mean. */
+    const demandFactor = (dataCentre: DataCentreId): number => {
+        const { waves } = simulation;
+        if (waves === undefined) {
+            return 1;
+        }
+        const phase = (timer.now() - startedAt) / waves.periodMs + waves.phaseStep * regions.indexOf(regionOf(dataCentre));
+        return 1 + waves.swing * Math.sin(2 * Math.PI * phase);
+    };
     const startCaller = (trafficClass: TrafficClass, dataCentre: DataCentreId): void => {
         const caller: Caller = {
             trafficClass,
-            object: `${regionOf(dataCentre)}${random.below(trafficClass.objectCount)}`,
+            object: drawObject(trafficClass, dataCentre),
             firstSentAt: timer.now(),
             dataCentre,
             dispatcher: anyDispatcherIn(dataCentre),
@@ -117,7 +139,7 @@
         sendRequest(caller, false);
     };
     const scheduleArrivals = (trafficClass: TrafficClass, dataCentre: DataCentreId): void => {
-        timer.after(random.exponential(1_000 / trafficClass.arrivalsPerSecond), () => {
+        timer.after(random.exponential(1_000 / (demandFactor(dataCentre) * trafficClass.arrivalsPerSecond)), () => {
             if (isLoadRunning) {
                 startCaller(trafficClass, dataCentre);
                 scheduleArrivals(trafficClass, dataCentre);
@@ -134,6 +156,7 @@
         },
         workMsOf: request => workMsByRequest.get(request)!,
         classOutcome: name => classOutcomes.get(name)!,
+        secondOutcomes: () => secondOutcomes,
         regionOutcome: region => regionOutcomes.get(region)!,
     };
 }
--- a/packages/harness/src/steering/simulationOptions.ts
+++ b/packages/harness/src/steering/simulationOptions.ts
@@ -16,6 +16,10 @@
     readonly isIdempotent: boolean;
     /** Number of distinct objects requested by the callers of a region. */
     readonly objectCount: number;
+    /** Exponent with which an object's share of the requests falls with its rank; 0, the default, makes all equal. */
+    readonly skew?: number;
+    /** Share of the requests that ask for one object, whichever region they come from. */
+    readonly popularFraction?: number;
 }
 
 export interface SimulatedService {
@@ -35,6 +39,17 @@
     readonly areNoticesRead?: boolean;
     /** Outcomes are counted for requests sent from this time on; by default for all. */
     readonly countedFromMs?: number;
+    /** Changes the arrival rates over time; by default they are constant. */
+    readonly waves?: Waves;
+}
+
+/** Demand that swings around its mean, in each region at another time. */
+export interface Waves {
+    readonly periodMs: number;
+    /** Largest deviation, as a fraction of the mean. */
+    readonly swing: number;
+    /** Part of a period by which each region follows the one before it. */
+    readonly phaseStep: number;
 }
 
 /** Results of one traffic class as seen by callers. */
@@ -59,4 +74,9 @@
     /** Mean number of requests that were queued, and that were running, in all targets of the service. */
     meanQueued: number;
     meanRunning: number;
+    /** Runs that a target started, and how many of them on an object that it had cached. */
+    runs: number;
+    warmRuns: number;
+    /** Busiest target's arrivals as a multiple of the mean over the service's targets. */
+    hottestTargetRatio: number;
 }
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -49,6 +49,8 @@
     classOutcome(name: string): ClassOutcome;
     /** Of the requests of a region's callers. */
     regionOutcome(region: string): ClassOutcome;
+    /** Of the requests first sent in each second since the start. */
+    secondOutcomes(): readonly ClassOutcome[];
     /** Answers in time per request of a class; a late answer counts as a fifth. */
     earnedValueRatio(name: string): number;
     serviceOutcome(name: string): ServiceOutcome;
@@ -105,6 +107,12 @@
     const toldOfLeaving = new Map<string, number>();
     let sampleCount = 0;
 
+    /** Targets that crashed or were replaced. */
+    const formerTargets: SharedTarget[] = [];
+    const allTargets = (service: string): SharedTarget[] => [
+        ...targetsOf(service),
+        ...formerTargets.filter(({ record }) => record.service === service),
+    ];
     const targetsOf = (service: string): SharedTarget[] =>
         [...targets.values()].filter(({ record }) => record.service === service);
     const recordTold = (entry: Entry, { record }: SharedTarget, { isLeaving, pauseMs }: TargetNotice): void => {
@@ -234,7 +242,9 @@
         targets.set(record.id, createSharedTarget({ timer, random, record, model: service.targetModel }));
         registerTarget(record);
     };
-    const startSuccessor = ({ record: { startedAt, ...rest }, model }: SharedTarget): void => {
+    const startSuccessor = (former: SharedTarget): void => {
+        const { record: { startedAt, ...rest }, model } = former;
+        formerTargets.push(former);
         const record = { ...rest, startedAt: startedAt + 1 };
         targets.set(record.id, createSharedTarget({ timer, random, record, model }));
         registerTarget(record);
@@ -318,6 +328,7 @@
                 .slice(0, count);
             for (const target of removed) {
                 target.crash();
+                formerTargets.push(target);
                 targets.delete(target.record.id);
                 entries.forEach(({ steering }) => steering.registry.remove(target.record.id));
             }
@@ -340,6 +351,7 @@
         },
         targetCount: service => targetsOf(service).length,
         classOutcome: callers.classOutcome,
+        secondOutcomes: callers.secondOutcomes,
         regionOutcome: region => callers.regionOutcome(toRegionId(region)),
         earnedValueRatio: name => valueRatio(callers.classOutcome(name)),
         serviceOutcome: name => {
@@ -351,11 +363,20 @@
                 sentToLeavingTargets: sentLeaving,
                 meanQueued: waiting / sampleCount,
                 meanRunning: running / sampleCount,
+                runs: sumOf(allTargets(name), target => target.runs()),
+                warmRuns: sumOf(allTargets(name), target => target.warmRuns()),
+                hottestTargetRatio: hottestRatio(targetsOf(name).map(target => target.runs())),
             };
         },
     };
 }
 
+const sumOf = <T>(items: readonly T[], valueOf: (item: T) => number): number =>
+    items.reduce((sum, item) => sum + valueOf(item), 0);
+
+const hottestRatio = (loads: readonly number[]): number =>
+    Math.max(...loads) / Math.max(1, sumOf(loads, load => load) / loads.length);
+
 function createRoute(trafficClass: TrafficClass): Route {
     return {
         name: trafficClass.name,
