perf(core): keep objects warm at the targets that have room for them

Cause: four faults made instances copy objects that were cached already, which evicted others. The estimate of the cache capacity fell to 4 to 8 objects under load, as one slow request at a short distance lowered all longer distances. Half of the caches was taken for free where other regions place objects too, so that each data centre made its own copies. An object served in another region moved whenever a data centre's allowance was used up. A request whose warm home is in the region's other data centre counted as late on arrival, and further copies got the bonus of a first run.

Change: the capacity is the distance that most requests confirm, 16 objects at first; local copies take at most half of a data centre's caches; the home in another region does not depend on the allowance in use; warm homes of the whole region count in the latest start; only the first copy is a first run.

The unit test of homes now asks for 12 and 20 objects instead of 40 and 150, because the capacity assumed at first fell from 48 to 16; it checks the same.

--- a/packages/core/src/steering/cacheCapacity.ts
+++ b/packages/core/src/steering/cacheCapacity.ts
@@ -10,41 +10,48 @@
     record(reuseDistance: number, wasQuick: boolean): void;
 }
 
-/** Number of objects assumed before anything is known. */
-const initialCapacity = 48;
+/** Number of objects assumed before anything is known. Objects beyond it are still sent home, so a low value is corrected. */
+const initialCapacity = 16;
 export const maxCapacity = 160;
 /** Distances are counted in groups of this size. */
 const groupSize = 4;
-/** Weight of the latest request in the fraction of fast ones. */
-const smoothingFactor = 0.2;
-/** Fraction of fast requests from which on a distance counts as within the capacity. */
-const minQuickFraction = 0.5;
+/** Weight of the initial capacity against observations, as a number of requests in each group. */
+const initialVotes = 0.5;
+/** Fraction of the earlier votes that remains when a request is recorded. */
+const retainedFraction = 0.995;
 
 export function createCacheCapacity(): CacheCapacity {
-    const quickFractions: number[] = Array.from(
+    /** Fast requests less slow ones in each group; recent requests count more. */
+    const votes: number[] = Array.from(
         { length: maxCapacity / groupSize },
-        (_, group) => group * groupSize < initialCapacity ? 1 : 0,
+        (_, group) => group * groupSize < initialCapacity ? initialVotes : -initialVotes,
     );
     let capacity = initialCapacity;
+    /**
+     * The capacity that most requests confirm: fast below it, slow above it. Single slow requests, of which a busy target
+     * has many at any distance, don't move it.
+     */
     const computeCapacity = (): number => {
-        const firstSlow = quickFractions.findIndex(fraction => fraction < minQuickFraction);
-        return Math.max(groupSize, firstSlow === -1 ? maxCapacity : firstSlow * groupSize);
+        let sum = 0;
+        let highestSum = -Infinity;
+        let confirmedGroups = 1;
+        votes.forEach((vote, group) => {
+            sum += vote;
+            if (sum > highestSum) {
+                highestSum = sum;
+                confirmedGroups = group + 1;
+            }
+        });
+        return confirmedGroups * groupSize;
     };
     return {
         current: () => capacity,
         record: (reuseDistance, wasQuick) => {
-            const group = Math.min(quickFractions.length - 1, Math.floor(reuseDistance / groupSize));
-            quickFractions[group]! += smoothingFactor * ((wasQuick ? 1 : 0) - quickFractions[group]!);
-            // What holds after so many objects holds after fewer, or after more, too: groups without requests follow.
-            for (let other = 0; other < quickFractions.length; other++) {
-                const isImplied = wasQuick ? other < group : other > group;
-                if (isImplied) {
-                    const bound = quickFractions[group]!;
-                    quickFractions[other] = wasQuick
-                        ? Math.max(quickFractions[other]!, bound)
-                        : Math.min(quickFractions[other]!, bound);
-                }
+            const group = Math.min(votes.length - 1, Math.floor(reuseDistance / groupSize));
+            for (let other = 0; other < votes.length; other++) {
+                votes[other]! *= retainedFraction;
             }
+            votes[group]! += wasQuick ? 1 : -1;
             capacity = computeCapacity();
         },
     };
--- a/packages/core/src/steering/objectAffinity.ts
+++ b/packages/core/src/steering/objectAffinity.ts
@@ -41,8 +41,11 @@
     readonly isUsable: (target: Target) => boolean;
 }
 
-/** Fraction of the estimated cache capacity that is relied on. */
-const usableCacheFraction = 0.95;
+/**
+ * Fraction of a data centre's estimated cache capacity that its own copies of objects may take. The rest is for objects of
+ * other data centres and regions, whose requests this entry does not learn of.
+ */
+const usableCacheFraction = 0.5;
 const usagePeriodMs = 10_000;
 
 interface Usage {
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -28,7 +28,7 @@
     readonly score: number;
     /** Whether the target has the request's object cached. */
     readonly isWarm: boolean;
-    /** Whether this request would be the first to cache the object at the target. */
+    /** Whether the object is, as far as is known, cached at no target that the request may use. */
     readonly isFirstRun: boolean;
 }
 
@@ -135,6 +135,13 @@
     readonly dataCentres: Set<DataCentreId>;
 }
 
+interface CopyState {
+    /** Whether the target would hold a further copy of the object in the region. */
+    readonly isCopy: boolean;
+    /** Whether a target that the request may use has the object cached. */
+    readonly isCachedElsewhere: boolean;
+}
+
 interface Candidates {
     readonly targets: Iterable<Target>;
     /** The one that would hold a further copy of the object in the region. */
@@ -157,10 +164,18 @@
     const isRemoteObject = (job: Job<Answer>): boolean =>
         job.route.isSticky && job.request.objectId !== undefined
         && remoteObjects.isRemote(job.service, objectKey(job.route, job.request.objectId));
-    const mayUseDataCentre = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
+    const isInHomeRegion = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
         const homes = job.route.homeRegions;
-        if (options.isEvacuated(dataCentre) || (homes.length > 0 && (region === undefined || !homes.includes(region)))) {
+        return !options.isEvacuated(dataCentre) && (homes.length === 0 || (region !== undefined && homes.includes(region)));
+    };
+    const allowanceIn = (job: Job<Answer>, dataCentre: DataCentreId): number =>
+        spillover.slotAllowance(job.service, dataCentre) ?? 0;
+    const isAllowed = (job: Job<Answer>, dataCentre: DataCentreId): boolean =>
+        isInHomeRegion(job, dataCentre) && (options.coversDataCentre(dataCentre) || allowanceIn(job, dataCentre) > 0);
+    const mayUseDataCentre = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
+        const region = options.regionOf(dataCentre);
+        if (!isInHomeRegion(job, dataCentre)) {
             return false;
         }
         // The limit on region shifts is applied to remote objects where they are selected.
@@ -172,7 +187,7 @@
         if (region === self.region || options.coversDataCentre(dataCentre)) {
             return true;
         }
-        const allowance = spillover.slotAllowance(job.service, dataCentre) ?? 0;
+        const allowance = allowanceIn(job, dataCentre);
         const maxInFlight = isRemoteObject(job) ? remoteBurstFactor * allowance + 1 : allowance;
         return options.inFlightCountAt(job.service, dataCentre) + 1 <= maxInFlight;
     };
@@ -194,20 +209,25 @@
     const isWarmAt = (job: Job<Answer>, target: Target): boolean =>
         job.route.isSticky && job.request.objectId !== undefined &&
         target.cache.isCached(objectKey(job.route, job.request.objectId));
-    const scoreTarget = (job: Job<Answer>, target: Target, isCopy: boolean, now: number): ScoredTarget => {
+    const scoreTarget = (
+        job: Job<Answer>,
+        target: Target,
+        { isCopy, isCachedElsewhere }: CopyState,
+        now: number,
+    ): ScoredTarget => {
         const { route } = job;
         const isWarm = isWarmAt(job, target);
         const coldMs = workTimes.coldObjectMs(route);
         const usualMs = isWarm ? workTimes.warmMs(route) : expectedFirstRunMs(route);
-        const isFirstRun = route.isSticky && !isWarm;
+        const isColdRun = route.isSticky && !isWarm;
         const workMs = usualMs * expectedSlowness(target, now) * (isCold(target, now) ? coldSlowdownFactor : 1);
         const expectedAt = now + options.roundTripMs(target.record.dataCentre) + workMs;
         const margin = (job.objectiveAt - expectedAt) / (workSpreadRatio * workMs + 1);
         const value = lateResponseValue + (1 - lateResponseValue) / (1 + Math.exp(-logisticSlope * margin));
         const score = value - transferPrice(job, target) - slotTimePrice * (workMs / coldMs) + rendezvousPreference(job, target)
-            + (isFirstRun && isCopy ? copyPreference(job) : 0)
-            + (needsFirstRequest(target) ? untriedBonus : 0) - (isFirstRun && target.cache.isFull() ? evictionPrice : 0);
-        return { target, expectedAt, value, score, isWarm, isFirstRun };
+            + (isColdRun && isCopy ? copyPreference(job) : 0)
+            + (needsFirstRequest(target) ? untriedBonus : 0) - (isColdRun && target.cache.isFull() ? evictionPrice : 0);
+        return { target, expectedAt, value, score, isWarm, isFirstRun: isColdRun && !isCachedElsewhere };
     };
     /** Expected work on an object at a target to which this entry has not sent it; other entries may have. */
     const expectedFirstRunMs = (route: Route): number => {
@@ -264,6 +284,14 @@
         }
         return found;
     };
+    /**
+     * Targets in other regions in which this entry has an allowance, used up or not: an object's home must not move whenever
+     * the allowance of a data centre is used up.
+     */
+    const allowedInOtherRegions = (job: Job<Answer>): TargetGroup[] =>
+        [...registry.dataCentresOf(job.service)]
+            .filter(dataCentre => options.regionOf(dataCentre) !== self.region && isAllowed(job, dataCentre))
+            .map(dataCentre => registry.targetsIn(job.service, dataCentre));
     /** Targets of the service that are likely to have the request's object cached, whether or not they may be used. */
     const cachingTargets = (job: Job<Answer>): Target[] => {
         const { objectId } = job.request;
@@ -284,17 +312,20 @@
             return { targets: [local, ...sameRegion, ...remote].flat().filter(isUsable), copy: undefined };
         }
         const key = objectKey(job.route, objectId);
-        const remoteHome = objectAffinity.homeInOtherRegion(key, remote, isUsable);
+        const remoteHome = objectAffinity.homeInOtherRegion(key, allowedInOtherRegions(job), isUsable);
+        const isRemoteHomeOpen = remoteHome !== undefined && dataCentres.has(remoteHome.record.dataCentre);
         if (
             remoteHome !== undefined && isRemoteObject(job) &&
             now < job.request.arrivedAt + remoteHoldRatio * job.route.objectiveMs
         ) {
-            return { targets: [remoteHome], copy: undefined };
+            return { targets: isRemoteHomeOpen ? [remoteHome] : [], copy: undefined };
         }
         const objectCount = objectAffinity.activeObjectCount(job.service);
         const homes = objectAffinity.homesInRegion(key, { local, sameRegion, isUsable }, objectCount);
         const targets = new Set<Target>();
-        [homes.first, homes.near, homes.local, remoteHome].forEach(home => home !== undefined && targets.add(home));
+        [homes.first, homes.near, homes.local, isRemoteHomeOpen ? remoteHome : undefined].forEach(home =>
+            home !== undefined && targets.add(home)
+        );
         cachingTargets(job)
             .filter(target => dataCentres.has(target.record.dataCentre) && isUsable(target))
             .forEach(target => targets.add(target));
@@ -308,8 +339,9 @@
             let bestFullScore = -Infinity;
             let bestRemote: ScoredTarget | undefined;
             const { targets, copy } = candidateTargets(job, now);
+            const isCachedElsewhere = cachingTargets(job).some(target => mayUseTarget(job, target, now));
             for (const target of targets) {
-                const scored = scoreTarget(job, target, target === copy, now);
+                const scored = scoreTarget(job, target, { isCopy: target === copy, isCachedElsewhere }, now);
                 if (!isFreeNow(target, now)) {
                     bestFullScore = Math.max(bestFullScore, scored.score);
                 }
@@ -352,8 +384,14 @@
             if (isRemoteObject(job)) {
                 return workTimes.warmMs(job.route) + options.remoteRoundTripMs;
             }
-            const isLocal = (target: Target): boolean => target.record.dataCentre === self.dataCentre && !target.isSuspect;
-            return cachingTargets(job).some(isLocal) ? workTimes.warmMs(job.route) : expectedFirstRunMs(job.route);
+            const now = timer.now();
+            const isWarmNearby = (target: Target): boolean =>
+                target.record.region === self.region && mayUseTarget(job, target, now)
+                && mayUseDataCentre(job, target.record.dataCentre);
+            const warmTimes = cachingTargets(job)
+                .filter(isWarmNearby)
+                .map(({ record }) => workTimes.warmMs(job.route) + options.roundTripMs(record.dataCentre));
+            return Math.min(expectedFirstRunMs(job.route), ...warmTimes);
         },
     };
 }
