perf(core): bound what an entry remembers of the objects that callers ask for

Cause: callers choose object ids, so the tables of recent uses grew without bound, and one caller's new objects made a service look too large for local copies.

Change: at most 4,096 objects per service and period of 10 s; when the table is full, objects used once go first. After the first period, objects used once count for no more than those used again.

--- a/packages/core/src/steering/objectAffinity.ts
+++ b/packages/core/src/steering/objectAffinity.ts
@@ -6,6 +6,7 @@
 import { mixHashes } from "../hash/hash.js";
 import type { ServiceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
+import { createObjectUsage, type ObjectUsage } from "./objectUsage.js";
 import type { Target } from "./target.js";
 
 /** Targets of a region that may cache an object. */
@@ -46,13 +47,6 @@
  * other data centres and regions, whose requests this entry does not learn of.
  */
 const usableCacheFraction = 0.5;
-const usagePeriodMs = 10_000;
-
-interface Usage {
-    current: Map<number, number>;
-    previous: Map<number, number>;
-    startedAt: number;
-}
 
 const scoreOf = (key: number, target: Target): number => mixHashes(key, target.hashSeed);
 
@@ -79,33 +73,16 @@
 }
 
 export function createObjectAffinity(timer: Timer): ObjectAffinity {
-    const usageByService = new Map<ServiceId, Usage>();
-    const usageOf = (service: ServiceId): Usage => {
-        let usage = usageByService.get(service);
-        if (usage === undefined) {
-            usage = { current: new Map(), previous: new Map(), startedAt: timer.now() };
-            usageByService.set(service, usage);
-        }
-        if (timer.now() - usage.startedAt > usagePeriodMs) {
-            usage.previous = usage.current;
-            usage.current = new Map();
-            usage.startedAt = timer.now();
-        }
+    const usageByService = new Map<ServiceId, ObjectUsage>();
+    const usageOf = (service: ServiceId): ObjectUsage => {
+        const usage = usageByService.get(service) ?? createObjectUsage(timer);
+        usageByService.set(service, usage);
         return usage;
     };
     return {
-        recordUse: (service, key) => {
-            const { current } = usageOf(service);
-            current.set(key, (current.get(key) ?? 0) + 1);
-        },
-        recentUses: (service, key) => {
-            const { current, previous } = usageOf(service);
-            return (current.get(key) ?? 0) + (previous.get(key) ?? 0);
-        },
-        activeObjectCount: service => {
-            const usage = usageOf(service);
-            return Math.max(usage.current.size, usage.previous.size);
-        },
+        recordUse: (service, key) => usageOf(service).record(key),
+        recentUses: (service, key) => usageOf(service).recentUses(key),
+        activeObjectCount: service => usageOf(service).activeCount(),
         homesInRegion: (key, { local, sameRegion, isUsable }, objectCount) => {
             const bestLocal = best(key, [local], isUsable);
             const bestNear = best(key, sameRegion, isUsable);
