--- a/packages/harness/src/steering/warmObjectPatterns.ts
+++ b/packages/harness/src/steering/warmObjectPatterns.ts
@@ -30,6 +30,8 @@
 const deadlineObjectiveRatio = 5;
 const skew = 0.35;
 const popularFraction = 0.1;
+/** Rate of the callers that ask for new objects only, as a fraction of the usual one. */
+const newObjectRatio = 0.1;
 const waves: Waves = { periodMs: 36_000, swing: 0.55, phaseStep: 1 / 3 };
 const replacementIntervalMs = 500;
 const storeDelayMs = 500;
@@ -132,6 +134,19 @@
     createOptions: (seed, perSecond) => createOptions(deployment, popular, seed, perSecond),
 });
 
+/** Adds callers that never ask for an object twice. */
+function addNewObjects(simulation: SteeringSimulationOptions): SteeringSimulationOptions {
+    const tokensClass = simulation.classes[0]!;
+    const newObjects: TrafficClass = {
+        ...tokensClass,
+        name: "tokens-new",
+        arrivalsPerSecond: newObjectRatio * tokensClass.arrivalsPerSecond,
+        objectCount: 2 ** 31 - 1,
+        skew: 0,
+    };
+    return { ...simulation, classes: [...simulation.classes, newObjects] };
+}
+
 /** Replaces the targets of each service one after the other by ones with nothing cached. */
 function replaceTargets(simulation: SteeringSimulation): void {
     let turn = 0;
@@ -153,6 +168,10 @@
     "warm-195": createPattern("the same with 195 entries", large),
     "warm-70-large": createPattern("70 entries, targets of tokens that keep 25 objects", largeCacheFleet),
     "warm-70-popular": createPattern("70 entries, a popular object gets a tenth of the requests", fleet, popularFraction),
+    "warm-70-new": {
+        ...createPattern("70 entries, and callers that ask for new objects of tokens only", fleet),
+        createOptions: (seed, perSecond) => addNewObjects(createOptions(fleet, 0, seed, perSecond)),
+    },
     "warm-70-replaced": {
         ...createPattern("70 entries, targets are replaced one after the other", fleet),
         prepare: replaceTargets,
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -195,6 +195,13 @@
         "The requests answered since the previous such line that have no line 700: of each its id, target, status and the bytes of its body, "
             + "and the connection's end if that ended the body; notListed counts those for which the line had no room.",
     ),
+    warmState: defineEvent(
+        704,
+        "warmState",
+        "info",
+        "Where a service's requests ran since the previous such line: warmShares by region of the targets, the object (by hash) and the "
+            + "target with the most attempts and their shares, and the copies of objects that were added.",
+    ),
     targetChanged: defineEvent(710, "targetChanged", "info", "A target was added, changed or removed in the store."),
     targetJudged: defineEvent(
         711,
--- a/packages/steer/src/observe/__tests__/requestLog.test.ts
+++ b/packages/steer/src/observe/__tests__/requestLog.test.ts
@@ -10,6 +10,7 @@
 import { createSteerMetrics } from "../metrics.js";
 import { createRequestLog } from "../requestLog.js";
 import { createRouteStatistics } from "../routeStatistics.js";
+import { createWarmStatistics } from "../warmStatistics.js";
 
 interface LoggedRequests {
     readonly end: (id: string, response: ReceivedResponse) => void;
@@ -27,6 +28,7 @@
         log: { write: (event, fields = {}) => lines.push({ event: event.number, fields }) },
         metrics: createSteerMetrics(),
         routeStatistics: createRouteStatistics(timer),
+        warmStatistics: createWarmStatistics(),
         describeLentSlots: () => "",
         onPoisonCleared: () => {},
         onPoisonRefused: () => {},
--- a/packages/steer/src/observe/metrics.ts
+++ b/packages/steer/src/observe/metrics.ts
@@ -7,6 +7,8 @@
 export interface SteerMetrics {
     recordAttempt(attempt: Attempt<TargetResponse>): void;
     recordRetry(service: string): void;
+    /** Counts a copy of an object that is cached elsewhere. */
+    recordCopy(service: string): void;
     recordRun(attempt: Attempt<TargetResponse>, wasQuick: boolean): void;
     recordFinalResponse(job: Job<TargetResponse>, finalResponse: FinalResponse<TargetResponse>, now: number): void;
     /** Counts a response that has ended, whether or not it is passed on. */
@@ -64,6 +66,18 @@
         labelNames: ["service"],
         registers,
     });
+    const copies = new Counter({
+        name: "pimento_copies_added_total",
+        help: "Attempts that cached an object at a further target",
+        labelNames: ["service"],
+        registers,
+    });
+    const regionRuns = new Counter({
+        name: "pimento_region_runs_total",
+        help: "Successful runs at targets, by service, region of the target and observed warmth of the object",
+        labelNames: ["service", "region", "found"],
+        registers,
+    });
     const runs = new Counter({
         name: "pimento_runs_total",
         help: "Successful runs at targets, by service, expected and observed warmth of the object",
@@ -109,8 +123,12 @@
             }
         },
         recordRetry: service => retries.inc({ service }),
-        recordRun: ({ job, isWarm }, wasQuick) =>
-            runs.inc({ service: job.service, expected: isWarm ? "known" : "new", found: wasQuick ? "known" : "new" }),
+        recordCopy: service => copies.inc({ service }),
+        recordRun: ({ job, isWarm, target }, wasQuick) => {
+            const found = wasQuick ? "known" : "new";
+            runs.inc({ service: job.service, expected: isWarm ? "known" : "new", found });
+            regionRuns.inc({ service: job.service, region: target.record.region, found });
+        },
         recordFinalResponse: (job, finalResponse, now) => {
             const outcome = finalResponse.kind === "answer"
                 ? `${Math.floor(finalResponse.answer.status / 100)}xx`
--- a/packages/steer/src/observe/requestLog.ts
+++ b/packages/steer/src/observe/requestLog.ts
@@ -17,12 +17,14 @@
 import { createAnsweredRequests } from "./answeredRequests.js";
 import type { SteerMetrics } from "./metrics.js";
 import type { RouteStatistics } from "./routeStatistics.js";
+import type { WarmStatistics } from "./warmStatistics.js";
 
 export interface RequestLogOptions {
     readonly timer: Timer;
     readonly log: Log;
     readonly metrics: SteerMetrics;
     readonly routeStatistics: RouteStatistics;
+    readonly warmStatistics: WarmStatistics;
     /** Summary of the slots that other data centres lend to a service. */
     readonly describeLentSlots: (service: ServiceId) => string;
     /** Called when a request suspected of killing targets has been served; other entries are to be informed. */
@@ -42,7 +44,7 @@
 const burstWindowMs = 1_000;
 
 export function createRequestLog(options: RequestLogOptions): RequestLog {
-    const { timer, log, metrics, routeStatistics } = options;
+    const { timer, log, metrics, routeStatistics, warmStatistics } = options;
     const lineBudget = createTokenBucket(timer, maxLinesPerSecond, burstWindowMs);
     const answeredRequests = createAnsweredRequests(timer, log);
     const stepsByJob = new Map<Job<ReceivedResponse>, string[]>();
@@ -102,6 +104,9 @@
                     }`,
             );
             metrics.recordAttempt(attempt);
+            if (warmStatistics.recordStart(attempt, choice)) {
+                metrics.recordCopy(attempt.job.service);
+            }
         },
         onQueued: (job, pressure) =>
             addStep(job, `waits, pressure ${pressure.toFixed(2)}, lent ${options.describeLentSlots(job.service) || "none"}`),
@@ -112,6 +117,7 @@
         onWorkCompleted: (attempt, wasQuick) => {
             metrics.recordRun(attempt, wasQuick);
             routeStatistics.recordRun(attempt, wasQuick);
+            warmStatistics.recordRun(attempt, wasQuick);
         },
         onPoisonRefused: options.onPoisonRefused,
         onPoisonCleared: (job, cleared) => options.onPoisonCleared(job.request, cleared),
--- a/packages/steer/src/observe/serviceLog.ts
+++ b/packages/steer/src/observe/serviceLog.ts
@@ -18,11 +18,13 @@
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 import type { TargetResponse } from "../targets/targetResponse.js";
 import { busiestRoutes, type RouteCounts, type RouteStatistics } from "./routeStatistics.js";
+import type { WarmStatistics } from "./warmStatistics.js";
 
 export interface ServiceLogOptions {
     readonly timer: Timer;
     readonly log: Log;
     readonly routeStatistics: RouteStatistics;
+    readonly warmStatistics: WarmStatistics;
     readonly registry: TargetRegistry;
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
@@ -51,6 +53,18 @@
             warmMs: Math.round(options.workTimes.warmMs(route)),
             coldMs: Math.round(options.workTimes.coldObjectMs(route)),
         });
+    const writeWarmState = (service: ServiceId): void => {
+        const { warmShares, hottestObject, hottestTarget, copiesAdded } = options.warmStatistics.takeCounts(service);
+        log.write(logEvents.warmState, {
+            service,
+            warmShares: Object.entries(warmShares).map(([region, share]) => `${region} ${share}`),
+            hottestObject: hottestObject?.name,
+            hottestObjectShare: hottestObject?.share,
+            hottestTarget: hottestTarget?.name,
+            hottestTargetShare: hottestTarget?.share,
+            copiesAdded,
+        });
+    };
     const writeService = (service: ServiceId): void => {
         const counts = routeStatistics.takeCounts(service);
         if (counts.size === 0) {
@@ -74,6 +88,7 @@
             objects: options.objectAffinity.activeObjectCount(service),
             memory: sum(targets, target => target.cache.capacity()),
         });
+        writeWarmState(service);
         const busiest = busiestRoutes(counts, maxLoggedRoutes);
         options.routes()
             .filter(route => busiest.includes(route.name))
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -28,6 +28,7 @@
 import { createRouteStatistics } from "./observe/routeStatistics.js";
 import { startServiceLog } from "./observe/serviceLog.js";
 import { createStatusRoutes } from "./observe/statusRoutes.js";
+import { createWarmStatistics } from "./observe/warmStatistics.js";
 import { createPoisonReporting } from "./poison/poisonReporting.js";
 import type { SteerSettings } from "./settings/settings.js";
 import { createReplication } from "./store/replication.js";
@@ -129,6 +130,7 @@
         onResponseEnded: metrics.recordTargetResponse,
     });
     const routeStatistics = createRouteStatistics(timer);
+    const warmStatistics = createWarmStatistics();
     const healthChecks = createHealthChecks({
         connections,
         timer,
@@ -149,6 +151,7 @@
         log,
         metrics,
         routeStatistics,
+        warmStatistics,
         describeLentSlots: service => steering.spillover.describe(service),
         onPoisonCleared: poisonReporting.onCleared,
         onPoisonRefused: poisonReporting.onRefused,
@@ -371,6 +374,7 @@
                 timer,
                 log,
                 routeStatistics,
+                warmStatistics,
                 ...steering,
                 services: () => services.keys(),
                 routes: () => document?.routes ?? [],
