--- a/packages/core/src/steering/objectAffinity.ts
+++ b/packages/core/src/steering/objectAffinity.ts
@@ -6,6 +6,7 @@
 import { mixHashes } from "../hash/hash.js";
 import type { ServiceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
+import { createObjectUsage, type ObjectUsage } from "./objectUsage.js";
 import type { Target } from "./target.js";
 
 /** Targets of a region that may cache an object. */
@@ -41,19 +42,11 @@
     readonly isUsable: (target: Target) => boolean;
 }
 
-/** Fraction of the estimated cache capacity that is relied on. */
-const usableCacheFraction = 0.95;
-const usagePeriodMs = 10_000;
-/** Objects of a service that are counted in a period, as callers choose their keys. */
-export const maxCountedObjects = 20_000;
-/** Objects looked at for one that may be forgotten. */
-const evictionCandidates = 8;
-
-interface Usage {
-    current: Map<number, number>;
-    previous: Map<number, number>;
-    startedAt: number;
-}
+/**
+ * Fraction of a data centre's estimated cache capacity that its own copies of objects may take. The rest is for objects of
+ * other data centres and regions, whose requests this entry does not learn of.
+ */
+const usableCacheFraction = 0.5;
 
 const scoreOf = (key: number, target: Target): number => mixHashes(key, target.hashSeed);
 
@@ -79,53 +72,17 @@
     return usableCacheFraction * cacheCapacity >= Math.max(1, objectCount);
 }
 
-/**
- * Makes room for another object. Of the oldest ones, the first that was used just once is forgotten: keys that are never used again
- * displace each other, not the objects that are in use. False if all of these were used again.
- */
-function makeRoom(counts: Map<number, number>): boolean {
-    for (let looked = 0; looked < evictionCandidates; looked++) {
-        const [key, count] = counts.entries().next().value!;
-        counts.delete(key);
-        if (count === 1) {
-            return true;
-        }
-        counts.set(key, count);
-    }
-    return false;
-}
-
 export function createObjectAffinity(timer: Timer): ObjectAffinity {
-    const usageByService = new Map<ServiceId, Usage>();
-    const usageOf = (service: ServiceId): Usage => {
-        let usage = usageByService.get(service);
-        if (usage === undefined) {
-            usage = { current: new Map(), previous: new Map(), startedAt: timer.now() };
-            usageByService.set(service, usage);
-        }
-        if (timer.now() - usage.startedAt > usagePeriodMs) {
-            usage.previous = usage.current;
-            usage.current = new Map();
-            usage.startedAt = timer.now();
-        }
+    const usageByService = new Map<ServiceId, ObjectUsage>();
+    const usageOf = (service: ServiceId): ObjectUsage => {
+        const usage = usageByService.get(service) ?? createObjectUsage(timer);
+        usageByService.set(service, usage);
         return usage;
     };
     return {
-        recordUse: (service, key) => {
-            const { current } = usageOf(service);
-            const count = current.get(key) ?? 0;
-            if (count > 0 || current.size < maxCountedObjects || makeRoom(current)) {
-                current.set(key, count + 1);
-            }
-        },
-        recentUses: (service, key) => {
-            const { current, previous } = usageOf(service);
-            return (current.get(key) ?? 0) + (previous.get(key) ?? 0);
-        },
-        activeObjectCount: service => {
-            const usage = usageOf(service);
-            return Math.max(usage.current.size, usage.previous.size);
-        },
+        recordUse: (service, key) => usageOf(service).record(key),
+        recentUses: (service, key) => usageOf(service).recentUses(key),
+        activeObjectCount: service => usageOf(service).activeCount(),
         homesInRegion: (key, { local, sameRegion, isUsable }, objectCount) => {
             const bestLocal = best(key, [local], isUsable);
             const bestNear = best(key, sameRegion, isUsable);
--- a/packages/steer/src/observe/__tests__/requestLog.test.ts
+++ b/packages/steer/src/observe/__tests__/requestLog.test.ts
@@ -11,6 +11,7 @@
 import { createSteerMetrics } from "../metrics.js";
 import { createRequestLog } from "../requestLog.js";
 import { createRouteStatistics } from "../routeStatistics.js";
+import { createWarmStatistics } from "../warmStatistics.js";
 import { createWorkspaceStatistics } from "../workspaceStatistics.js";
 
 interface LoggedRequests {
@@ -30,6 +31,7 @@
         metrics: createSteerMetrics(),
         routeStatistics: createRouteStatistics(timer),
         workspaceStatistics: createWorkspaceStatistics(),
+        warmStatistics: createWarmStatistics(),
         describeLentSlots: () => "",
         onPoisonCleared: () => {},
         onPoisonRefused: () => {},
--- a/packages/steer/src/observe/requestLog.ts
+++ b/packages/steer/src/observe/requestLog.ts
@@ -18,6 +18,7 @@
 import { createAnsweredRequests } from "./answeredRequests.js";
 import type { SteerMetrics } from "./metrics.js";
 import type { RouteStatistics } from "./routeStatistics.js";
+import type { WarmStatistics } from "./warmStatistics.js";
 import type { WorkspaceStatistics } from "./workspaceStatistics.js";
 
 export interface RequestLogOptions {
@@ -26,6 +27,7 @@
     readonly metrics: SteerMetrics;
     readonly routeStatistics: RouteStatistics;
     readonly workspaceStatistics: WorkspaceStatistics;
+    readonly warmStatistics: WarmStatistics;
     /** Summary of the slots that other data centres lend to a service. */
     readonly describeLentSlots: (service: ServiceId) => string;
     /** Called when a request suspected of killing targets has been served; other entries are to be informed. */
@@ -47,7 +49,7 @@
 const maxRefusalLinesPerSecond = 5;
 
 export function createRequestLog(options: RequestLogOptions): RequestLog {
-    const { timer, log, metrics, routeStatistics, workspaceStatistics } = options;
+    const { timer, log, metrics, routeStatistics, workspaceStatistics, warmStatistics } = options;
     const lineBudget = createTokenBucket(timer, maxLinesPerSecond, burstWindowMs);
     const answeredRequests = createAnsweredRequests(timer, log);
     const stepsByJob = new Map<Job<ReceivedResponse>, string[]>();
@@ -110,6 +112,9 @@
                     }`,
             );
             metrics.recordAttempt(attempt);
+            if (warmStatistics.recordStart(attempt, choice)) {
+                metrics.recordCopy(attempt.job.service);
+            }
         },
         onQueued: (job, pressure) =>
             addStep(job, `waits, pressure ${pressure.toFixed(2)}, lent ${options.describeLentSlots(job.service) || "none"}`),
@@ -120,6 +125,7 @@
         onWorkCompleted: (attempt, wasQuick) => {
             metrics.recordRun(attempt, wasQuick);
             routeStatistics.recordRun(attempt, wasQuick);
+            warmStatistics.recordRun(attempt, wasQuick);
         },
         onWorkspaceRefused: ({ request, route, result, workspace }) => {
             workspaceStatistics.record(workspace, result);
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -32,6 +32,7 @@
 import { startServiceLog } from "./observe/serviceLog.js";
 import { createStatusRoutes } from "./observe/statusRoutes.js";
 import { targetLogFields } from "./observe/targetLogFields.js";
+import { createWarmStatistics } from "./observe/warmStatistics.js";
 import { createWorkspaceStatistics } from "./observe/workspaceStatistics.js";
 import { createPoisonReporting } from "./poison/poisonReporting.js";
 import type { SteerSettings } from "./settings/settings.js";
@@ -137,6 +138,7 @@
         onResponseEnded: metrics.recordTargetResponse,
     });
     const routeStatistics = createRouteStatistics(timer);
+    const warmStatistics = createWarmStatistics();
     const healthChecks = createHealthChecks({
         connections,
         timer,
@@ -160,6 +162,7 @@
         metrics,
         routeStatistics,
         workspaceStatistics,
+        warmStatistics,
         describeLentSlots: service => steering.spillover.describe(service),
         onPoisonCleared: poisonReporting.onCleared,
         onPoisonRefused: poisonReporting.onRefused,
@@ -405,6 +408,7 @@
                 timer,
                 log,
                 routeStatistics,
+                warmStatistics,
                 ...steering,
                 services: () => services.keys(),
                 routes: () => document?.routes ?? [],
