fix(core): requests that must leave the region are not held back, and remote objects share their allowances

Change: neither allowances nor the limit on shifts apply to requests that may not run in the caller's region; for remote objects the allowances of all other regions count together.

The new test fails before.

--- a/packages/core/src/steering/__tests__/workspaceRequests.test.ts
+++ b/packages/core/src/steering/__tests__/workspaceRequests.test.ts
@@ -58,6 +58,19 @@
     assert.deepEqual([...new Set(bench.sent.map(({ target }) => target.record.region))], [far]);
 });
 
+// Guards against a workspace that is hardly served where its requests have to leave the region: the slots that other data
+// centres lend to a single entry are often fewer than one, and these requests have no other place to go.
+test("requests that may not run in the caller's region are not held back for lack of lent slots", () => {
+    const bench = benchWith(directoryOf(workspace("w", { homeRegions: [far] })), {
+        targets: [targetIn("cpt", "cpt-1"), targetIn("jnb", "jnb-1"), targetIn("jnb", "jnb-2")],
+    });
+    for (let index = 0; index < 5; index++) {
+        bench.submit(`r${index}`, { keyDigest: keyOf("w"), deadlineAt: bench.timer.now() + 4_000 });
+    }
+    assert.equal(bench.sent.length, 5);
+    assert.ok(bench.sent.every(({ target }) => target.record.region === far));
+});
+
 // Guards against a request that waits for its deadline though it can run nowhere.
 test("without a common home the request is refused at once, as not run", () => {
     const bench = benchWith(directoryOf(workspace("w", { homeRegions: [far] })), { routes: [route({ homeRegions: [near] })] });
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -165,15 +165,37 @@
         const homes = job.terms.homeRegions;
         return !options.isEvacuated(dataCentre) && (homes.length === 0 || (region !== undefined && homes.includes(region)));
     };
+    /** Its requests run in other regions whatever their load, so that neither allowances nor the limit on shifts apply. */
+    const mustLeaveRegion = ({ terms }: Job<Answer>): boolean =>
+        terms.homeRegions.length > 0 && !terms.homeRegions.includes(self.region);
     const allowanceIn = (job: Job<Answer>, dataCentre: DataCentreId): number =>
         spillover.slotAllowance(job.service, dataCentre) ?? 0;
     const isAllowed = (job: Job<Answer>, dataCentre: DataCentreId): boolean =>
-        isInHomeRegion(job, dataCentre) && (options.coversDataCentre(dataCentre) || allowanceIn(job, dataCentre) > 0);
+        isInHomeRegion(job, dataCentre)
+        && (mustLeaveRegion(job) || options.coversDataCentre(dataCentre) || allowanceIn(job, dataCentre) > 0);
+    /**
+     * Whether this entry may run another remote object. The allowances of all data centres count together: the objects are spread
+     * over them by hash, and the share of an entry in a single one is often below one slot.
+     */
+    const hasRemoteRoom = (job: Job<Answer>): boolean => {
+        let allowance = 0;
+        let inFlight = 0;
+        for (const dataCentre of registry.dataCentresOf(job.service)) {
+            if (options.regionOf(dataCentre) !== self.region) {
+                allowance += allowanceIn(job, dataCentre);
+                inFlight += options.inFlightCountAt(job.service, dataCentre);
+            }
+        }
+        return inFlight + 1 <= remoteBurstFactor * allowance + 1;
+    };
     const mayUseDataCentre = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
         if (!isInHomeRegion(job, dataCentre)) {
             return false;
         }
+        if (mustLeaveRegion(job)) {
+            return true;
+        }
         // The limit on region shifts is applied to remote objects where they are selected.
         const isShiftLimited = region !== self.region && !isRemoteObject(job) && hasOwnRegionTarget(job.service);
         if (isShiftLimited && !regionShift.mayLeaveRegion()) {
@@ -183,9 +205,9 @@
         if (region === self.region || options.coversDataCentre(dataCentre)) {
             return true;
         }
-        const allowance = allowanceIn(job, dataCentre);
-        const maxInFlight = isRemoteObject(job) ? remoteBurstFactor * allowance + 1 : allowance;
-        return options.inFlightCountAt(job.service, dataCentre) + 1 <= maxInFlight;
+        return isRemoteObject(job)
+            ? hasRemoteRoom(job)
+            : options.inFlightCountAt(job.service, dataCentre) + 1 <= allowanceIn(job, dataCentre);
     };
     const mayUseTarget = (job: Job<Answer>, target: Target, now: number): boolean => {
         if (
