--- a/packages/steer/src/targets/__tests__/foreignResponses.test.ts
+++ b/packages/steer/src/targets/__tests__/foreignResponses.test.ts
@@ -270,3 +270,26 @@
     const target = await startTarget(context, socket => void socket.write(answer("one", body)));
     assert.equal(await target.ask("one"), body);
 });
+
+// Guards against a status line that names no HTTP status: as an interim response it would be dropped, and what follows it taken
+// for the request's response.
+test("a response with a status below 100 fails the request, in whatever form it comes", async context => {
+    const head = "X-Request-Id: one\r\nX-Stamp: s\r\n";
+    const forms = {
+        "with a length": `HTTP/1.1 000 \r\n${head}Content-Length: 2\r\n\r\nok`,
+        "without a length": `HTTP/1.1 000\r\n${head}\r\nok`,
+        "with another code below 100": `HTTP/1.1 099 Odd\r\n${head}Content-Length: 0\r\n\r\n`,
+        "behind an interim response": `HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 \r\n${head}Content-Length: 0\r\n\r\n`,
+        "before another response": `HTTP/1.1 000 \r\n\r\n${answer("one", "second")}`,
+    };
+    for (const [name, bytes] of Object.entries(forms)) {
+        const target = await startTarget(context, socket => void socket.end(bytes));
+        assert.match(await target.ask("one"), /^failed: /, name);
+    }
+    const reused = await startTarget(
+        context,
+        (socket, turn) => void socket.write(turn === 0 ? answer("one", "first") : forms["with a length"].replace("one", "two")),
+    );
+    assert.equal(await reused.ask("one"), "first");
+    assert.match(await reused.ask("two"), /^failed: /, "on a reused connection");
+});
