--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -103,8 +103,8 @@
 const evictionPrice = 0.25;
 /** Makes entries try a new target soon; otherwise nothing would ever be learned about it. */
 const untriedBonus = 1;
-/** By how much a shared copy is preferred to a local one that is not due. */
-const sharedCopyMargin = 0.1;
+/** By how much a copy that the region's data centres share is preferred to a further one in this data centre. */
+const sharedCopyMargin = 0.06;
 /** Weight of the rendezvous order of targets, on which all entries agree. */
 const rendezvousWeight = 0.06;
 const hashRange = 2 ** 32;
