refactor: doc comments of limits, connections and store say what the code does

Several exported types of the limits had no doc comment, and some comments were hard to follow or did not match the code: bodies below 64 KiB are collected in blocks, not in one block of their length.

--- a/packages/core/src/limits/quotaAggregator.ts
+++ b/packages/core/src/limits/quotaAggregator.ts
@@ -1,4 +1,4 @@
-/** A relay's sums of what the instances of its data centre and the other data centres report of their use. */
+/** Sums, at the relay of a data centre, the reported use of its instances and that of the other data centres. */
 import type { DataCentreId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 import type { DataCentreReport, InstanceReport, KeyUse, TotalReport, TotalUse } from "./quotaReport.js";
@@ -16,20 +16,23 @@
 }
 
 export interface QuotaAggregator {
+    /** Records the report of an instance of this data centre, given by the hash of its id. */
     applyInstance(instance: number, report: InstanceReport): void;
+    /** Records the report of another data centre, sent by the instance with this hash of its id. */
     applyDataCentre(relay: number, report: DataCentreReport): void;
     /** Whether other instances have recently sent their reports here. */
     hasReporters(): boolean;
+    /** Returns the use of all data centres, for the instances of this one. */
     total(): TotalReport;
-    /** Returns what to tell the other data centres now. */
+    /** Returns the report that is due to the other data centres; `undefined` if none is. */
     takeDataCentreReport(): DataCentreReport | undefined;
 }
 
-/** An instance whose last report is older is not in contact. */
+/** An instance whose last report is older than this is not in contact. */
 export const contactTimeoutMs = 700;
 /** The same for a data centre; shorter, as it may admit much before the others notice that it is cut off. */
 const dataCentreTimeoutMs = 480;
-/** A report that is older is overdue. */
+/** Reports of instances and of data centres that are older than this are overdue. */
 const maxInstanceReportAgeMs = 200;
 const maxDataCentreReportAgeMs = 300;
 /** A data centre may change its relay when its former relay was silent for this long. */
@@ -45,6 +48,7 @@
 /** Change, as part of the allowance, that is passed on to other data centres at once. */
 const fastChangeFraction = 0.04;
 
+/** An instance or another data centre, as of its last report. */
 interface Source {
     readonly relay: number;
     readonly uses: Map<number, number>;
@@ -72,7 +76,7 @@
     const instances = new Map<number, Source>();
     const dataCentres = new Map<DataCentreId, Source>();
     /** Use that the successors of data centres' relays don't report, by relay. */
-    const formerSources = new Map<string, Source>();
+    const formerSources = new Map<number, Source>();
     const sent = new Map<number, SentUse>();
     let completeAt = -Infinity;
     let reportedAt = -Infinity;
@@ -104,7 +108,7 @@
     /** A relay that has just started doesn't know what instances of its data centre admitted before they restarted too. */
     const keepFormerUse = (former: Source, uses: ReadonlyMap<number, number>): void => {
         const unknown = [...former.uses].map(([key, count]) => [key, Math.max(0, count - (uses.get(key) ?? 0))] as const);
-        formerSources.set(`${former.relay}`, { ...former, uses: new Map(unknown), growth: new Map() });
+        formerSources.set(former.relay, { ...former, uses: new Map(unknown), growth: new Map() });
     };
     const growthSince = (known: Source | undefined, uses: ReadonlyMap<number, number>): Map<number, number> => {
         const growth = new Map<number, number>();
@@ -160,7 +164,7 @@
                 // What the other relay has missed has to be repeated to it.
                 completeAt = -Infinity;
             }
-            // Without what came before it, a report of changes doesn't tell the use.
+            // A report of changes can't be applied without the reports before it.
             if (!report.isComplete && !isContinued) {
                 return;
             }
--- a/packages/core/src/limits/quotaAllowance.ts
+++ b/packages/core/src/limits/quotaAllowance.ts
@@ -8,6 +8,7 @@
  */
 import type { Quota } from "./sharedLimit.js";
 
+/** Operator settings: the window of quotas, and how far they may be exceeded. */
 export interface QuotaBounds {
     readonly windowMs: number;
     /** Part of the allowance that may be exceeded. */
@@ -16,12 +17,15 @@
     readonly slack: number;
 }
 
+/** What an instance knows of the requests admitted under a key in the last window. */
 export interface KnownUse {
     /** Admitted by this instance in the last window. */
     readonly own: number;
     /** The part of `own` that the others may not know of. */
     readonly ownUnreported: number;
+    /** Admitted by the other instances in contact. */
     readonly others: number;
+    /** Admitted by instances that are not in contact. */
     readonly silent: number;
     readonly othersGrowthPerSecond: number;
     /** Instances in contact, this one included. */
@@ -30,6 +34,7 @@
     readonly instanceCount: number;
 }
 
+/** What an instance may admit under a key. */
 export interface Allowance {
     /** What the group may admit in a window. */
     readonly groupLimit: number;
@@ -68,6 +73,7 @@
     return allowance * (1 + usedOvershootFraction * overshoot) + usedSlack;
 }
 
+/** Computes what one instance may admit now. */
 export function instanceAllowance(quota: Quota, bounds: QuotaBounds, use: KnownUse): Allowance {
     const limit = targetLimit(quota, bounds);
     const groupFraction = Math.min(1, use.groupSize / Math.max(1, use.instanceCount));
--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -49,6 +49,7 @@
     readonly isOverQuota: boolean;
 }
 
+/** A shared limit whose instances report their use to each other. */
 export interface ReportedLimit<Key> extends SharedLimit<Key> {
     /**
      * Returns what is to be sent now; called at the interval `quotaReportIntervalMs`. `position` is that of this instance in
@@ -91,6 +92,7 @@
     lastRefusedAt: number;
 }
 
+/** Creates this instance's part of a shared limit. */
 export function createSharedLimit<Key extends string>(options: SharedLimitOptions): ReportedLimit<Key> {
     const { timer, random, bounds } = options;
     const selfHash = hashText(options.self);
--- a/packages/core/src/limits/quotaReport.ts
+++ b/packages/core/src/limits/quotaReport.ts
@@ -4,7 +4,9 @@
  */
 import type { DataCentreId } from "../ids.js";
 
+/** Use of one key, as one instance or one data centre counts it. */
 export interface KeyUse {
+    /** Hash of the key. */
     readonly key: number;
     /** Requests admitted in the last window. */
     readonly count: number;
@@ -13,6 +15,7 @@
 /** What an instance sends to the relay of its data centre. */
 export interface InstanceReport {
     readonly kind: "instance";
+    /** Increases with each report of the sender. */
     readonly sequence: number;
     /** Whether totals that include the sender's reports arrive at the sender. */
     readonly hasContact: boolean;
@@ -34,6 +37,7 @@
     readonly uses: readonly KeyUse[];
 }
 
+/** Use of one key over all data centres. */
 export interface TotalUse extends KeyUse {
     /** Requests admitted by instances that were heard from in the last window, but not recently. */
     readonly silentCount: number;
--- a/packages/core/src/limits/quotaView.ts
+++ b/packages/core/src/limits/quotaView.ts
@@ -22,15 +22,17 @@
     /** Instances that the relay knows to exist; 0 before the first total. */
     knownCount(): number;
     othersUse(key: number): OthersUse;
-    /** Own requests, since the key's first, that the last total includes. */
+    /** `OwnUse.taken` of the own report that the last total includes; 0 if there is none. */
     ownTaken(key: number): number;
 }
 
+/** Use of one key by this instance. */
 export interface OwnUse extends KeyUse {
     /** Requests admitted since the key's first, less those given back. */
     readonly taken: number;
 }
 
+/** Use of one key by the other instances. */
 export interface OthersUse {
     /** Admitted in the last window by other instances of the group, according to the last total. */
     readonly count: number;
--- a/packages/core/src/steering/cacheCapacity.ts
+++ b/packages/core/src/steering/cacheCapacity.ts
@@ -10,7 +10,7 @@
     record(reuseDistance: number, wasQuick: boolean): void;
 }
 
-/** Number of objects assumed before anything is known. Objects beyond it are still sent home, so a low value is corrected. */
+/** Number of objects assumed before anything is known. Objects beyond it still go to their home targets, so a low value is corrected. */
 const initialCapacity = 16;
 export const maxCapacity = 160;
 /** Distances are counted in groups of this size. */
--- a/packages/core/src/steering/leavingTargets.ts
+++ b/packages/core/src/steering/leavingTargets.ts
@@ -5,7 +5,7 @@
 export interface LeavingTargets {
     /** Returns whether it was not known yet. */
     add(incarnation: TargetIncarnationId): boolean;
-    /** The same for what a sender that is no known member said, which never takes the place of what others said. */
+    /** The same for an incarnation named by a sender that is no known member. It never displaces one added by `add`. */
     addUnconfirmed(incarnation: TargetIncarnationId): boolean;
     has(incarnation: TargetIncarnationId): boolean;
     /** Incarnations learned of recently, for the other entries. */
--- a/packages/runtime/src/http/boundedConnections.ts
+++ b/packages/runtime/src/http/boundedConnections.ts
@@ -1,4 +1,4 @@
-/** Bounds what the callers of an operator's interface, or of a platform's, can make a server hold. */
+/** Bounds the connections and open requests of a server for operators or for the platform. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
@@ -6,8 +6,9 @@
 const maxOpenRequests = 16;
 
 /**
- * Closes connections that send more requests ahead than that. Of more than `maxConnections` connections, the oldest without a request
- * in progress is closed for the next one; by themselves, connections on which blank lines arrive would stay open for ever.
+ * Closes connections that have more than `maxOpenRequests` requests without a response. When a connection beyond `maxConnections` is
+ * dropped, the oldest one without a request in progress is closed to make room for the next. Otherwise connections on which only blank
+ * lines arrive would stay open, as the runtime's timeouts don't apply to them.
  */
 export function boundConnections(server: Server, maxConnections: number): void {
     const openRequests = new Map<Socket, number>();
--- a/packages/runtime/src/http/connectionInput.ts
+++ b/packages/runtime/src/http/connectionInput.ts
@@ -12,14 +12,14 @@
     readonly timer: Timer;
     /** Bytes of responses that the connection's caller has yet to read. */
     readonly unreadBytesOf: (socket: Socket) => number;
-    /** Told of each connection that was closed as its caller read no responses. */
+    /** Called for each connection that is closed because its caller reads no responses. */
     readonly onUnread: () => void;
 }
 
 export interface ConnectionInput {
-    /** Calls `start` once the request may start; never if its connection closes first, or a response before closes it. */
+    /** Calls `start` once the request may start; never if its connection closes before, or an earlier response closes it. */
     enter(response: ServerResponse, start: () => void): void;
-    /** No request that follows on the connection is started, as the response to this one closes it. */
+    /** Starts no later request of the connection, because this response closes it. */
     endAfter(response: ServerResponse): void;
     /** Whether the connection closes behind a response to an earlier request. */
     isEnding(socket: Socket): boolean;
@@ -33,7 +33,7 @@
 const maxUnreadBytes = 1_000_000;
 /** Requests of all connections together, beyond which each connection is read only while it has none. */
 const maxTotalRequests = 4_000;
-/** Bytes of a read that the parser gets at a time: twice as many each time no request has begun in them. */
+/** Bytes of a read that the parser gets at a time. The number doubles, up to the maximum, while no request begins in them. */
 const minPieceBytes = 2_048;
 const maxPieceBytes = 8_192;
 const checkIntervalMs = 1_000;
@@ -45,7 +45,7 @@
     readonly waiting: Map<ServerResponse, () => void>;
     readonly started: Set<ServerResponse>;
     openRequests: number;
-    /** The one that is read last; the rest of it is read whatever the number of requests. */
+    /** The latest request. It is read to its end even if the connection has too many requests. */
     lastRequest: IncomingMessage | undefined;
     isEnding: boolean;
     /** Bytes that were read and that the parser has yet to get. */
@@ -176,7 +176,7 @@
                 state.waiting.clear();
             }
             if (state.waiting.size > 0 || state.isPaused) {
-                // Once the runtime has begun the next response.
+                // Runs after the runtime has begun the next response.
                 queueMicrotask(() => {
                     startWaiting(state);
                     state.feed();
--- a/packages/runtime/src/http/jsonServer.ts
+++ b/packages/runtime/src/http/jsonServer.ts
@@ -99,7 +99,7 @@
         if (size > maxBytes) {
             throw new Error(`the body is larger than ${maxBytes} bytes`);
         }
-        // Each chunk costs an object, and may keep the read that it is part of.
+        // Chunks are joined as they arrive: the object of a small one takes more memory than its bytes, and retains the read buffer.
         smallChunks.push(chunk as Buffer);
         if (smallChunks.length >= maxJoinedChunks) {
             blocks.push(Buffer.concat(smallChunks));
--- a/packages/steer/src/callers/bodyBuffer.ts
+++ b/packages/steer/src/callers/bodyBuffer.ts
@@ -1,6 +1,6 @@
 /**
- * Collects a body as it arrives, in memory that is counted by what it costs: a chunk is copied, as keeping it would keep the read that
- * it is part of, and an object a hundred times the size of a small chunk.
+ * Collects a body as it arrives, and counts the memory that it takes. Chunks are copied into blocks: a chunk that is kept retains the
+ * read buffer that it is part of, and its object may be a hundred times its size.
  */
 import type { MemoryQuota } from "./memoryQuota.js";
 
@@ -13,9 +13,9 @@
     clear(): void;
 }
 
-/** Bodies declared to be smaller get one block of their length, which counts at once. */
+/** Bodies declared to be smaller are collected in blocks, which count as soon as they are allocated. */
 const minAllocatedBytes = 64 * 1_024;
-/** Blocks of a body whose length is not known; each is twice the one before. */
+/** Sizes of the blocks of a body whose length is not known. Each block is twice the one before, up to the maximum. */
 const minBlockBytes = 4 * 1_024;
 const maxBlockBytes = 16 * 1_024;
 
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -17,7 +17,6 @@
 import type { CallerLimitLog } from "./callerLimitLog.js";
 import { type CallerResponder, createResponder } from "./callerResponder.js";
 import type { CallerResponseEnd, ResponseProgress } from "./callerResponseEnd.js";
-
 import { createCountedResponses } from "./countedResponses.js";
 import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
 import { createOpenBodies, type OpenBodies, type OpenBody } from "./openBodies.js";
@@ -137,7 +136,7 @@
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         response.sendDate = false;
         if (input.isEnding(request.socket)) {
-            // Behind a response that closes the connection: counts as not read.
+            // The response to an earlier request closes the connection, so that this request is ignored.
             return;
         }
         if (!response.shouldKeepAlive) {
--- a/packages/steer/src/mesh/quotaCodec.ts
+++ b/packages/steer/src/mesh/quotaCodec.ts
@@ -1,5 +1,5 @@
 /** Encoding of quota reports within heartbeat datagrams: a short array with byte strings of fixed-size rows. */
-import { type DataCentreId, toDataCentreId } from "@pimentospring/core/ids";
+import { toDataCentreId } from "@pimentospring/core/ids";
 import type { IncludedReport, KeyUse, QuotaReport, TotalUse } from "@pimentospring/core/limits/quotaReport";
 
 type InstanceRow = readonly [kind: 0, sequence: number, hasContact: boolean, uses: Uint8Array];
@@ -21,7 +21,7 @@
 const useRowBytes = hashBytes + countBytes;
 const totalRowBytes = hashBytes + 2 * countBytes;
 const includedRowBytes = 2 * hashBytes;
-/** Rows of one kind in a report, such that it fits into a datagram. */
+/** Maximum number of rows of one kind in a report, so that it fits into a datagram. */
 const maxRows = 2_000;
 
 export function encodeQuotaReport(report: QuotaReport): QuotaReportRow {
@@ -79,7 +79,7 @@
             && typeof isComplete === "boolean" && isRows(uses, useRowBytes)
         ? {
             kind: "dataCentre",
-            dataCentre: toDataCentreId(dataCentre) satisfies DataCentreId,
+            dataCentre: toDataCentreId(dataCentre),
             instanceCount,
             knownCount,
             heardRelays: decodeHashes(heardRelays),
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -114,14 +114,14 @@
         if (!isFromCopy(item.revision)) {
             removed.delete(targetName(id));
         }
-        else if (!isNewsOfCopy(decoded.value)) {
+        else if (!isNewerThanKnown(decoded.value)) {
             return;
         }
         removals.cancel(id);
         registry.put(decoded.value);
     };
-    /** Whether a record in an older copy tells more than what is known of its target. */
-    const isNewsOfCopy = (record: TargetRecord): boolean => {
+    /** Whether a record in an older copy is newer than what is known of its target. */
+    const isNewerThanKnown = (record: TargetRecord): boolean => {
         const known = registry.find(record.id)?.record;
         if (removed.has(targetName(record.id), record.startedAt)) {
             return false;
