refactor(mesh): plain names for what sends reports to new entries; more doc comments

`greetRegistered` and the local `greet` were figurative; they are now `sendReportsTo` and `sendReportsToNew`. Exported types and functions of the workspace modules have doc comments.

--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -19,7 +19,7 @@
     readonly self: InstanceId;
     readonly dataCentre: DataCentreId;
     readonly bounds: () => QuotaBounds;
-    /** Whether there are limits at all; without them nothing is reported. Absent: while requests are taken. */
+    /** Whether there are limits at all; without them nothing is reported. If absent, reports are sent while any key is in use. */
     readonly isEnabled?: (() => boolean) | undefined;
     /** All instances that may admit requests, this one included, in an order that all agree on. */
     readonly instances: () => readonly InstanceId[];
--- a/packages/core/src/steering/steeringEvents.ts
+++ b/packages/core/src/steering/steeringEvents.ts
@@ -12,7 +12,7 @@
     readonly request: SteeringRequest;
     readonly route: Route;
     readonly result: Result;
-    /** `undefined` if the key tells no workspace. */
+    /** `undefined` if the key belongs to no known workspace. */
     readonly workspace: WorkspaceId | undefined;
 }
 
--- a/packages/core/src/steering/workspaceDirectory.ts
+++ b/packages/core/src/steering/workspaceDirectory.ts
@@ -2,7 +2,7 @@
 import type { KeyDigest } from "../ids.js";
 import type { SteeringDocument, Workspace } from "./steeringDocument.js";
 
-/** What a key tells of its request's workspace. */
+/** The workspace that a key belongs to, as far as it is known. */
 export type KeyOwner =
     | { readonly kind: "workspace"; readonly workspace: Workspace; }
     /** No workspace has the key. */
@@ -10,6 +10,7 @@
     /** Several workspaces claim the key, or it may be one that could not be decoded. */
     | { readonly kind: "undecided"; };
 
+/** The workspaces of a document, by their keys. */
 export interface WorkspaceDirectory {
     readonly workspaces: readonly Workspace[];
     /** Whether requests need keys, since the document has workspaces. */
@@ -25,6 +26,7 @@
 const unknownOwner: KeyOwner = { kind: "unknown" };
 const undecidedOwner: KeyOwner = { kind: "undecided" };
 
+/** Creates the directory of a document's workspaces. */
 export function createWorkspaceDirectory(
     document: Pick<SteeringDocument, "workspaces" | "hasUnreadableKeys">,
 ): WorkspaceDirectory {
--- a/packages/core/src/steering/workspaceOrder.ts
+++ b/packages/core/src/steering/workspaceOrder.ts
@@ -24,6 +24,7 @@
     readonly at: number;
 }
 
+/** Returns the queued requests of a service in the order in which they are served. */
 export function sortByTurns<Answer>(
     list: readonly QueuedRequest<Answer>[],
     turns: WorkspaceTurns,
--- a/packages/core/src/steering/workspaceTerms.ts
+++ b/packages/core/src/steering/workspaceTerms.ts
@@ -18,10 +18,12 @@
     readonly weight: number;
 }
 
+/** Whether a request is accepted for a workspace, or for none; the result says why it is refused. */
 export type WorkspaceDecision =
     | { readonly kind: "accepted"; readonly terms: RequestTerms; }
     | { readonly kind: "refused"; readonly result: Result; readonly workspace: WorkspaceId | undefined; };
 
+/** What the decision about a request depends on. */
 export interface WorkspaceQuestion {
     readonly directory: WorkspaceDirectory;
     readonly route: Route;
@@ -30,6 +32,7 @@
     readonly areKeysStale: boolean;
 }
 
+/** Decides about a request by its key. On a public route, a key that is not listed counts as none. */
 export function decideWorkspace({ directory, route, key, areKeysStale }: WorkspaceQuestion): WorkspaceDecision {
     const refuse = (result: Result, workspace?: Workspace): WorkspaceDecision => ({
         kind: "refused",
--- a/packages/core/src/steering/workspaceTurns.ts
+++ b/packages/core/src/steering/workspaceTurns.ts
@@ -10,9 +10,11 @@
 export interface WorkspaceTurns {
     /** Next turn of the job's workspace, in virtual time. */
     nextTurn(job: TurnTaker): number;
+    /** Uses up the next turn of the job's workspace. */
     recordSent(job: TurnTaker): void;
 }
 
+/** The parts of a job that its turn depends on. */
 export type TurnTaker = Pick<Job<unknown>, "service" | "terms">;
 
 interface VirtualClock {
--- a/packages/steer/src/mesh/__tests__/mesh.test.ts
+++ b/packages/steer/src/mesh/__tests__/mesh.test.ts
@@ -144,7 +144,7 @@
 
 /** A mesh on a socket that records what is sent; `receive` delivers a datagram from the address. */
 async function startIsolatedMesh(timer: VirtualTimer, self: MemberRecord, poison: readonly PoisonReport[] = []) {
-    const members = createMembers(timer, self, member => mesh.greetRegistered(member));
+    const members = createMembers(timer, self, member => mesh.sendReportsTo(member));
     const sent: Heartbeat[] = [];
     let receive = (_bytes: Buffer, _address: string): void => {};
     const mesh = createMesh({
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -59,7 +59,7 @@
      * Sends an entry that the store lists for the first time the poison reports and leaving targets, also if this entry leaves
      * and the store no longer lists it.
      */
-    greetRegistered(member: Member): void;
+    sendReportsTo(member: Member): void;
     close(): void;
     sentBytes(): number;
 }
@@ -299,7 +299,7 @@
         }
     };
     /** An entry that is heard of for the first time, or again, gets the poison reports before it sends on what they name. */
-    const greet = ({ sender, isLeaving: isSenderLeaving }: Heartbeat, address: string): void => {
+    const sendReportsToNew = ({ sender, isLeaving: isSenderLeaving }: Heartbeat, address: string): void => {
         const now = timer.now();
         const isNew = now - (heardAt.get(sender) ?? -Infinity) > contactTimeoutMs;
         if (isNew) {
@@ -331,7 +331,7 @@
             options.onUnknownHeartbeat(heartbeat);
             return;
         }
-        greet(heartbeat, address);
+        sendReportsToNew(heartbeat, address);
         for (const loads of heartbeat.loads) {
             // Entries of this data centre report their own load; its relay also reports those of other data centres.
             (loads.dataCentre === self.dataCentre ? localLoads : remoteLoads).set(loads.entry, {
@@ -380,7 +380,7 @@
             const bytes = encodeHeartbeat(createHeartbeat([]));
             [...members.all()].filter(isLocal).forEach(member => sendTo(member, bytes));
         },
-        greetRegistered: member => {
+        sendReportsTo: member => {
             const heartbeat = createHeartbeat([]);
             if (heartbeat.poison.length > 0 || heartbeat.leavingTargets.length > 0) {
                 sendTo(member, encodeHeartbeat(heartbeat));
--- a/packages/steer/src/poison/__tests__/poisonFleet.ts
+++ b/packages/steer/src/poison/__tests__/poisonFleet.ts
@@ -239,7 +239,7 @@
             after: (waitMs, listener) => timer.after(waitMs, () => void (isRunning && listener())),
             subscribe: (intervalMs, listener) => timer.subscribe(intervalMs, () => void (isRunning && listener())),
         };
-        const members = createMembers(ownTimer, self, member => mesh.greetRegistered(member));
+        const members = createMembers(ownTimer, self, member => mesh.sendReportsTo(member));
         const poisonList = createPoisonList({ timer: ownTimer, isTrialEntry: members.hasLowestId });
         const poisonReporting = createPoisonReporting({
             timer: ownTimer,
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -119,7 +119,7 @@
     /** Whether all listeners are open and the entry has joined. */
     let isServing = false;
 
-    const members = createMembers(timer, self, member => mesh.greetRegistered(member));
+    const members = createMembers(timer, self, member => mesh.sendReportsTo(member));
     const poisonList = createPoisonList({ timer, isTrialEntry: members.hasLowestId });
     const poisonReporting = createPoisonReporting({
         timer,
