--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -19,7 +19,7 @@
     readonly self: InstanceId;
     readonly dataCentre: DataCentreId;
     readonly bounds: () => QuotaBounds;
-    /** Whether there are limits at all; without them nothing is reported. Absent: while requests are taken. */
+    /** Whether there are limits at all; without them nothing is reported. If absent, reports are sent while any key is in use. */
     readonly isEnabled?: (() => boolean) | undefined;
     /** All instances that may admit requests, this one included, in an order that all agree on. */
     readonly instances: () => readonly InstanceId[];
@@ -49,6 +49,7 @@
     readonly isOverQuota: boolean;
 }
 
+/** A shared limit whose instances report their use to each other. */
 export interface ReportedLimit<Key> extends SharedLimit<Key> {
     /**
      * Returns what is to be sent now; called at the interval `quotaReportIntervalMs`. `position` is that of this instance in
@@ -91,6 +92,7 @@
     lastRefusedAt: number;
 }
 
+/** Creates this instance's part of a shared limit. */
 export function createSharedLimit<Key extends string>(options: SharedLimitOptions): ReportedLimit<Key> {
     const { timer, random, bounds } = options;
     const selfHash = hashText(options.self);
