perf(core): an object's key and what holds it are computed once a selection

Cause: a selection hashed the object's key for each data centre and target, and looked for targets that have it cached although only a run on a new object needs to know.

--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -135,7 +135,7 @@
     /** Whether the target would hold a further copy of the object in the region. */
     readonly isCopy: boolean;
     /** Whether a target that the request may use has the object cached. */
-    readonly isCachedElsewhere: boolean;
+    readonly isCachedElsewhere: () => boolean;
 }
 
 interface Candidates {
@@ -157,9 +157,19 @@
         }
         return false;
     };
+    let keyedJob: Job<Answer> | undefined;
+    let keyOfJob = 0;
+    /** Hash of the job's object. A selection needs it for each data centre and target, and computing it takes longer than its use. */
+    const keyFor = (job: Job<Answer>, objectId: string): number => {
+        if (job !== keyedJob) {
+            keyedJob = job;
+            keyOfJob = objectKey(job.route, objectId);
+        }
+        return keyOfJob;
+    };
     const isRemoteObject = (job: Job<Answer>): boolean =>
         job.route.isSticky && job.request.objectId !== undefined
-        && remoteObjects.isRemote(job.service, objectKey(job.route, job.request.objectId));
+        && remoteObjects.isRemote(job.service, keyFor(job, job.request.objectId));
     const isInHomeRegion = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
         const homes = job.terms.homeRegions;
@@ -226,7 +236,7 @@
     const needsFirstRequest = (target: Target): boolean => target.isUntried && target.record.dataCentre === self.dataCentre;
     const isWarmAt = (job: Job<Answer>, target: Target): boolean =>
         job.route.isSticky && job.request.objectId !== undefined &&
-        target.cache.isCached(objectKey(job.route, job.request.objectId));
+        target.cache.isCached(keyFor(job, job.request.objectId));
     const scoreTarget = (
         job: Job<Answer>,
         target: Target,
@@ -245,7 +255,7 @@
         const score = value - transferPrice(job, target) - slotTimePrice * (workMs / coldMs) + rendezvousPreference(job, target)
             + (isColdRun && isCopy ? copyPreference(job) : 0)
             + (needsFirstRequest(target) ? untriedBonus : 0) - (isColdRun && target.cache.isFull() ? evictionPrice : 0);
-        return { target, expectedAt, value, score, isWarm, isFirstRun: isColdRun && !isCachedElsewhere };
+        return { target, expectedAt, value, score, isWarm, isFirstRun: isColdRun && !isCachedElsewhere() };
     };
     /** Expected work on an object at a target to which this entry has not sent it; other entries may have. */
     const expectedFirstRunMs = (route: Route): number => {
@@ -308,7 +318,7 @@
         if (!job.route.isSticky || objectId === undefined) {
             return [];
         }
-        const key = objectKey(job.route, objectId);
+        const key = keyFor(job, objectId);
         const isCaching = ({ record, isLeaving, isRemoved, cache }: Target): boolean =>
             record.service === job.service && !record.isDraining && !isLeaving && !isRemoved && cache.isCached(key);
         return [...registry.holdersOf(key)].filter(isCaching);
@@ -321,7 +331,7 @@
         if (!job.route.isSticky || objectId === undefined) {
             return { targets: [local, ...sameRegion, ...remote].flat().filter(isUsable), copy: undefined };
         }
-        const key = objectKey(job.route, objectId);
+        const key = keyFor(job, objectId);
         const remoteHome = objectAffinity.homeInOtherRegion(key, allowedInOtherRegions(job), isUsable);
         const isRemoteHomeOpen = remoteHome !== undefined && dataCentres.has(remoteHome.record.dataCentre);
         if (
@@ -349,7 +359,9 @@
             let bestFullScore = -Infinity;
             let bestRemote: ScoredTarget | undefined;
             const { targets, copy } = candidateTargets(job, now);
-            const isCachedElsewhere = cachingTargets(job).some(target => mayUseTarget(job, target, now));
+            let isCached: boolean | undefined;
+            const isCachedElsewhere = (): boolean =>
+                isCached ??= cachingTargets(job).some(target => mayUseTarget(job, target, now));
             for (const target of targets) {
                 const scored = scoreTarget(job, target, { isCopy: target === copy, isCachedElsewhere }, now);
                 if (!isFreeNow(target, now) || !hasRoomForBody(target, job.request.bodyBytes)) {
