refactor(core): one sliding window counter

Cause: the shared limit brought a second counter, the same but for what is given back. Change: the existing counter takes an event back where needed, and stands with the timers, as both limits and steering use it.

--- a/packages/core/src/limits/quotaLimit.ts
+++ b/packages/core/src/limits/quotaLimit.ts
@@ -5,13 +5,13 @@
 import { hashText } from "../hash/hash.js";
 import type { DataCentreId, InstanceId } from "../ids.js";
 import type { Random } from "../random/random.js";
+import { createSlidingWindowCounter, type SlidingWindowCounter } from "../time/slidingWindowCounter.js";
 import type { Timer } from "../time/timer.js";
 import { createQuotaAggregator } from "./quotaAggregator.js";
 import { type Allowance, instanceAllowance, quotaAllowance, type QuotaBounds, targetLimit } from "./quotaAllowance.js";
 import type { DataCentreReport, InstanceReport, QuotaReport, TotalReport } from "./quotaReport.js";
 import { createQuotaView, type OwnUse } from "./quotaView.js";
 import type { Admission, Quota, SharedLimit } from "./sharedLimit.js";
-import { createTakeWindow, type TakeWindow } from "./takeWindow.js";
 
 export interface SharedLimitOptions {
     readonly timer: Timer;
@@ -83,8 +83,8 @@
     readonly key: Key;
     readonly hash: number;
     readonly windowMs: number;
-    readonly own: TakeWindow;
-    readonly ownRecent: TakeWindow;
+    readonly own: SlidingWindowCounter;
+    readonly ownRecent: SlidingWindowCounter;
     quota: Quota;
     /** Requests admitted since the state was created, less those given back. */
     taken: number;
@@ -126,8 +126,8 @@
             key,
             hash: hashText(key),
             windowMs: windowMs(),
-            own: createTakeWindow(timer, windowMs(), windowSlices),
-            ownRecent: createTakeWindow(timer, recentMs, recentSlices),
+            own: createSlidingWindowCounter(timer, windowMs(), windowSlices),
+            ownRecent: createSlidingWindowCounter(timer, recentMs, recentSlices),
             quota,
             taken: 0,
             lastUsedAt: now,
@@ -149,7 +149,7 @@
         // Counts what the former window held as taken now.
         const state = createState(key, quota);
         for (let count = known.own.total(); count > 0; count--) {
-            state.own.take();
+            state.own.add();
         }
         return state;
     };
@@ -212,7 +212,7 @@
             state.lastRefusedAt = timer.now();
             return { kind: "refused", retryAfterMs: retryAfterMs(state, allowance) };
         }
-        const undo = [state.own.take(), state.ownRecent.take()];
+        const undo = [state.own.addRevocable(), state.ownRecent.addRevocable()];
         state.taken++;
         let isGivenBack = false;
         return {
--- a/packages/core/src/steering/retryBudget.ts
+++ b/packages/core/src/steering/retryBudget.ts
@@ -4,8 +4,8 @@
  * the total also holds while entries are partitioned from each other.
  */
 import type { ServiceId } from "../ids.js";
+import { createSlidingWindowCounter, type SlidingWindowCounter } from "../time/slidingWindowCounter.js";
 import type { Timer } from "../time/timer.js";
-import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter.js";
 
 export interface RetryBudget {
     /** Credits the budget for a request that a caller sent to the service. */
--- a/packages/core/src/steering/serviceRates.ts
+++ b/packages/core/src/steering/serviceRates.ts
@@ -1,8 +1,8 @@
 /** Rates at which a service's requests get slots through this entry. */
 import type { ServiceId } from "../ids.js";
+import { createSlidingWindowCounter, type SlidingWindowCounter } from "../time/slidingWindowCounter.js";
 import type { Timer } from "../time/timer.js";
 import type { OfferedLoad } from "./offeredLoad.js";
-import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter.js";
 
 export interface ServiceRates {
     /** Adds `change` to the number of requests in flight at the service's targets. */
--- a/packages/core/src/steering/target.ts
+++ b/packages/core/src/steering/target.ts
@@ -1,9 +1,9 @@
 /** This entry's view of one target: its registration, its last load report, and this entry's requests there. */
 import { hashText } from "../hash/hash.js";
+import { createSlidingWindowCounter, type SlidingWindowCounter } from "../time/slidingWindowCounter.js";
 import type { Timer } from "../time/timer.js";
 import { type CacheCapacity, createCacheCapacity } from "./cacheCapacity.js";
 import type { ObjectHolders } from "./objectHolders.js";
-import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter.js";
 import type { Route } from "./steeringDocument.js";
 import { createTargetCacheModel, type TargetCacheModel } from "./targetCacheModel.js";
 import type { LoadReport, TargetRecord } from "./targetRecord.js";
--- a/packages/core/src/steering/slidingWindowCounter.ts
+++ b/packages/core/src/time/slidingWindowCounter.ts
@@ -1,8 +1,10 @@
 /** Counts events over a sliding window divided into slices. */
-import type { Timer } from "../time/timer.js";
+import type { Timer } from "./timer.js";
 
 export interface SlidingWindowCounter {
     add(amount?: number): void;
+    /** Counts one event and returns a function that takes it back out of the slice in which it was counted. */
+    addRevocable(): () => void;
     /** Events of the last window; may overestimate, never underestimates. */
     total(): number;
 }
@@ -26,12 +28,26 @@
         }
         current = slice;
     };
+    const addTo = (slice: number, amount: number): void => {
+        const at = slice % counts.length;
+        counts[at] = counts[at]! + amount;
+        sum += amount;
+    };
     return {
         add: (amount = 1) => {
             advance();
-            const at = current % counts.length;
-            counts[at] = counts[at]! + amount;
-            sum += amount;
+            addTo(current, amount);
+        },
+        addRevocable: () => {
+            advance();
+            const addedIn = current;
+            addTo(addedIn, 1);
+            return () => {
+                advance();
+                if (current - addedIn < counts.length) {
+                    addTo(addedIn, -1);
+                }
+            };
         },
         total: () => {
             advance();
