fix(steer): quota reports on another data centre than the sender's are ignored

Cause: the data centre named in a report was taken as it came, so that a faulty entry could fill the table of sums and use up a limit. Change: an entry reports its own data centre only. The new test fails before (0 of 10 requests admitted), and passes now.

--- a/packages/steer/src/mesh/__tests__/quotaReports.test.ts
+++ b/packages/steer/src/mesh/__tests__/quotaReports.test.ts
@@ -168,3 +168,18 @@
     assert.ok(without.network.sentCount() <= heartbeatsAtMost);
     assert.ok(withQuotas.network.sentCount() > 2 * heartbeatsAtMost);
 });
+
+// Guards against sums of made-up data centres, which would grow a table without bound and use up the limit.
+test("a report on another data centre than its sender's is ignored", async () => {
+    const { timer, network, limits } = await startEntries(true);
+    timer.advance(2_000);
+    for (let index = 0; index < 50; index++) {
+        const report = { ...reports[1]!, dataCentre: toDataCentreId(`dbn-${index}`), knownCount: 1_000 } as QuotaReport;
+        network.socketOf("e0").send("e3", encodeHeartbeat({ ...heartbeat, sender: toInstanceId("e0"), quotaReport: report }));
+    }
+    timer.advance(300);
+    const quota = { ratePerSecond: 4, burst: 0 };
+    const admitted = Array.from({ length: 10 }, () => limits[3]!.tryTake("w", quota).kind === "admitted");
+    assert.ok(admitted.filter(Boolean).length >= 5, `${admitted.filter(Boolean).length} of 10`);
+    assert.ok(limits[3]!.hasContact());
+});
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -263,6 +263,10 @@
     };
     const receiveQuotaReport = (report: QuotaReport, member: Member): void => {
         if (report.kind === "dataCentre") {
+            // An entry sums up its own data centre only; others' names could fill the table of sums.
+            if (report.dataCentre !== member.record.dataCentre) {
+                return;
+            }
             reportingRelays.set(member.record.dataCentre, { member, heardAt: timer.now() });
         }
         options.quotaReports?.applyReport(member.record.id, report);
