--- a/packages/client/src/commands/changeCommands.ts
+++ b/packages/client/src/commands/changeCommands.ts
@@ -13,6 +13,8 @@
 export interface CommandContext {
     readonly store: Store;
     readonly operator: string;
+    /** Unix time in milliseconds. */
+    readonly wallTime: () => number;
     readonly asJson: boolean;
 }
 
@@ -65,7 +67,7 @@
     basedOn: number | undefined,
     edit: (current: Document | undefined) => unknown,
 ): Promise<number> {
-    const outcome = await submitChange(context.store, { by: context.operator, at: Date.now(), basedOn, edit });
+    const outcome = await submitChange(context.store, { by: context.operator, at: context.wallTime(), basedOn, edit });
     if (context.asJson) {
         print(true, { ...outcome, code: outcome.code.code, name: outcome.code.name }, "");
     }
--- a/packages/client/src/main.ts
+++ b/packages/client/src/main.ts
@@ -4,6 +4,7 @@
 import { createStore } from "@pimentospring/runtime/platform/store";
 import { exitCodes, printError, printSettingsFaults } from "@pimentospring/runtime/program/program";
 import { readSettings } from "@pimentospring/runtime/settings/settings";
+import { createClockTimer } from "@pimentospring/runtime/time/clockTimer";
 import { cac } from "cac";
 import {
     applyDocument,
@@ -145,6 +146,7 @@
     const context: CommandContext = {
         store,
         operator: operator ?? process.env["USER"] ?? "unknown",
+        wallTime: createClockTimer().wallTime,
         asJson: flags.json === true,
     };
     process.exitCode = await run(context, settings.value);
