test: clients that make a process work out of proportion to what they get

Processes of the deployed daemon, and an entry, on loopback under 30 to 500 clients: the process lives, memory and descriptors stay under the settings' bounds, and ordinary requests are answered while the clients press and after they have left. Nothing depends on the machine's speed; 40 s only end a run that hangs.

--- a/scripts/src/__tests__/memoryDeployment.ts
+++ b/scripts/src/__tests__/memoryDeployment.ts
@@ -16,9 +16,8 @@
 
 const root = fileURLToPath(new URL("../../../", import.meta.url));
 const listeners = ["callers", "readiness", "directory", "control", "mesh", "metrics"] as const;
+export type ListenerName = typeof listeners[number];
 const firstPort = 17_710;
-const targetCount = 4;
-const slotsPerTarget = 1_000;
 const bytesPerKilobyte = 1_024;
 const requestTimeoutMs = 10_000;
 
@@ -29,6 +28,10 @@
     readonly metrics: () => Promise<string>;
     /** Opens a connection to the callers' listener. */
     readonly connectCaller: () => Socket;
+    /** Opens a connection to any of the daemon's TCP listeners. */
+    readonly connectTo: (listener: ListenerName) => Socket;
+    /** Status of a GET request to any of the daemon's TCP listeners. */
+    readonly fetchStatus: (listener: ListenerName, path: string) => Promise<number>;
     /** Largest resident size so far; throws if the process has ended. */
     readonly peakResidentBytes: () => number;
     /** Descriptors that the process has open; throws if it has ended. */
@@ -68,15 +71,29 @@
     return file.roles["pimento-steer"]!;
 }
 
+export interface MemoryDeploymentOptions {
+    /** The setting `limits.memoryMb`. */
+    readonly memoryMb?: number | undefined;
+    readonly targetCount?: number | undefined;
+    readonly slotsPerTarget?: number | undefined;
+    /** Time that a target takes for a request. */
+    readonly workMs?: number | undefined;
+}
+
 /** Starts everything on addresses of a loopback network. `maxDescriptors` bounds those of the daemon. */
-export async function startMemoryDeployment(network: string, maxDescriptors?: number): Promise<MemoryDeployment> {
+export async function startMemoryDeployment(
+    network: string,
+    maxDescriptors?: number,
+    options: MemoryDeploymentOptions = {},
+): Promise<MemoryDeployment> {
+    const { targetCount = 4, slotsPerTarget = 1_000, workMs = 0 } = options;
     const host = `${network}.1`;
     const store = await startStoreStandin(`${network}.9`);
     const operator = createOperator(store);
     const targets: Server[] = [];
     for (let index = 0; index < targetCount; index++) {
         const id = `t${index}`;
-        const server = createServer((received, response) => answerAs(id, received, response));
+        const server = createServer((received, response) => answerAs({ id, slotsPerTarget, workMs }, received, response));
         const { port } = await listen(server, `${network}.${10 + index}`, 0);
         targets.push(server);
         operator.announce({
@@ -91,13 +108,15 @@
     }
     const route = { prefix: "/a/", isIdempotent: true, parts: { s: 1 }, timeoutMs: requestTimeoutMs, objectiveMs: 9_000 };
     operator.configure(1, [route]);
-    const child = startDaemon(host, store.address, maxDescriptors);
+    const child = startDaemon(host, store.address, { maxDescriptors, ...options });
     let log = "";
     child.stdout!.on("data", chunk => {
         log += String(chunk);
     });
     const addressOf = (listener: typeof listeners[number]): string => `${host}:${firstPort + listeners.indexOf(listener)}`;
-    const connectCaller = (): Socket => connect(firstPort, host).on("error", () => {});
+    const connectTo = (listener: ListenerName): Socket =>
+        connect(firstPort + listeners.indexOf(listener), host).on("error", () => {});
+    const connectCaller = (): Socket => connectTo("callers");
     const sendSmall = async (): Promise<number> => {
         const headers = { "host": standinHost, "x-request-id": "small", "x-deadline-ms": "3000" };
         const response = await request(`http://${addressOf("callers")}/a/10`, { headers, signal: AbortSignal.timeout(4_000) });
@@ -109,6 +128,12 @@
         child,
         log: () => log,
         connectCaller,
+        connectTo,
+        fetchStatus: async (listener, path) => {
+            const response = await request(`http://${addressOf(listener)}${path}`, { reset: true });
+            await response.body.dump();
+            return response.statusCode;
+        },
         openDescriptors: () => readdirSync(`/proc/${child.pid}/fd`).length,
         sendBody: async bodyBytes => {
             const headers = { "host": standinHost, "x-request-id": `body-${bodyBytes}` };
@@ -146,11 +171,17 @@
     };
 }
 
-function startDaemon(host: string, storeAddress: string, maxDescriptors: number | undefined): ChildProcess {
+interface DaemonLimits {
+    readonly maxDescriptors: number | undefined;
+    readonly memoryMb?: number | undefined;
+}
+
+function startDaemon(host: string, storeAddress: string, { maxDescriptors, memoryMb }: DaemonLimits): ChildProcess {
     const file = join(mkdtempSync(join(tmpdir(), "pimento-memory-")), "settings.toml");
     const listenLines = listeners.map((name, index) => `${name} = "${host}:${firstPort + index}"`);
     const topLines = ["name = \"memory\"", "dataCentre = \"cpt-a\"", "region = \"cpt\"", `store = "${storeAddress}"`];
-    const limitLines = maxDescriptors === undefined ? [] : ["[limits]", `fileDescriptors = ${maxDescriptors}`];
+    const limits = Object.entries({ fileDescriptors: maxDescriptors, memoryMb }).filter(([, value]) => value !== undefined);
+    const limitLines = limits.length === 0 ? [] : ["[limits]", ...limits.map(([name, value]) => `${name} = ${value}`)];
     writeFileSync(file, [...topLines, "[listen]", ...listenLines, "[regions]", "cpt-a = \"cpt\"", ...limitLines].join("\n"));
     const role = readDeployedRole();
     const command = [process.execPath, ...role.run.split(" ").slice(1)];
@@ -168,10 +199,16 @@
 
 const stalledBytes = 27_000_000;
 
+interface AnsweringTarget {
+    readonly id: string;
+    readonly slotsPerTarget: number;
+    readonly workMs: number;
+}
+
 /** Answers `/a/<bytes>`, which may be followed by an id, with as many bytes, and `/a/stalled` with a part of its answer. */
-function answerAs(id: string, received: IncomingMessage, response: ServerResponse): void {
+function answerAs({ id, slotsPerTarget, workMs }: AnsweringTarget, received: IncomingMessage, response: ServerResponse): void {
     received.resume();
-    received.once("end", () => {
+    received.once("end", async () => {
         if (received.url === "/health") {
             response.writeHead(200, { "X-Instance-Id": id }).end();
             return;
@@ -181,6 +218,9 @@
             response.write(Buffer.alloc(stalledBytes));
             return;
         }
+        if (workMs > 0) {
+            await sleep(workMs);
+        }
         const body = maxAnswer.subarray(0, Number(received.url!.split("/")[2]));
         response.writeHead(200, {
             "X-Server-Stamp": "stamp",
