fix(callers): the event loop is shared among connections, and bodies of very many chunks are refused while it is behind

Seen: 60 clients with bodies in 1-byte chunks, none beyond the limits in size, left every other caller without an answer while they sent, and for 40 s and more after they had left. An entry of the product's own interface hung alike.

Cause: the parser calls into JavaScript once a chunk (2.6 us), so that a read of 64 KiB takes 30 ms. A read was handed over whole; nothing yielded between connections, and nothing left bytes in the socket. The runtime resumes a connection whenever a part of a body is read, so that even a paused one was read on.

Change: what a connection sent is parsed, and its requests are started, in steps of 2 to 8 KiB (inputScheduler). Steps take 5 ms between two polls of the sockets, and those connections go first that used the least time lately. A connection with bytes left is not read. Beyond 5% of the memory in unparsed bytes the connection that used most is reset. While the process has been behind for a second, bodies of more than 16,384 chunks are refused, all but the four with fewest: 503 with result 2018, nothing of them is parsed any more. Framing is measured by parsed bytes, as read ones may wait.

Why it works: what one connection can make the process do between two polls is bounded, so that a new connection is accepted and its request parsed within a turn; in calm the budget is not met and nothing is deferred.

--- a/bench/src/callerBench.ts
+++ b/bench/src/callerBench.ts
@@ -29,6 +29,8 @@
         timer: createClockTimer(),
         unreadBytesOf: () => 0,
         onUnread: () => {},
+        maxHeldBytes: Infinity,
+        onExcess: () => {},
     });
     const servers = [bare, bounded] as const;
     const ports = await Promise.all(servers.map(async server => (await listen(server, "127.0.0.1", 0)).port));
--- a/packages/core/src/results/resultCode.ts
+++ b/packages/core/src/results/resultCode.ts
@@ -87,6 +87,13 @@
         "This entry can't tell whether the key is still valid, as it is cut off; use another entry.",
     ),
     overQuota: result(2017, "overQuota", "notRun", 429, "The workspace has used up its quota; retry later."),
+    tooManyChunks: result(
+        2018,
+        "tooManyChunks",
+        "notRun",
+        503,
+        "The entry is behind with what it receives, and the body comes in very many small chunks; retry later.",
+    ),
     outcomeUnknown: result(
         3001,
         "outcomeUnknown",
--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -14,6 +14,7 @@
 import { createRandom } from "../../random/random.js";
 import { createVirtualTimer, type VirtualTimer } from "../../time/virtualTimer.js";
 import { createOwnAttempts } from "../attemptDigest.js";
+import { firstPlace } from "../connectionPlace.js";
 import type { Attempt, FinalResponse, ResponseHead, SteeringRequest } from "../job.js";
 import { createMembers } from "../members.js";
 import { createObjectAffinity } from "../objectAffinity.js";
@@ -137,6 +138,7 @@
     readonly routes?: readonly Route[];
     readonly targets?: readonly TargetRecord[];
     readonly retrySlack?: number;
+    readonly maxAttempts?: number;
     readonly coldRateLimit?: number;
     readonly remoteFraction?: number;
     readonly roundTripMs?: number;
@@ -220,6 +222,7 @@
         meanWorkMs: offeredLoad.meanWorkMs,
     });
     const dispatcher: RequestDispatcher<string> = createRequestDispatcher<string>({
+        maxAttempts: options.maxAttempts ?? Infinity,
         timer,
         random,
         routeTable: () => routeTable,
@@ -278,6 +281,7 @@
                 arrivedAt: timer.now(),
                 deadlineAt: timer.now() + 2_000,
                 bodyBytes: 0,
+                place: firstPlace,
                 fingerprint: () => id as Fingerprint,
                 describeFingerprint: () => "",
                 ...fields,
--- a/packages/core/src/steering/job.ts
+++ b/packages/core/src/steering/job.ts
@@ -2,6 +2,7 @@
 import type { AttemptId, Fingerprint, KeyDigest, RequestId, ServiceId, TargetId } from "../ids.js";
 import type { Result } from "../results/resultCode.js";
 import type { Cancel } from "../time/timer.js";
+import type { ConnectionPlace } from "./connectionPlace.js";
 import type { Route } from "./steeringDocument.js";
 import type { Target } from "./target.js";
 import type { LoadReport, TargetNotice } from "./targetRecord.js";
@@ -22,6 +23,8 @@
     /** Time at which the caller stops waiting. */
     readonly deadlineAt: number;
     readonly bodyBytes: number;
+    /** Its present place among the requests of its connection. */
+    readonly place: ConnectionPlace;
     /** Hash that is equal for requests that ask for the same work. */
     readonly fingerprint: () => Fingerprint;
     /** What the fingerprint is made of, hashed part by part, for logs. */
--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -20,6 +20,7 @@
     maxBufferedBodyBytes,
     maxCallerHeaderBytes,
     maxTicketsPerResponse,
+    maxUnparsedBytes,
 } from "../constants.js";
 import { endToEndHeaders } from "../exchange/exchange.js";
 import type { ReceivedRequest } from "../exchange/requestExecutor.js";
@@ -161,7 +162,14 @@
             }
         });
     });
-    createConnectionInput({ server, timer: options.timer, unreadBytesOf: () => 0, onUnread: () => {} });
+    createConnectionInput({
+        server,
+        timer: options.timer,
+        unreadBytesOf: () => 0,
+        onUnread: () => {},
+        maxHeldBytes: maxUnparsedBytes,
+        onExcess: socket => socket.resetAndDestroy(),
+    });
     refuseMalformedRequests({
         server,
         timer: options.timer,
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -41,4 +41,6 @@
 export const callerRequestTimeoutMs = 60_000;
 /** Largest request line and headers of a caller's request. */
 export const maxCallerHeaderBytes = 16 * 1024;
+/** Bytes of all callers that have been received and not been parsed yet. */
+export const maxUnparsedBytes = 16_000_000;
 export const maxTicketsPerResponse = 100;
--- a/packages/harness/src/steering/simulatedCallers.ts
+++ b/packages/harness/src/steering/simulatedCallers.ts
@@ -4,6 +4,7 @@
  */
 import { type DataCentreId, type Fingerprint, type RegionId, toDataCentreId, toRequestId } from "@pimentospring/core/ids";
 import type { Random } from "@pimentospring/core/random/random";
+import { firstPlace } from "@pimentospring/core/steering/connectionPlace";
 import type { FinalResponse } from "@pimentospring/core/steering/job";
 import type { RequestDispatcher } from "@pimentospring/core/steering/requestDispatcher";
 import type { Timer } from "@pimentospring/core/time/timer";
@@ -101,6 +102,7 @@
             arrivedAt: timer.now(),
             deadlineAt,
             bodyBytes: 0,
+            place: firstPlace,
             fingerprint: () => caller.id as Fingerprint,
             describeFingerprint: () => "",
             callerAddress: caller.id,
--- a/packages/runtime/src/http/connectionInput.ts
+++ b/packages/runtime/src/http/connectionInput.ts
@@ -1,11 +1,14 @@
 /**
- * What a connection hands to the runtime's parser, and how many of its requests are in progress. The parser makes a request of
- * everything in a read, hundreds from a single one, so that a read is handed over in pieces, and no further while too many requests
- * wait. Requests are started in order and a few at a time, so that one connection does not take the targets from others.
+ * What a connection hands to the runtime's parser, and how many of its requests are in progress. A connection is read no further while
+ * too many of its requests wait. Requests are started in order and a few at a time, so that one connection does not take the targets
+ * from others, and the event loop's time is shared among connections (`inputScheduler.ts`).
  */
+import type { ConnectionPlace } from "@pimentospring/core/steering/connectionPlace";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { type ConnectionReader, createConnectionReader } from "./connectionReader.js";
+import { createInputScheduler, createInputTask, type InputTask } from "./inputScheduler.js";
 
 export interface ConnectionInputOptions {
     readonly server: Server;
@@ -14,15 +17,30 @@
     readonly unreadBytesOf: (socket: Socket) => number;
     /** Called for each connection that is closed because its caller reads no responses. */
     readonly onUnread: () => void;
+    /** Bytes that may have been read from all connections together without having been parsed. */
+    readonly maxHeldBytes: number;
+    /** Called for a connection whose bytes are to be dropped, as more than `maxHeldBytes` wait to be parsed. */
+    readonly onExcess: (socket: Socket) => void;
 }
 
+type Start = (place: ConnectionPlace) => void;
+
 export interface ConnectionInput {
-    /** Calls `start` once the request may start; never if its connection closes before, or an earlier response closes it. */
-    enter(response: ServerResponse, start: () => void): void;
+    /**
+     * Calls `start` once the request may start, with its place, which changes as earlier requests end. Never calls it if the connection
+     * closes before, or an earlier response closes it.
+     */
+    enter(response: ServerResponse, start: Start): void;
     /** Starts no later request of the connection, because this response closes it. */
     endAfter(response: ServerResponse): void;
     /** Whether the connection closes behind a response to an earlier request. */
     isEnding(socket: Socket): boolean;
+    /** Drops what the connection's caller sends from now on, without parsing it. */
+    discard(socket: Socket): void;
+    /** Bytes of the connection that have been parsed. */
+    parsedBytesOf(socket: Socket): number;
+    /** For how long the process has been behind with what it received. */
+    backlogMs(): number;
 }
 
 /** Requests of a connection whose responses have not been sent; beyond that it is not read. */
@@ -33,128 +51,142 @@
 const maxUnreadBytes = 1_000_000;
 /** Requests of all connections together, beyond which each connection is read only while it has none. */
 const maxTotalRequests = 4_000;
-/** Bytes of a read that the parser gets at a time. The number doubles, up to the maximum, while no request begins in them. */
-const minPieceBytes = 2_048;
-const maxPieceBytes = 8_192;
 const checkIntervalMs = 1_000;
 /** A caller with as many requests as are allowed loses its connection if it reads nothing for this long. */
 const unreadTimeoutMs = 120_000;
 
+interface StartedRequest {
+    readonly startedAt: number;
+    readonly place: { -readonly [Field in keyof ConnectionPlace]: ConnectionPlace[Field]; };
+}
+
 interface ConnectionState {
     readonly socket: Socket;
-    readonly waiting: Map<ServerResponse, () => void>;
-    readonly started: Set<ServerResponse>;
+    readonly reader: ConnectionReader;
+    readonly task: InputTask;
+    readonly waiting: Map<ServerResponse, Start>;
+    /** Started requests in order. */
+    readonly started: Map<ServerResponse, StartedRequest>;
     openRequests: number;
+    requestCount: number;
     /** The latest request. It is read to its end even if the connection has too many requests. */
     lastRequest: IncomingMessage | undefined;
     isEnding: boolean;
-    /** Bytes that were read and that the parser has yet to get. */
-    rest: Buffer;
-    pieceBytes: number;
-    isPaused: boolean;
     sentBytes: number;
     sentAt: number;
-    feed: () => void;
 }
 
-const noBytes = Buffer.alloc(0);
-
 /** The runtime's own flag for a connection, and a parser, that it has paused until responses are sent. */
 const isPausedByRuntime = (socket: Socket): boolean => (socket as { readonly _paused?: boolean; })._paused === true;
 
+/** Immediates run once the sockets have been polled. */
+const afterPoll = (listener: () => void): void => void setImmediate(listener);
+
 export function createConnectionInput(options: ConnectionInputOptions): ConnectionInput {
     const { server, timer, unreadBytesOf } = options;
+    const scheduler = createInputScheduler({ timer, afterPoll });
     const states = new Map<Socket, ConnectionState>();
     let totalRequests = 0;
+    let heldBytes = 0;
 
     const mayRead = ({ socket, openRequests, lastRequest }: ConnectionState): boolean => {
         const hasRoom = openRequests < (totalRequests < maxTotalRequests ? maxOpenRequests : 1);
         return (hasRoom || lastRequest?.complete === false) && !isPausedByRuntime(socket);
     };
-    const hasRoomToStart = ({ socket, started }: ConnectionState): boolean =>
-        started.size < maxStartedRequests && unreadBytesOf(socket) < maxUnreadBytes;
-    const startWaiting = (state: ConnectionState): void => {
-        if (state.socket.destroyed || state.socket.readableEnded) {
-            // The caller has left.
+    const hasLeft = ({ socket }: ConnectionState): boolean => socket.destroyed || socket.readableEnded;
+    const canStart = ({ socket, waiting, started }: ConnectionState): boolean =>
+        waiting.size > 0 && started.size < maxStartedRequests && unreadBytesOf(socket) < maxUnreadBytes;
+    const startNext = (state: ConnectionState): void => {
+        const [response, start] = state.waiting.entries().next().value!;
+        state.waiting.delete(response);
+        const place = { ahead: state.started.size, delayMs: 0 };
+        state.started.set(response, { startedAt: timer.now(), place });
+        start(place);
+    };
+    const removeStarted = ({ started }: ConnectionState, response: ServerResponse): void => {
+        const ended = started.get(response);
+        started.delete(response);
+        for (const { startedAt, place } of started.values()) {
+            if (ended !== undefined && place.ahead > ended.place.ahead) {
+                place.ahead--;
+                place.delayMs = timer.now() - startedAt;
+            }
+        }
+    };
+    const hasMore = (state: ConnectionState): boolean => canStart(state) || state.reader.hasPiece();
+    /** Starts a request or parses a piece. */
+    const step = (state: ConnectionState): boolean => {
+        if (hasLeft(state)) {
             state.waiting.clear();
-            return;
         }
-        for (const [response, start] of state.waiting) {
-            if (!hasRoomToStart(state)) {
-                return;
-            }
-            state.waiting.delete(response);
-            state.started.add(response);
-            start();
+        if (canStart(state)) {
+            startNext(state);
+        }
+        else if (state.reader.hasPiece()) {
+            state.reader.parsePiece();
+        }
+        if (hasMore(state)) {
+            return true;
         }
+        state.reader.settle();
+        return false;
     };
-    const watchInput = (state: ConnectionState): void => {
-        const { socket } = state;
-        const parse = socket.listeners("data")[0] as (data: Buffer) => void;
-        const isParsed = (): boolean => !socket.destroyed && socket.listeners("data").includes(onData);
-        const parsePiece = (): void => {
-            const piece = state.rest.subarray(0, state.pieceBytes);
-            state.rest = state.rest.subarray(piece.length);
-            const { openRequests } = state;
-            parse(piece);
-            state.pieceBytes = state.openRequests === openRequests
-                ? Math.min(maxPieceBytes, 2 * state.pieceBytes)
-                : minPieceBytes;
-        };
-        state.feed = () => {
-            while (state.rest.length > 0 && mayRead(state) && isParsed()) {
-                parsePiece();
-            }
-            if (!isParsed()) {
-                state.rest = noBytes;
-                return;
-            }
-            const isReadable = state.rest.length === 0 && mayRead(state);
-            if (!isReadable && !socket.isPaused()) {
-                state.isPaused = true;
-                socket.pause();
-            }
-            else if (isReadable && state.isPaused) {
-                state.isPaused = false;
-                socket.resume();
+    /** The connection that has used most time lately among those whose bytes wait. */
+    const mostUsed = (): ConnectionState | undefined => {
+        let most: ConnectionState | undefined;
+        for (const state of states.values()) {
+            if (state.reader.heldBytes() > 0 && state.task.usedMs >= (most?.task.usedMs ?? 0)) {
+                most = state;
             }
-        };
-        const onData = (data: Buffer): void => {
-            if (data.length <= minPieceBytes && state.rest.length === 0 && mayRead(state)) {
-                parse(data);
-                if (!mayRead(state)) {
-                    state.feed();
-                }
+        }
+        return most;
+    };
+    const dropExcess = (): void => {
+        while (heldBytes > options.maxHeldBytes) {
+            const state = mostUsed();
+            if (state === undefined) {
                 return;
             }
-            state.rest = state.rest.length === 0 ? data : Buffer.concat([state.rest, data]);
-            state.feed();
-        };
-        socket.off("data", parse);
-        socket.on("data", onData);
-        socket.on("resume", state.feed);
+            state.reader.discard();
+            scheduler.cancel(state.task);
+            options.onExcess(state.socket);
+        }
     };
-    server.on("connection", (socket: Socket) => {
+    const addConnection = (socket: Socket): ConnectionState => {
+        const task = createInputTask(() => step(state), timer.now());
+        const reader = createConnectionReader({
+            socket,
+            mayRead: () => mayRead(state),
+            requestCount: () => state.requestCount,
+            lastStepMs: () => task.lastStepMs,
+            onInput: () => scheduler.run(task),
+            onHeld: bytes => {
+                heldBytes += bytes;
+                dropExcess();
+            },
+        });
         const state: ConnectionState = {
             socket,
+            reader,
+            task,
             waiting: new Map(),
-            started: new Set(),
+            started: new Map(),
             openRequests: 0,
+            requestCount: 0,
             lastRequest: undefined,
             isEnding: false,
-            rest: noBytes,
-            pieceBytes: minPieceBytes,
-            isPaused: false,
             sentBytes: 0,
             sentAt: timer.now(),
-            feed: () => {},
         };
+        return state;
+    };
+    server.on("connection", (socket: Socket) => {
+        const state = addConnection(socket);
         states.set(socket, state);
-        watchInput(state);
         socket.once("close", () => {
             states.delete(socket);
             state.waiting.clear();
-            state.rest = noBytes;
+            scheduler.cancel(state.task);
         });
     });
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
@@ -163,28 +195,25 @@
             return;
         }
         state.openRequests++;
+        state.requestCount++;
         state.lastRequest = request;
         totalRequests++;
         response.once("close", () => {
             state.openRequests--;
             totalRequests--;
-            if (!state.started.delete(response)) {
-                state.waiting.delete(response);
-            }
+            removeStarted(state, response);
+            state.waiting.delete(response);
             if (!response.shouldKeepAlive) {
                 state.isEnding = true;
                 state.waiting.clear();
             }
-            if (state.waiting.size > 0 || state.isPaused) {
+            if (state.waiting.size > 0 || state.reader.isPaused()) {
                 // Runs after the runtime has begun the next response.
-                queueMicrotask(() => {
-                    startWaiting(state);
-                    state.feed();
-                });
+                queueMicrotask(() => scheduler.run(state.task));
             }
         });
     });
-    const isHeldUp = (state: ConnectionState): boolean => state.isPaused || state.waiting.size > 0;
+    const isHeldUp = (state: ConnectionState): boolean => state.reader.isPaused() || state.waiting.size > 0;
     const check = (): void => {
         for (const state of states.values()) {
             const sentBytes = state.socket.bytesWritten - state.socket.writableLength;
@@ -196,24 +225,19 @@
                 options.onUnread();
                 state.socket.resetAndDestroy();
             }
-            startWaiting(state);
-            state.feed();
+            if (isHeldUp(state)) {
+                scheduler.run(state.task);
+            }
         }
     };
     server.on("listening", () => server.once("close", timer.subscribe(checkIntervalMs, check)));
     return {
         enter: (response, start) => {
             const state = states.get(response.req.socket);
-            if (state === undefined) {
-                return;
-            }
-            if (state.waiting.size === 0 && hasRoomToStart(state)) {
-                state.started.add(response);
-                start();
-                return;
+            if (state !== undefined) {
+                state.waiting.set(response, start);
+                scheduler.run(state.task);
             }
-            state.waiting.set(response, start);
-            startWaiting(state);
         },
         endAfter: response => {
             const state = states.get(response.req.socket);
@@ -222,5 +246,8 @@
             }
         },
         isEnding: socket => states.get(socket)?.isEnding ?? true,
+        discard: socket => states.get(socket)?.reader.discard(),
+        parsedBytesOf: socket => states.get(socket)?.reader.parsedBytes() ?? 0,
+        backlogMs: scheduler.backlogMs,
     };
 }
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -185,8 +185,8 @@
         "callersOutsideLimits",
         "warn",
         "Callers went beyond what a connection may hold: requests or connections were ended. The line counts, since the last one, bodies that "
-            + "arrived too slowly, bodies with too much framing, heads that made room for other callers, and connections whose responses "
-            + "were not read.",
+            + "arrived too slowly, bodies with too much framing, bodies of many small chunks while the entry was behind, heads that made room "
+            + "for other callers, connections whose responses were not read, and connections whose input could not be parsed in time.",
     ),
     changeSubmitted: defineEvent(600, "changeSubmitted", "info", "An operator submitted a change; the line is the audit record."),
     operatorRefused: defineEvent(601, "operatorRefused", "warn", "A request without a valid operator token was refused."),
--- a/packages/steer/src/callers/__tests__/requestBodies.test.ts
+++ b/packages/steer/src/callers/__tests__/requestBodies.test.ts
@@ -7,7 +7,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createResponseBuffers } from "../../targets/responseBuffers.js";
 import type { CallerResponder } from "../callerResponder.js";
-import { type CallerRequest, type CallerServer, createCallerServer } from "../callerServer.js";
+import { type CallerRequest, type CallerServer, type CallerServerOptions, createCallerServer } from "../callerServer.js";
 import { bodyOf } from "./startedServer.js";
 
 const maxBufferedBytes = 200_000;
@@ -27,12 +27,13 @@
 let accepted: Accepted[];
 const sockets: Socket[] = [];
 
-async function startServer(): Promise<void> {
+async function startServer(options: Partial<CallerServerOptions> = {}): Promise<void> {
     accepted = [];
     callerServer = createCallerServer({
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes,
+        maxUnparsedBytes: 20_000_000,
         maxConnections: 1_000,
         isMemoryScarce: () => false,
         responseBuffers: createResponseBuffers(64_000_000),
@@ -40,6 +41,7 @@
             accepted.push({ request, responder });
             return () => {};
         },
+        ...options,
     });
     await new Promise<void>(resolve => callerServer.server.listen(0, "127.0.0.1", resolve));
 }
@@ -132,3 +134,24 @@
     await until(() => callerServer.openRequestCount() === 0);
     await until(() => caller.received().length > body.length);
 });
+
+// Guards against a process that parses 1-byte chunks for as long as their callers wish.
+test("while the process is behind, bodies in 1-byte chunks are refused as not run, and one of them alone is served", async () => {
+    await startServer({ maxBufferedBytes: 20_000_000 });
+    callerServer.setLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 3_000 });
+    const head = "POST /a/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const chunks = (count: number): Buffer => Buffer.from("1\r\nx\r\n".repeat(count));
+    const alone = call(head, chunks(100_000), "0\r\n\r\n");
+    await until(() => accepted.length === 1);
+    assert.equal(accepted[0]!.request.body.length, 100_000);
+    alone.socket.destroy();
+    const callers = Array.from({ length: 16 }, () => call(head, chunks(900_000)));
+    const isRefused = ({ received }: Caller): boolean => received().includes("tooManyChunks");
+    for (let attempt = 0; attempt < 600 && callers.filter(isRefused).length < 12; attempt++) {
+        await delay(50);
+    }
+    const refused = callers.filter(isRefused);
+    assert.ok(refused.length >= 12, `${refused.length} refused`);
+    assert.match(refused[0]!.received(), /^HTTP\/1\.1 503 [^]*Retry-After: 5\.000/);
+    assert.equal(accepted.length, 1);
+});
--- a/packages/steer/src/callers/__tests__/requestFingerprint.test.ts
+++ b/packages/steer/src/callers/__tests__/requestFingerprint.test.ts
@@ -1,4 +1,5 @@
 /** Which requests count as the same. */
+import { firstPlace } from "@pimentospring/core/steering/connectionPlace";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { CallerRequest } from "../callerServer.js";
@@ -14,6 +15,7 @@
     callerAddress: "100.64.0.9",
     removeHeaders: () => {},
     receivedAt: 0,
+    place: firstPlace,
     ...fields,
 });
 const fingerprintOf = (fields: Partial<CallerRequest> = {}, objectId: string | undefined = "7"): string =>
--- a/packages/steer/src/callers/__tests__/startedServer.ts
+++ b/packages/steer/src/callers/__tests__/startedServer.ts
@@ -21,6 +21,7 @@
         log: silentLog,
         timer: createClockTimer(),
         maxBufferedBytes: 1_000_000,
+        maxUnparsedBytes: 20_000_000,
         maxConnections: 1_000,
         isMemoryScarce: () => false,
         responseBuffers: createResponseBuffers(100_000_000),
--- a/packages/steer/src/callers/callerLimitLog.ts
+++ b/packages/steer/src/callers/callerLimitLog.ts
@@ -3,8 +3,11 @@
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
 
-/** A body that arrived too slowly, one with too much framing, a head that made room for others, responses that were not read. */
-export type CallerLimit = "slowBody" | "framing" | "slowHead" | "unread";
+/**
+ * A body that arrived too slowly, one with too much framing or of too many small chunks, a head that made room for others, responses
+ * that were not read, and a connection that was reset as the input of all could not be parsed in time.
+ */
+export type CallerLimit = "slowBody" | "framing" | "smallChunks" | "slowHead" | "unread" | "unparsed";
 
 export interface CallerLimitLog {
     record(limit: CallerLimit): void;
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -3,6 +3,7 @@
  * depends on data that the caller has yet to send.
  */
 import { type Result, results } from "@pimentospring/core/results/resultCode";
+import type { ConnectionPlace } from "@pimentospring/core/steering/connectionPlace";
 import type { CallerLimits } from "@pimentospring/core/steering/steeringDocument";
 import type { Timer } from "@pimentospring/core/time/timer";
 import { createConnectionInput } from "@pimentospring/runtime/http/connectionInput";
@@ -13,13 +14,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { ResponseBody } from "../targets/responseBody.js";
 import type { ResponseBuffers } from "../targets/responseBuffers.js";
-import { createBodyBuffer } from "./bodyBuffer.js";
-import type { CallerLimitLog } from "./callerLimitLog.js";
+import type { CallerLimit, CallerLimitLog } from "./callerLimitLog.js";
 import { type CallerResponder, createResponder } from "./callerResponder.js";
 import type { CallerResponseEnd, ResponseProgress } from "./callerResponseEnd.js";
 import { createCountedResponses } from "./countedResponses.js";
-import { createMemoryQuota, type MemoryQuota } from "./memoryQuota.js";
-import { createOpenBodies, type OpenBodies, type OpenBody } from "./openBodies.js";
+import { createMemoryQuota } from "./memoryQuota.js";
+import { type BodyFault, createOpenBodies } from "./openBodies.js";
+import { readBody } from "./requestBody.js";
 
 export interface CallerRequest {
     readonly method: string;
@@ -34,6 +35,8 @@
     readonly removeHeaders: (isRemoved: (name: string) => boolean) => void;
     /** When it had been received whole, on the timer's clock; it may wait behind others of its connection. */
     readonly receivedAt: number;
+    /** Its present place among the requests of its connection. */
+    readonly place: ConnectionPlace;
 }
 
 export interface CallerServerOptions {
@@ -43,6 +46,8 @@
     readonly maxBufferedBytes: number;
     /** Told of bytes of request bodies as they arrive. */
     readonly onBodyBytes?: (bytes: number) => void;
+    /** Limit on the bytes of all callers that have been received and not been parsed yet. */
+    readonly maxUnparsedBytes: number;
     /** Connections beyond this number are closed as they arrive. */
     readonly maxConnections: number;
     /** Whether requests are to be refused as memory is short. */
@@ -95,6 +100,10 @@
 const connectionCheckIntervalMs = 500;
 /** How long the rest of a refused body is read, so that the caller is not reset before it has read the refusal. */
 const lingerMs = 2_000;
+/** Time for which the process may be behind with its callers' input before bodies of many small chunks are refused. */
+const maxBacklogMs = 1_000;
+/** Time until a caller may repeat a request whose body took too much processor time. */
+const tooManyChunksRetryAfterMs = 5_000;
 /** Time until a caller may repeat a request for which there was no memory. */
 const noMemoryRetryAfterMs = 500;
 /** Time between two log lines on dropped connections. */
@@ -116,7 +125,11 @@
     const countedResponses = createCountedResponses({ timer, buffers: responseBuffers, onEnd: options.onResponseEnd });
     const memoryQuota = createMemoryQuota(options.maxBufferedBytes, options.onBodyBytes);
     const recordLimit = options.limitLog?.record ?? (() => {});
-    const openBodies = createOpenBodies({ timer, maxFramingMs: () => limits.headerTimeoutMs });
+    const openBodies = createOpenBodies({
+        timer,
+        maxFramingMs: () => limits.headerTimeoutMs,
+        isBehind: () => input.backlogMs() >= maxBacklogMs,
+    });
     const bodyAllocations = createMemoryQuota(options.maxBufferedBytes);
     let limits = defaultLimits;
     let isKeepAliveDisabled = false;
@@ -145,10 +158,17 @@
         const endResponse = (body: ResponseBody, requestId: string): void => countedResponses.end(response, body, requestId);
         const responder = createResponder({ response, isKeepAliveDisabled: () => isKeepAliveDisabled, endResponse });
         /** Refuses a request whose body is left unread, and closes the connection, which can't be reused. */
-        const refuseUnread = (result: Result, retryAfterMs?: number): void => {
+        const refuseUnread = (result: Result, retryAfterMs?: number, endRefusal = endAfterRequest): void => {
             input.endAfter(response);
-            const endRefusal = (body: string): void => endAfterRequest(request, response, timer, body);
-            createResponder({ response, isKeepAliveDisabled: () => true, endResponse, endRefusal }).refuse(result, retryAfterMs);
+            const end = (body: string): void => endRefusal({ request, response, timer, body });
+            createResponder({ response, isKeepAliveDisabled: () => true, endResponse, endRefusal: end })
+                .refuse(result, retryAfterMs);
+        };
+        /** Refuses a request whose body went beyond a limit; what follows of it is not parsed. */
+        const refuseBody = (fault: BodyFault): void => {
+            recordLimit(limitOf[fault]);
+            input.discard(request.socket);
+            refuseUnread(resultOf[fault], retryAfterOf[fault], fault === "stalled" ? endAtOnce : endAfterRequest);
         };
         const refuseForMemory = (): void => {
             memoryRefusals++;
@@ -167,7 +187,15 @@
             return;
         }
         const { maxBodyBytes } = limits;
-        readBody({ request, response, maxBodyBytes, memoryQuota, bodyAllocations, openBodies }, outcome => {
+        readBody({
+            request,
+            response,
+            maxBodyBytes,
+            memoryQuota,
+            bodyAllocations,
+            openBodies,
+            parsedBytesOf: input.parsedBytesOf,
+        }, outcome => {
             switch (outcome) {
                 case "tooLarge":
                     refuseUnread(results.bodyTooLarge);
@@ -176,12 +204,10 @@
                     refuseForMemory();
                     return;
                 case "tooSlow":
-                    recordLimit("slowBody");
-                    refuseUnread(results.requestTooSlow);
-                    return;
+                case "stalled":
                 case "framing":
-                    recordLimit("framing");
-                    refuseUnread(results.tooMuchFraming);
+                case "tooManyChunks":
+                    refuseBody(outcome);
                     return;
             }
             const receivedAt = timer.now();
@@ -191,8 +217,8 @@
                 if (request.socket.destroyed || request.socket.readableEnded) {
                     return;
                 }
-                input.enter(response, () => {
-                    const onCallerLeft = submit(toCallerRequest(request, outcome, receivedAt), responder);
+                input.enter(response, place => {
+                    const onCallerLeft = submit(toCallerRequest(request, outcome, receivedAt, place), responder);
                     response.once("close", () => {
                         if (!response.writableEnded) {
                             onCallerLeft();
@@ -216,16 +242,27 @@
         timer,
         unreadBytesOf: countedResponses.unreadBytesOf,
         onUnread: () => recordLimit("unread"),
+        maxHeldBytes: options.maxUnparsedBytes,
+        onExcess: socket => {
+            recordLimit("unparsed");
+            socket.resetAndDestroy();
+        },
     });
+    /** Ends a connection that serves nobody, if there is any, so that the next one is accepted. */
+    const makeRoom = (): void => {
+        if (connections.closeOneIdle()) {
+            return;
+        }
+        if (connections.closeOneReceiving()) {
+            recordLimit("slowHead");
+        }
+    };
     server.maxConnections = options.maxConnections;
     let dropsLoggedAt = -Infinity;
     let loggedDrops = 0;
     server.on("drop", () => {
         droppedConnections++;
-        // Makes room for the next one.
-        if (!connections.closeOneIdle() && connections.closeOneReceiving()) {
-            recordLimit("slowHead");
-        }
+        makeRoom();
         if (timer.now() >= dropsLoggedAt + dropLogIntervalMs) {
             log.write(logEvents.callersDropped, { count: droppedConnections - loggedDrops, open: connections.openCount() });
             dropsLoggedAt = timer.now();
@@ -262,6 +299,22 @@
     };
 }
 
+const limitOf = {
+    tooSlow: "slowBody",
+    stalled: "slowBody",
+    framing: "framing",
+    tooManyChunks: "smallChunks",
+} as const satisfies Record<BodyFault, CallerLimit>;
+
+const resultOf: Readonly<Record<BodyFault, Result>> = {
+    tooSlow: results.requestTooSlow,
+    stalled: results.requestTooSlow,
+    framing: results.tooMuchFraming,
+    tooManyChunks: results.tooManyChunks,
+};
+
+const retryAfterOf: Readonly<Partial<Record<BodyFault, number>>> = { tooManyChunks: tooManyChunksRetryAfterMs };
+
 const receivedHeaderBytes = (limits: CallerLimits): number =>
     Math.min(maxHeaderBytes, receivedHeaderFactor * limits.maxHeaderBytes);
 
@@ -291,84 +344,19 @@
     return size;
 }
 
-interface BodyReading {
+interface UnreadRequestEnd {
     readonly request: IncomingMessage;
-    /** The body counts against the quota until this response is closed. */
     readonly response: ServerResponse;
-    readonly maxBodyBytes: number;
-    readonly memoryQuota: MemoryQuota;
-    /** Bounds the memory of bodies that are allocated before they have arrived. */
-    readonly bodyAllocations: MemoryQuota;
-    readonly openBodies: OpenBodies;
-}
-
-type BodyOutcome = Buffer | "tooLarge" | "noMemory" | "tooSlow" | "framing";
-
-/** Reads the body. `done` is not called if the caller disconnects before its request is complete. */
-function readBody(reading: BodyReading, done: (outcome: BodyOutcome) => void): void {
-    const { request, response, maxBodyBytes, memoryQuota, openBodies } = reading;
-    const body = createBodyBuffer({
-        expectedBytes: Number(request.headers["content-length"] ?? 0),
-        allocations: reading.bodyAllocations,
-        reserve: bytes => {
-            while (!memoryQuota.tryTake(bytes)) {
-                if (!openBodies.giveUpStalled()) {
-                    return false;
-                }
-            }
-            return true;
-        },
-        release: memoryQuota.giveBack,
-    });
-    let size = 0;
-    const giveUp = (outcome: BodyOutcome): void => {
-        request.off("data", onData).off("end", onEnd);
-        openBodies.remove(openBody);
-        body.clear();
-        done(outcome);
-    };
-    const openBody: OpenBody = {
-        size: () => size,
-        connectionBytes: () => request.socket.bytesRead,
-        giveUp,
-    };
-    const onData = (chunk: Buffer): void => {
-        if (size + chunk.length > maxBodyBytes) {
-            giveUp("tooLarge");
-            return;
-        }
-        size += chunk.length;
-        openBodies.recordProgress(openBody);
-        if (!body.add(chunk)) {
-            giveUp("noMemory");
-        }
-    };
-    const onEnd = (): void => {
-        openBodies.remove(openBody);
-        done(body.take());
-    };
-    if (hasBody(request)) {
-        openBodies.add(openBody);
-    }
-    request.on("data", onData);
-    request.on("end", onEnd);
-    request.on("error", () => {
-        // The caller disconnected before the request was complete: nothing was routed and no response is expected.
-    });
-    response.once("close", () => {
-        openBodies.remove(openBody);
-        body.clear();
-    });
+    readonly timer: Timer;
+    /** Body of the refusal. */
+    readonly body: string;
 }
 
-const hasBody = ({ headers }: IncomingMessage): boolean =>
-    headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
-
 /**
  * Ends a response to a request that is not read whole. The body is sent at once; the rest of the request is read and
  * dropped before the connection closes, up to a time limit.
  */
-function endAfterRequest(request: IncomingMessage, response: ServerResponse, timer: Timer, body: string): void {
+function endAfterRequest({ request, response, timer, body }: UnreadRequestEnd): void {
     if (request.complete) {
         response.end(body);
         return;
@@ -383,7 +371,15 @@
     request.resume();
 }
 
-function toCallerRequest(request: IncomingMessage, body: Buffer, receivedAt: number): CallerRequest {
+/** Ends a response to a request of which nothing arrives, so that its connection makes room for another. */
+const endAtOnce = ({ response, body }: UnreadRequestEnd): void => void response.end(body);
+
+function toCallerRequest(
+    request: IncomingMessage,
+    body: Buffer,
+    receivedAt: number,
+    place: ConnectionPlace,
+): CallerRequest {
     return {
         method: request.method ?? "GET",
         path: request.url ?? "/",
@@ -397,6 +393,7 @@
         removeHeaders: isRemoved => removeHeaders(request, isRemoved),
         callerAddress: request.socket.remoteAddress ?? "",
         receivedAt,
+        place,
     };
 }
 
--- a/packages/steer/src/callers/requestHandler.ts
+++ b/packages/steer/src/callers/requestHandler.ts
@@ -93,6 +93,7 @@
                 arrivedAt,
                 deadlineAt: Math.min(deadlineAt, options.stopDeadline() - responseMarginMs),
                 bodyBytes: caller.body.length,
+                place: caller.place,
                 fingerprint: fingerprint.value,
                 describeFingerprint: fingerprint.describe,
             };
--- a/packages/steer/src/observe/metrics.ts
+++ b/packages/steer/src/observe/metrics.ts
@@ -117,8 +117,8 @@
     const callerLimits = new Counter({
         name: "pimento_caller_limits_total",
         help:
-            "Requests and connections ended as their callers went beyond a limit: slow bodies, framing of bodies, heads that made room for "
-            + "others, unread responses",
+            "Requests and connections ended as their callers went beyond a limit: slow bodies, framing of bodies, bodies of small chunks, "
+            + "heads that made room for others, unread responses, unparsed input",
         labelNames: ["limit"],
         registers,
     });
--- a/packages/steer/src/poison/__tests__/poisonFleet.ts
+++ b/packages/steer/src/poison/__tests__/poisonFleet.ts
@@ -14,6 +14,7 @@
 import { createPoisonList } from "@pimentospring/core/poison/poisonList";
 import { createRandom, type Random } from "@pimentospring/core/random/random";
 import { results } from "@pimentospring/core/results/resultCode";
+import { firstPlace } from "@pimentospring/core/steering/connectionPlace";
 import type { Attempt, FinalResponse, SteeringRequest } from "@pimentospring/core/steering/job";
 import { createMembers, type MemberRecord } from "@pimentospring/core/steering/members";
 import { createRouteTable } from "@pimentospring/core/steering/routeTable";
@@ -361,6 +362,7 @@
             arrivedAt: timer.now(),
             deadlineAt: timer.now() + deadlineMs,
             bodyBytes: 0,
+            place: firstPlace,
             fingerprint: () => fingerprint,
             describeFingerprint: () => "",
             keyDigest: undefined,
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -35,6 +35,7 @@
 import { createWarmStatistics } from "./observe/warmStatistics.js";
 import { createWorkspaceStatistics } from "./observe/workspaceStatistics.js";
 import { createPoisonReporting } from "./poison/poisonReporting.js";
+import { divideResources } from "./settings/resourceShares.js";
 import type { SteerSettings } from "./settings/settings.js";
 import { createReplication } from "./store/replication.js";
 import { requestState } from "./store/stateRequester.js";
@@ -82,14 +83,6 @@
 
 /** Largest response accepted from a target. */
 const maxResponseBytes = 32 * 1024 * 1024;
-/** Part of the process's memory for all responses together, from their first byte until their callers have read them. */
-const responseMemoryFraction = 0.25;
-/** Part of the process's memory for all request bodies together. */
-const requestMemoryFraction = 0.2;
-/** Descriptors that connections can't use. */
-const fileDescriptorsForFiles = 200;
-/** Part of the connections for callers; the rest is for targets, other entries and the store. */
-const callerConnectionFraction = 0.75;
 /** Connections to the control address: operators, and other entries while the store is unavailable. */
 const maxControlConnections = 100;
 /** Requests that arrive later than this after the stop request are refused. */
@@ -129,8 +122,8 @@
         broadcast: reports => mesh.broadcastPoison(reports),
         onRefusable: () => dispatcher.stopPoisonRequests(),
     });
-    const maxBufferedBytes = settings.limits.memoryBytes * responseMemoryFraction;
-    const responseBuffers = createResponseBuffers(maxBufferedBytes, bytes => memoryMonitor.recordBytes(bytes));
+    const shares = divideResources(settings.limits);
+    const responseBuffers = createResponseBuffers(shares.responseBytes, bytes => memoryMonitor.recordBytes(bytes));
     const connections = createTargetConnections({
         timer,
         maxResponseBytes,
@@ -231,9 +224,10 @@
     const callerServer = createCallerServer({
         log,
         timer,
-        maxBufferedBytes: settings.limits.memoryBytes * requestMemoryFraction,
+        maxBufferedBytes: shares.requestBytes,
         onBodyBytes: bytes => memoryMonitor.recordBytes(bytes),
-        maxConnections: maxCallerConnections(settings.limits.fileDescriptors),
+        maxUnparsedBytes: shares.unparsedBytes,
+        maxConnections: shares.callerConnections,
         isMemoryScarce: () => memoryMonitor.isScarce() || (memoryMonitor.isHigh() && responseBuffers.isScarce()),
         responseBuffers,
         limitLog: createCallerLimitLog({ timer, log, recordMetric: metrics.recordCallerLimit }),
@@ -454,9 +448,6 @@
     };
 }
 
-const maxCallerConnections = (fileDescriptors: number): number =>
-    Math.max(1, Math.floor((fileDescriptors - fileDescriptorsForFiles) * callerConnectionFraction));
-
 /** Settings that identify the process and its sockets; they change only with a restart. */
 const restartOnlySettings = [
     "name",
