fix(core): connections take turns at slots, whatever each has sent ahead

Seen: 30 connections with requests sent ahead, 32 of each started, and 8 slots: ordinary requests got 503 with noRoom for 40 s in a row.

Cause: all 960 requests that had been started competed with the single request of an ordinary caller by their latest start time alone, and those that had waited longest in their own connection's line were always ahead of it.

Change: a request knows its place among those of its connection. Of equally urgent requests those go first that have fewer of their own connection before them, and a request counts as arrived when it has become the first of its connection. Where every connection has one request, the order is as before.

--- a/packages/core/src/steering/__tests__/workspaceOrder.test.ts
+++ b/packages/core/src/steering/__tests__/workspaceOrder.test.ts
@@ -4,6 +4,7 @@
 import { digestKey } from "../../hash/keyDigest.js";
 import { type ServiceId, toDataCentreId, toRegionId, toWorkspaceId } from "../../ids.js";
 import { createRandom, type Random } from "../../random/random.js";
+import { type ConnectionPlace, firstPlace } from "../connectionPlace.js";
 import type { Job } from "../job.js";
 import { compareQueuedRequests, createRequestQueue, type QueuedRequest, type RequestQueue } from "../requestQueue.js";
 import type { Workspace } from "../steeringDocument.js";
@@ -27,14 +28,17 @@
     readonly priority?: number;
     readonly isCallerRetry?: boolean;
     readonly arrivedAt?: number;
+    readonly place?: ConnectionPlace;
     readonly service?: ServiceId;
 }
 
-const jobOf = ({ directory, workspace, priority = 1, isCallerRetry = false, arrivedAt = 0 }: JobFields): Job<string> =>
+const jobOf = (
+    { directory, workspace, priority = 1, isCallerRetry = false, arrivedAt = 0, place = firstPlace }: JobFields,
+): Job<string> =>
     ({
         service,
         isCallerRetry,
-        request: { arrivedAt },
+        request: { arrivedAt, place },
         terms: { directory, workspace, priority, weight: directory.weightOf(workspace) },
     }) as unknown as Job<string>;
 
@@ -52,6 +56,7 @@
             priority: random.below(2),
             isCallerRetry: random.below(3) === 0,
             arrivedAt: random.below(5),
+            place: { ahead: random.below(3), delayMs: random.below(5) },
         });
     for (let count = random.below(20); count > 0; count--) {
         queue.recordSent(pick());
--- a/packages/core/src/steering/requestQueue.ts
+++ b/packages/core/src/steering/requestQueue.ts
@@ -1,9 +1,10 @@
 /**
  * Requests that wait for a slot, in the order in which they get one. Requests that can still meet their latency
  * objective come first, ordered by their priority and then by latest start time. Late requests follow: caller retries
- * first, then by priority and then by arrival time. Where requests have workspaces, `workspaceOrder.ts` interleaves them.
+ * first, then by priority and then by arrival time. Requests of equal priority take turns by connection. Where requests have workspaces, `workspaceOrder.ts` interleaves them.
  */
 import type { ServiceId } from "../ids.js";
+import { comparePlaces } from "./connectionPlace.js";
 import type { Job } from "./job.js";
 import { countAheadInTurns, sortByTurns } from "./workspaceOrder.js";
 import { createWorkspaceTurns } from "./workspaceTurns.js";
@@ -91,9 +92,14 @@
     if (isLateA && a.job.isCallerRetry !== b.job.isCallerRetry) {
         return a.job.isCallerRetry ? -1 : 1;
     }
-    const rank = a.job.terms.priority - b.job.terms.priority;
+    const rank = a.job.terms.priority - b.job.terms.priority || comparePlaces(a.job.request.place, b.job.request.place);
     if (rank !== 0) {
         return rank;
     }
-    return isLateA ? a.job.request.arrivedAt - b.job.request.arrivedAt : a.latestStartAt - b.latestStartAt;
+    return isLateA ? arrivalOf(a) - arrivalOf(b) : latestStartOf(a) - latestStartOf(b);
 }
+
+/** A request counts as arrived when it is the first of its connection, as if its caller had sent it then. */
+export const arrivalOf = ({ job: { request } }: QueuedRequest<unknown>): number => request.arrivedAt + request.place.delayMs;
+export const latestStartOf = ({ job, latestStartAt }: QueuedRequest<unknown>): number =>
+    latestStartAt + job.request.place.delayMs;
--- a/packages/core/src/steering/workspaceOrder.ts
+++ b/packages/core/src/steering/workspaceOrder.ts
@@ -5,7 +5,8 @@
  * by arrival time if they are late. So neither a long queue of a workspace nor the retries of its callers delay others.
  */
 import type { WorkspaceId } from "../ids.js";
-import type { QueuedRequest, QueuePosition } from "./requestQueue.js";
+import { comparePlaces } from "./connectionPlace.js";
+import { arrivalOf, latestStartOf, type QueuedRequest, type QueuePosition } from "./requestQueue.js";
 import { turnInterval, type WorkspaceTurns } from "./workspaceTurns.js";
 
 /** Queued requests of one workspace that are equally urgent. */
@@ -109,8 +110,9 @@
 
 /** Orders requests that are equally urgent. */
 function compareInFlow(a: QueuedRequest<unknown>, b: QueuedRequest<unknown>, now: number): number {
+    const place = comparePlaces(a.job.request.place, b.job.request.place);
     const order = isLate(a, now)
-        ? Number(b.job.isCallerRetry) - Number(a.job.isCallerRetry) || a.job.request.arrivedAt - b.job.request.arrivedAt
-        : a.latestStartAt - b.latestStartAt;
+        ? Number(b.job.isCallerRetry) - Number(a.job.isCallerRetry) || place || arrivalOf(a) - arrivalOf(b)
+        : place || latestStartOf(a) - latestStartOf(b);
     return order || a.sequence - b.sequence;
 }
