fix(runtime): listeners for operators and the platform read no body that they have no use for

Seen: 60 clients with bodies in 1-byte chunks to the control or the metrics listener: their own requests and ordinary callers' were not answered for 40 s.

Cause: the listeners answered the head and then parsed the whole body, only to drop it.

Change: a request with a chunked body, or one of a declared length that the listener has no use for (control takes state requests of 4 KiB), is answered, nothing more of it is parsed, and its connection closes.

--- a/packages/runtime/src/http/__tests__/boundedConnections.test.ts
+++ b/packages/runtime/src/http/__tests__/boundedConnections.test.ts
@@ -4,6 +4,7 @@
 import { connect, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { createClockTimer } from "../../time/clockTimer.js";
 import { boundConnections } from "../boundedConnections.js";
 import { closeServer, createRouter, listen, readBody } from "../jsonServer.js";
 
@@ -14,7 +15,7 @@
         "GET /works": (_request, response) => void response.end("fine"),
         "GET /waits": () => {},
     }, () => {});
-    boundConnections(server, 10);
+    boundConnections({ server, timer: createClockTimer(), maxConnections: 10, maxBodyBytes: 0 });
     const { port } = await listen(server, "127.0.0.1", 0);
     context.after(() => closeServer(server));
     return () => connect(port, "127.0.0.1").on("error", () => {});
@@ -51,6 +52,21 @@
     await once(socket, "close");
 });
 
+// Guards against seconds of parsing for bodies that nobody reads.
+test("a request with a body that the server has no use for is answered, and nothing more of it is read", async context => {
+    const connectCaller = await startRouter(context);
+    const socket = connectCaller();
+    let received = "";
+    socket.on("data", chunk => {
+        received += String(chunk);
+    });
+    socket.write("GET /works HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const chunks = setInterval(() => socket.write("1\r\nx\r\n".repeat(100)), 5);
+    context.after(() => clearInterval(chunks));
+    await once(socket, "close");
+    assert.match(received, /^HTTP\/1\.1 200 [^]*fine$/);
+});
+
 // Guards against FAULT: each chunk was kept as a buffer of its own.
 test("a body of many small chunks is read whole in little memory", async () => {
     const count = 2_000_000;
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -37,6 +37,7 @@
 import { createPoisonReporting } from "./poison/poisonReporting.js";
 import { divideResources } from "./settings/resourceShares.js";
 import type { SteerSettings } from "./settings/settings.js";
+import { maxStateRequestBytes } from "./store/peerSync.js";
 import { createReplication } from "./store/replication.js";
 import { requestState } from "./store/stateRequester.js";
 import type { Store } from "./store/store.js";
@@ -364,7 +365,12 @@
     const openListeners = async (): Promise<boolean> => {
         const onError = (error: Error): void => log.write(logEvents.fault, { reason: error.message });
         const controlServer = createRouter({ ...replication.routes, ...statusRoutes }, onError);
-        boundConnections(controlServer, maxControlConnections);
+        boundConnections({
+            server: controlServer,
+            timer,
+            maxConnections: maxControlConnections,
+            maxBodyBytes: maxStateRequestBytes,
+        });
         const isCancelled = (): boolean => stopRequestedAt !== undefined;
         const open = (name: "control" | "callers" | "mesh", bind: ListenerOptions["open"]): Promise<boolean> =>
             openListener({ timer, log, name, address: settings[name], open: bind, isCancelled });
--- a/packages/steer/src/store/peerSync.ts
+++ b/packages/steer/src/store/peerSync.ts
@@ -55,7 +55,8 @@
 const seedCheckIntervalMs = 500;
 /** An entry without the store asks a seed if it has asked nobody for this long. */
 const seedRequestIntervalMs = 1_000;
-const maxRequestBytes = 4_096;
+/** Largest state request. */
+export const maxStateRequestBytes = 4_096;
 /** Another peer is asked too if one has not responded for this long. */
 const hedgeDelayMs = 250;
 /** Peers asked at the same time. */
@@ -151,7 +152,7 @@
     return {
         routes: {
             [`POST ${statePath}`]: async (incoming, response) => {
-                const stateRequest = decodeStateRequest(await readBody(incoming, maxRequestBytes));
+                const stateRequest = decodeStateRequest(await readBody(incoming, maxStateRequestBytes));
                 if (stateRequest === undefined) {
                     sendJson(response, 400, { error: "the state request is malformed" });
                     return;
