fix(callers): bodies that bring next to nothing make room for others' requests and connections

Seen: 300 bodies that came at 200 bytes a second behind their first 917 KB: POST 503 noMemory for 40 s. 100 bodies that stop short, with 200 MB of memory: 503. 400 bodies that stop after 6,000 bytes on all of the callers' connections: no connection for 40 s.

Cause: any byte counted as progress, so that a few a second held all that had come before; a request was refused for scarce memory before a stalled body was asked to make room; no body made room where connections were short.

Change: progress is 16 KiB. A body without it for 500 ms is given up, longest first, where its memory or its connection is needed, also for a request without a body; its connection closes at once behind the refusal (408, not run).

--- a/packages/steer/src/callers/__tests__/openBodies.test.ts
+++ b/packages/steer/src/callers/__tests__/openBodies.test.ts
@@ -52,6 +52,38 @@
     };
 }
 
+// Guards against memory that a few bytes a second are enough to hold.
+test("a body that brings single bytes makes room before one that brings its share", () => {
+    const { timer, addBody, giveUpStalled } = createFixture();
+    const slow = addBody();
+    const ordinary = addBody();
+    slow.receive(900_000);
+    for (let tick = 0; tick < 50; tick++) {
+        timer.advance(100);
+        slow.receive(20);
+        ordinary.receive(8_000);
+    }
+    assert.equal(giveUpStalled(), true);
+    assert.equal(slow.fault(), "stalled");
+    assert.equal(giveUpStalled(), false);
+    assert.equal(ordinary.fault(), undefined);
+});
+
+test("the body that has stalled longest makes room first, and one that has just begun is spared", () => {
+    const { timer, addBody, giveUpStalled } = createFixture();
+    const first = addBody();
+    timer.advance(300);
+    const second = addBody();
+    timer.advance(300);
+    const third = addBody();
+    assert.equal(giveUpStalled(), true);
+    assert.equal(first.fault(), "stalled");
+    assert.equal(giveUpStalled(), false);
+    timer.advance(300);
+    assert.equal(giveUpStalled(), true);
+    assert.deepEqual([second.fault(), third.fault()], ["stalled", undefined]);
+});
+
 test("while the process is behind, bodies of very many chunks are given up but for a few", () => {
     const { timer, addBody, setBehind } = createFixture();
     const costly = Array.from({ length: 20 }, addBody);
--- a/packages/steer/src/callers/__tests__/requestBodies.test.ts
+++ b/packages/steer/src/callers/__tests__/requestBodies.test.ts
@@ -135,6 +135,24 @@
     await until(() => caller.received().length > body.length);
 });
 
+// Guards against a request without a body that is refused since others' bodies fill the memory.
+test("where memory is scarce, a body that has stalled makes room for the next request", async () => {
+    let isScarce = false;
+    await startServer({ isMemoryScarce: () => isScarce });
+    const stalled = call(upload(150_000), Buffer.alloc(90_000));
+    await until(() => callerServer.bodyBytes() > 0);
+    await delay(600);
+    isScarce = true;
+    call("GET /a/1 HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    await until(() => accepted.length === 1);
+    await until(() => stalled.received().includes("requestTooSlow"));
+    assert.match(stalled.received(), /^HTTP\/1\.1 408 /);
+    assert.equal(callerServer.bodyBytes(), 0);
+    const refused = call("GET /a/2 HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    await until(() => refused.received().includes("noMemory"));
+    assert.equal(accepted.length, 1);
+});
+
 // Guards against a process that parses 1-byte chunks for as long as their callers wish.
 test("while the process is behind, bodies in 1-byte chunks are refused as not run, and one of them alone is served", async () => {
     await startServer({ maxBufferedBytes: 20_000_000 });
--- a/packages/steer/src/callers/callerServer.ts
+++ b/packages/steer/src/callers/callerServer.ts
@@ -174,7 +174,7 @@
             memoryRefusals++;
             refuseUnread(results.noMemory, noMemoryRetryAfterMs);
         };
-        if (options.isMemoryScarce()) {
+        if (options.isMemoryScarce() && !openBodies.giveUpStalled()) {
             refuseForMemory();
             return;
         }
@@ -255,7 +255,9 @@
         }
         if (connections.closeOneReceiving()) {
             recordLimit("slowHead");
+            return;
         }
+        openBodies.giveUpStalled();
     };
     server.maxConnections = options.maxConnections;
     let dropsLoggedAt = -Infinity;
--- a/packages/steer/src/callers/openBodies.ts
+++ b/packages/steer/src/callers/openBodies.ts
@@ -1,6 +1,6 @@
 /**
  * Request bodies that are being received, and the limits that they keep while they are: a minimum rate, and bounds on what is sent
- * beside the body, such as trailers and chunk extensions. When memory is short, one that has stalled makes room. While
+ * beside the body, such as trailers and chunk extensions. When memory or connections are short, one that has stalled makes room. While
  * the process is behind with its input, bodies of very many small chunks are given up.
  */
 import type { Timer } from "@pimentospring/core/time/timer";
@@ -40,7 +40,9 @@
 const minBytesPerSecond = 64;
 const graceMs = 15_000;
 /** Without progress for this long, a body makes room for others where memory or connections are short. */
-const stalledMs = 1_000;
+const stalledMs = 500;
+/** Bytes that a body has to bring for progress, so that single bytes do not hold the memory of all that came before. */
+const progressBytes = 16 * 1_024;
 /** Bytes on the connection for each byte of the body: a chunk of one byte takes six. */
 const maxFramingFactor = 16;
 const freeFramingBytes = 256 * 1_024;
@@ -53,6 +55,8 @@
     readonly startedAt: number;
     readonly startedAtBytes: number;
     progressAt: number;
+    /** Bytes of the body at the last progress. */
+    progressSize: number;
     /** Bytes of the connection when a part of the body last arrived. */
     bodyAtBytes: number;
     /** Since when bytes arrive that are no part of the body. */
@@ -110,6 +114,7 @@
                 startedAt: now,
                 startedAtBytes: bytes,
                 progressAt: now,
+                progressSize: 0,
                 bodyAtBytes: bytes,
                 framingSince: undefined,
             });
@@ -120,7 +125,10 @@
         recordProgress: body => {
             const state = bodies.get(body);
             if (state !== undefined) {
-                state.progressAt = timer.now();
+                if (body.size() >= state.progressSize + progressBytes) {
+                    state.progressAt = timer.now();
+                    state.progressSize = body.size();
+                }
                 state.bodyAtBytes = body.connectionBytes();
                 state.framingSince = undefined;
             }
