fix(steer): requests at targets take no more than their share of the descriptors

Seen: 500 connections with 20 requests ahead each, and targets with many slots: 1,200 of 1,200 descriptors open.

Cause: each request at a target has a connection of its own, and nothing bounded their number or that of idle ones beside them.

Change: targets get 0.2 of the descriptors that are not reserved (780 of 4,100). That many requests are at targets at the same time, further ones wait as where no slot is free, and an idle connection is closed for each that is opened beyond.

--- a/packages/core/src/steering/__tests__/requestDispatcher.test.ts
+++ b/packages/core/src/steering/__tests__/requestDispatcher.test.ts
@@ -34,6 +34,17 @@
     assert.equal(bench.sent.length, 5);
 });
 
+// Guards against a process that has no descriptor left, as each request at a target takes one.
+test("no more requests are at targets than there may be connections, and the next one follows when one ends", () => {
+    const bench = createTestBench({ routes: [route({ objectiveMs: 600 })], maxAttempts: 2 });
+    for (let index = 0; index < 4; index++) {
+        bench.submit(`r${index}`);
+    }
+    assert.equal(bench.sent.length, 2);
+    bench.respond(bench.sent[0]!);
+    assert.equal(bench.sent.length, 3);
+});
+
 // Guards against CRASH: large bodies filled the memory of a target whose slots were free.
 test("a target gets no more bytes of bodies than it may hold, but any single body", () => {
     const bench = createTestBench({ routes: [route({ objectiveMs: 600 })] });
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -65,6 +65,8 @@
     readonly areKeysStale: () => boolean;
     readonly quotaLimit: SharedLimit<WorkspaceId>;
     readonly roundRobin: WeightedRoundRobin;
+    /** Requests that may be at targets at the same time. */
+    readonly maxAttempts: number;
     readonly targetSelector: TargetSelector<Answer>;
     readonly regionShift: RegionShiftLimiter;
     readonly workTimes: WorkTimes;
@@ -209,7 +211,7 @@
             return admission;
         }
         const { bestFree, bestFullScore } = targetSelector.select(job);
-        if (bestFree === undefined) {
+        if (bestFree === undefined || inFlight.total() >= options.maxAttempts) {
             return "full";
         }
         const canWait = queued.latestStartAt > timer.now();
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -69,6 +69,8 @@
     readonly onCausesDropped: TargetHealthOptions["onCausesDropped"];
     /** Starts a health check; its result goes to `targetHealth.recordHealthCheck`. */
     readonly startHealthCheck: (target: Target) => void;
+    /** Requests that may be at targets at the same time, each over a connection of its own. */
+    readonly maxAttempts?: number;
     readonly send: (attempt: Attempt<Answer>) => void;
     readonly cancel: (attempt: Attempt<Answer>) => void;
     readonly events: SteeringEvents<Answer>;
@@ -184,6 +186,7 @@
         areKeysStale: options.areKeysStale,
         quotaLimit,
         roundRobin,
+        maxAttempts: options.maxAttempts ?? Infinity,
         targetSelector,
         regionShift,
         workTimes,
--- a/packages/steer/src/settings/resourceShares.ts
+++ b/packages/steer/src/settings/resourceShares.ts
@@ -14,6 +14,7 @@
     /** For what callers sent and the process has not parsed yet. */
     readonly unparsedBytes: number;
     readonly callerConnections: number;
+    readonly targetConnections: number;
 }
 
 const responseMemoryFraction = 0.25;
@@ -23,6 +24,7 @@
 const fileDescriptorsForFiles = 200;
 /** Parts of the connections for callers and for targets; the rest is for other entries, the store and operators. */
 const callerConnectionFraction = 0.75;
+const targetConnectionFraction = 0.2;
 
 const shareOfConnections = (fileDescriptors: number, fraction: number): number =>
     Math.max(1, Math.floor((fileDescriptors - fileDescriptorsForFiles) * fraction));
@@ -32,4 +34,5 @@
     requestBytes: memoryBytes * requestMemoryFraction,
     unparsedBytes: memoryBytes * unparsedMemoryFraction,
     callerConnections: shareOfConnections(fileDescriptors, callerConnectionFraction),
+    targetConnections: shareOfConnections(fileDescriptors, targetConnectionFraction),
 });
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -128,6 +128,7 @@
     const connections = createTargetConnections({
         timer,
         maxResponseBytes,
+        maxConnections: shares.targetConnections,
         buffers: responseBuffers,
         onResponseEnded: metrics.recordTargetResponse,
     });
@@ -186,6 +187,7 @@
         onTargetDeath: poisonReporting.onTargetDeath,
         onCausesDropped: poisonReporting.onCausesDropped,
         startHealthCheck: healthChecks.check,
+        maxAttempts: shares.targetConnections,
         send: targetSender.send,
         cancel: targetSender.cancel,
         events: requestLog,
--- a/packages/steer/src/targets/__tests__/targetConnections.test.ts
+++ b/packages/steer/src/targets/__tests__/targetConnections.test.ts
@@ -67,6 +67,27 @@
 
 const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
+// Guards against idle connections that take the descriptors of those in use.
+test("beyond the bound on connections, an idle one is closed for each that is opened", async context => {
+    const answer = (socket: Socket): void => void socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    const targets = await Promise.all([startTarget(answer), startTarget(answer), startTarget(answer)]);
+    const connections = createTargetConnections({
+        timer: createClockTimer(),
+        maxResponseBytes: 1_000_000,
+        maxConnections: 2,
+        buffers: createResponseBuffers(3_000_000),
+        onResponseEnded: () => {},
+    });
+    context.after(() => {
+        connections.close();
+        targets.forEach(({ server }) => server.close());
+    });
+    for (const { address } of targets) {
+        assert.equal((await get(connections, address)).kind, "response");
+    }
+    assert.equal(connections.openCount(), 2);
+});
+
 test("a response without a length is complete when its connection ends", () =>
     withTarget(
         socket => socket.end("HTTP/1.1 200 OK\r\n\r\nwhole"),
--- a/packages/steer/src/targets/targetConnections.ts
+++ b/packages/steer/src/targets/targetConnections.ts
@@ -57,6 +57,8 @@
     readonly timer: Timer;
     /** Largest response that is accepted. */
     readonly maxResponseBytes: number;
+    /** Connections, beyond which an idle one is closed for each that is opened. */
+    readonly maxConnections?: number;
     readonly buffers: ResponseBuffers;
     /** Called with each response that has ended, before it is judged. */
     readonly onResponseEnded: (response: EndedResponse) => void;
@@ -92,7 +94,7 @@
 }
 
 export function createTargetConnections(options: TargetConnectionsOptions): TargetConnections {
-    const { timer, maxResponseBytes, buffers, onResponseEnded } = options;
+    const { timer, maxResponseBytes, maxConnections = Infinity, buffers, onResponseEnded } = options;
     const idle = new Map<string, Connection[]>();
     const all = new Set<Connection>();
 
@@ -115,7 +117,16 @@
         }
         discard(connection);
     };
+    const makeRoom = (): void => {
+        if (all.size >= maxConnections) {
+            const oldest = [...idle.values()].find(({ length }) => length > 0)?.[0];
+            if (oldest !== undefined) {
+                discard(oldest);
+            }
+        }
+    };
     const connect = (address: string, connectTimeoutMs: number): Connection => {
+        makeRoom();
         const client = new Client(`http://${address}`, {
             pipelining: 1,
             headersTimeout: 0,
