fix(callers): connections that have used much time take none of what arrives meanwhile

Cause: steps of costly connections had used up the turn's time when the sockets were polled, so that an upload got one read of 64 KiB in each turn and was paused behind it.

Change: what waits and what arrives have 5 ms each, and a connection that has used more than 20 ms lately waits while others do.

--- a/packages/runtime/src/http/__tests__/inputScheduler.test.ts
+++ b/packages/runtime/src/http/__tests__/inputScheduler.test.ts
@@ -72,6 +72,25 @@
     assert.ok(isServed);
 });
 
+// Guards against a large upload that gets one read in each turn, as costly connections have used up the time before it.
+test("while costly connections wait, they use no time before the sockets are polled, and a cheap one is served at once", () => {
+    const { scheduler, createTask, poll } = createFixture();
+    const costly = Array.from({ length: 10 }, () => createTask(10_000, 1));
+    costly.forEach(scheduler.run);
+    for (let turn = 0; turn < 100; turn++) {
+        poll();
+    }
+    const before = costly.map(({ usedMs }) => usedMs);
+    costly.forEach(scheduler.run);
+    assert.deepEqual(costly.map(({ usedMs }) => usedMs), before);
+    poll();
+    let isServed = false;
+    scheduler.run(createTask(1, 0.1, () => {
+        isServed = true;
+    }));
+    assert.ok(isServed);
+});
+
 test("connections with as much work each get the same time", () => {
     const { scheduler, createTask, poll } = createFixture();
     const steps = Array.from({ length: 10 }, () => 0);
--- a/packages/runtime/src/http/inputScheduler.ts
+++ b/packages/runtime/src/http/inputScheduler.ts
@@ -32,8 +32,10 @@
     readonly afterPoll: (listener: () => void) => void;
 }
 
-/** Time for steps between two polls of the sockets. */
+/** Time for steps while the sockets are polled, and for those that wait between two polls. */
 const maxTurnMs = 5;
+/** While others wait, a task that has used more than this lately waits too, so that it takes no time from those that have used less. */
+const maxPreferredMs = 20;
 /** Time after which used time counts by half. */
 const usedHalfLifeMs = 1_000;
 
@@ -71,6 +73,7 @@
         }
     };
     const usedLately = (task: InputTask, now: number): number => task.usedMs * 0.5 ** ((now - task.usedAt) / usedHalfLifeMs);
+    const isPreferred = (task: InputTask): boolean => waiting.size === 0 || usedLately(task, timer.now()) < maxPreferredMs;
     const leastUsed = (): InputTask | undefined => {
         const now = timer.now();
         let least: InputTask | undefined;
@@ -111,6 +114,8 @@
                 isTurnScheduled = false;
                 turnUsedMs = 0;
                 runWaiting();
+                // Those that wait have had their time; what arrives with the next poll has its own.
+                turnUsedMs = 0;
             });
         }
     };
@@ -119,7 +124,7 @@
             scheduleTurn();
             // A step that makes another one due, its own or another connection's, is not interrupted by it.
             let hasMore = true;
-            while (hasMore && !isRunning && hasTime() && !waiting.has(task)) {
+            while (hasMore && !isRunning && hasTime() && !waiting.has(task) && isPreferred(task)) {
                 hasMore = runStep(task);
             }
             if (hasMore) {
