test(soak): clients that press daemons

60 clients press one daemon for up to 4 s, with 1-byte chunks, trailers without end and requests ahead whose responses they do not read. The daemon counts as undisturbed: it lives, stays within its memory and answers everybody else.

--- a/packages/soak/src/__tests__/soak.test.ts
+++ b/packages/soak/src/__tests__/soak.test.ts
@@ -22,12 +22,25 @@
 /** Safety limit for a soak that hangs; a working one ends by itself. */
 const maxSoakMs = 90_000;
 
-for (const { seed, faultPhaseMs, meanGapMs, meanProcessGapMs = 0, hasOutlastingReaders = false, cause } of regressions) {
+for (const regression of regressions) {
+    const { seed, faultPhaseMs, meanGapMs, meanProcessGapMs = 0, meanFloodGapMs = 0, hasOutlastingReaders = false, cause } =
+        regression;
     test(`seed ${seed} keeps every promise (${cause})`, () => {
         const folder = mkdtempSync(join(tmpdir(), "pimento-soak-"));
         const schedule = ["--seed", seed, "--seconds", faultPhaseMs / 1_000, "--gap", meanGapMs];
         const readers = hasOutlastingReaders ? [] : ["--no-outlasting-readers"];
-        const words = [...schedule, ...readers, "--process-gap", meanProcessGapMs, "--net", net, "--keep", folder];
+        const words = [
+            ...schedule,
+            ...readers,
+            "--process-gap",
+            meanProcessGapMs,
+            "--flood-gap",
+            meanFloodGapMs,
+            "--net",
+            net,
+            "--keep",
+            folder,
+        ];
         const ended = spawnSync(process.execPath, [program, ...words.map(String)], { encoding: "utf8", timeout: maxSoakMs });
         assert.equal(ended.status, 0, `${ended.stdout}${ended.stderr}`);
         assert.match(ended.stdout, /every promise kept/);
--- a/packages/soak/src/faults/faultInjectors.ts
+++ b/packages/soak/src/faults/faultInjectors.ts
@@ -2,10 +2,11 @@
 import type { TargetFault } from "@pimentospring/standin/direct/targetStandin";
 import type { Cluster } from "../cluster/cluster.js";
 import type { TargetHost } from "../cluster/targetHosts.js";
+import { flood } from "./clientFlood.js";
 import { type FaultInjector, onDaemon, pick } from "./faultInjector.js";
 import { processFaultInjectors, restartDelayMs } from "./processFaults.js";
 import type { ProxyFault } from "./proxy.js";
-import { type Fault, type FaultKind, processKinds } from "./schedule.js";
+import { type Fault, type FaultKind, floodKinds, processKinds } from "./schedule.js";
 
 const delayMs = 120;
 const stormIntervalMs = 150;
@@ -122,6 +123,7 @@
         await cluster.sleep(0);
     },
     storeComesBackOlder: comeBackOlder,
+    daemonFlooded: flood,
     storeLinkDelay: storeLink({ kind: "delay", delayMs }),
     storeLinkReset: storeLink({ kind: "reset" }),
     storeLinkSilence: storeLink({ kind: "silence" }),
@@ -160,8 +162,8 @@
     ...processFaultInjectors,
 };
 
-/** Faults of a daemon's process that must not disturb requests. */
-const undisturbing: ReadonlySet<FaultKind> = new Set(["daemonStop", "daemonReload", ...processKinds]);
+/** Faults of a daemon, or of its process, that must not disturb requests. */
+const undisturbing: ReadonlySet<FaultKind> = new Set(["daemonStop", "daemonReload", ...floodKinds, ...processKinds]);
 
 /** Name of the daemon that a fault disturbs, `"*"` for all daemons, or undefined for none. */
 export function affectedDaemon(cluster: Cluster, fault: Fault): string | undefined {
--- a/packages/soak/src/faults/schedule.ts
+++ b/packages/soak/src/faults/schedule.ts
@@ -51,6 +51,9 @@
 /** A store that loses what it was told. Drawn on its own too. */
 export const lostStoreKinds = ["storeComesBackOlder"] as const;
 
+/** Clients that press a daemon. Drawn on their own too. */
+export const floodKinds = ["daemonFlooded"] as const;
+
 /** What happens to the daemons' processes, ports and settings files. Drawn on their own too. */
 export const processKinds = [
     "daemonOverlap",
@@ -71,6 +74,7 @@
     | typeof responseKinds[number]
     | typeof answerKinds[number]
     | typeof lostStoreKinds[number]
+    | typeof floodKinds[number]
     | ProcessFaultKind;
 
 export interface Fault {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -14,6 +14,7 @@
     readonly gap: number;
     readonly processGap: number;
     readonly lostStoreGap: number;
+    readonly floodGap: number;
     readonly callers: number;
     readonly outlastingReaders: boolean;
     readonly net: number;
@@ -40,6 +41,7 @@
             meanGapMs: flags.gap,
             meanProcessGapMs: flags.processGap,
             meanLostStoreGapMs: flags.lostStoreGap,
+            meanFloodGapMs: flags.floodGap,
             callers,
             hasOutlastingReaders: flags.outlastingReaders,
             loopbackSubnet: net,
@@ -69,6 +71,7 @@
     .option("--gap <ms>", "Mean gap between the starts of faults", { default: 500 })
     .option("--process-gap <ms>", "The same for faults of the daemons' processes; 0 for none", { default: 1_000 })
     .option("--lost-store-gap <ms>", "The same for returns of the store from an older copy; 0 for none", { default: 0 })
+    .option("--flood-gap <ms>", "The same for clients that press a daemon; 0 for none", { default: 0 })
     .option("--callers <n>", "Concurrent callers", { default: 12 })
     .option("--no-outlasting-readers", "No callers that read more slowly than a stopping daemon can wait for")
     .option("--net <n>", "Third byte of the loopback addresses, for parallel runs", { default: 81 })
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -6,6 +6,8 @@
     readonly meanGapMs: number;
     /** Mean gap of faults of the daemons' processes; none if omitted. */
     readonly meanProcessGapMs?: number;
+    /** Mean gap of clients that press a daemon; none if omitted. */
+    readonly meanFloodGapMs?: number;
     /** Whether some callers read more slowly than a stopping daemon can wait for; false if omitted. */
     readonly hasOutlastingReaders?: boolean;
     readonly cause: string;
@@ -48,4 +50,12 @@
         cause:
             "a reset was taken for the orderly end of an answer without a length, a second answer for its rest, and a stop ended one in order",
     },
+    {
+        seed: 52002,
+        faultPhaseMs: 8_000,
+        meanGapMs: 800,
+        meanFloodGapMs: 1_000,
+        cause:
+            "clients with bodies in 1-byte chunks left all other callers without an answer, and large uploads waited behind them",
+    },
 ];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -12,6 +12,7 @@
     createFaultSchedule,
     type Fault,
     type FaultKind,
+    floodKinds,
     lostStoreKinds,
     noticeKinds,
     processKinds,
@@ -31,6 +32,8 @@
     readonly meanProcessGapMs: number;
     /** The same for returns of the store from an older copy; 0 for none. */
     readonly meanLostStoreGapMs: number;
+    /** The same for clients that press a daemon; 0 for none. */
+    readonly meanFloodGapMs: number;
     readonly callers: number;
     /** Whether some callers read more slowly than a stopping daemon can wait for. */
     readonly hasOutlastingReaders: boolean;
@@ -61,6 +64,7 @@
 /** Seed offset of the shapes of the targets' answers. */
 const shapeSeedOffset = 5_000_000;
 const lostStoreSeedOffset = 6_000_000;
+const floodSeedOffset = 7_000_000;
 /** Faults that are drawn on their own are this much rarer than other faults. */
 const rareGapFactor = 3;
 const calmPhaseMs = 8_000;
@@ -128,7 +132,7 @@
 
 /** Each group of kinds is drawn on its own, so that a new one leaves the other faults of a seed as they were. */
 function drawFaults(options: SoakOptions): readonly Fault[] {
-    const { seed, faultPhaseMs, meanGapMs, meanProcessGapMs, meanLostStoreGapMs } = options;
+    const { seed, faultPhaseMs, meanGapMs, meanProcessGapMs, meanLostStoreGapMs, meanFloodGapMs } = options;
     const draw = (seedOffset: number, gapMs: number, kinds?: readonly FaultKind[]): readonly Fault[] =>
         createFaultSchedule(createRandom(seed + seedOffset), faultPhaseMs, gapMs, kinds);
     return [
@@ -138,6 +142,7 @@
         ...draw(answerSeedOffset, rareGapFactor * meanGapMs, answerKinds),
         ...(meanProcessGapMs === 0 ? [] : draw(processSeedOffset, meanProcessGapMs, processKinds)),
         ...(meanLostStoreGapMs === 0 ? [] : draw(lostStoreSeedOffset, meanLostStoreGapMs, lostStoreKinds)),
+        ...(meanFloodGapMs === 0 ? [] : draw(floodSeedOffset, meanFloodGapMs, floodKinds)),
     ];
 }
 
