--- a/packages/runtime/src/http/connectionInput.ts
+++ b/packages/runtime/src/http/connectionInput.ts
@@ -116,7 +116,7 @@
     const hasMore = (state: ConnectionState): boolean => canStart(state) || state.reader.hasPiece();
     /** Starts a request or parses a piece. */
     const step = (state: ConnectionState): boolean => {
-        if (hasLeft(state)) {
+        if (state.waiting.size > 0 && hasLeft(state)) {
             state.waiting.clear();
         }
         if (canStart(state)) {
--- a/packages/runtime/src/http/connectionReader.ts
+++ b/packages/runtime/src/http/connectionReader.ts
@@ -51,7 +51,7 @@
     let isDiscarding = false;
     let parsedBytes = 0;
 
-    const isParsed = (): boolean => !isDiscarding && !socket.destroyed && socket.listeners("data").includes(onData);
+    const isParsed = (): boolean => !isDiscarding && !socket.destroyed && socket.listenerCount("data", onData) > 0;
     const setRest = (next: Buffer): void => {
         onHeld(next.length - rest.length);
         rest = next;
--- a/packages/runtime/src/http/inputScheduler.ts
+++ b/packages/runtime/src/http/inputScheduler.ts
@@ -107,16 +107,17 @@
             scheduleTurn();
         }
     };
+    const onPolled = (): void => {
+        isTurnScheduled = false;
+        turnUsedMs = 0;
+        runWaiting();
+        // Those that wait have had their time; what arrives with the next poll has its own.
+        turnUsedMs = 0;
+    };
     const scheduleTurn = (): void => {
         if (!isTurnScheduled) {
             isTurnScheduled = true;
-            afterPoll(() => {
-                isTurnScheduled = false;
-                turnUsedMs = 0;
-                runWaiting();
-                // Those that wait have had their time; what arrives with the next poll has its own.
-                turnUsedMs = 0;
-            });
+            afterPoll(onPolled);
         }
     };
     return {
