--- a/packages/soak/src/faults/clientFlood.ts
+++ b/packages/soak/src/faults/clientFlood.ts
@@ -56,7 +56,7 @@
         sendAll(socket, floods[client % floods.length]!);
         socket.once("close", () => {
             sockets.delete(socket);
-            setTimeout(() => isOver ? undefined : open(client), reconnectDelayMs);
+            void cluster.sleep(reconnectDelayMs).then(() => isOver ? undefined : open(client));
         });
     };
     Array.from({ length: clientCount }, (_, client) => open(client));
--- a/scripts/src/__tests__/clientFloods.ts
+++ b/scripts/src/__tests__/clientFloods.ts
@@ -26,7 +26,7 @@
     };
 }
 
-/** Sends `pieces` a second for as long as the connection is open, in the background. */
+/** Calls `send` for as long as the connection is open, with a pause after each call. */
 async function repeatWhileOpen(isOpen: () => boolean, intervalMs: number, send: () => Promise<void>): Promise<void> {
     while (isOpen()) {
         await send();
