--- a/packages/core/src/steering/spillover.ts
+++ b/packages/core/src/steering/spillover.ts
@@ -23,6 +23,8 @@
     slotAllowance(service: ServiceId, dataCentre: DataCentreId): number | undefined;
     /** Fraction of this entry's load that the plan serves in other regions. */
     remoteFraction(service: ServiceId): number;
+    /** Whether the plan rests on reported loads; otherwise on the assumption that all data centres have the same load. */
+    areLoadsKnown(service: ServiceId): boolean;
     /** Summary of a service's slot allowances, for logs. */
     describe(service: ServiceId): string;
 }
@@ -90,6 +92,7 @@
         }
         return loads;
     };
+    const areLoadsKnown = (service: ServiceId): boolean => options.loadAgeMs(service) >= minOwnLoadAgeMs;
     const computePlan = (service: ServiceId): Plan => {
         // The local data centre counts even if it has no targets of the service.
         const slots = new Map<DataCentreId, number>([[self.dataCentre, 0]]);
@@ -97,7 +100,7 @@
             slots.set(dataCentre, options.availableSlots(service, dataCentre));
         }
         const loads = currentLoads(service);
-        if (options.loadAgeMs(service) < minOwnLoadAgeMs) {
+        if (!areLoadsKnown(service)) {
             const allowances = initialAllowances(self.dataCentre, options.ownEntryCount(), slots);
             return { createdAt: timer.now(), allowances, shortfallFraction: initialShortfallFraction(self.dataCentre, slots) };
         }
@@ -134,6 +137,7 @@
             }
             return total === 0 ? 0 : shortfallFraction * (remote / total);
         },
+        areLoadsKnown,
         describe: service =>
             [...planOf(service).allowances]
                 .filter(([, slots]) => slots >= 1)
--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -202,7 +202,8 @@
         701,
         "serviceState",
         "info",
-        "Load of a service, its slots in this region, and the objects that it uses and its targets cache; logged while it has requests.",
+        "Load of a service, its slots in this region, and the objects that it uses and its targets cache; logged while it has requests. "
+            + "areLoadsKnown: the slots lent by other data centres follow from reported loads; before, from equal ones.",
     ),
     routeState: defineEvent(
         702,
@@ -221,7 +222,8 @@
         704,
         "warmState",
         "info",
-        "Where a service's requests ran since the previous such line: warmShares by region of the targets, the object (by hash) and the "
+        "Where a service's requests ran since the previous such line: warmShares by region of the targets, with attemptShares the share of "
+            + "all attempts by region, the object (by hash) and the "
             + "target with the most attempts and their shares, and the copies of objects that were added.",
     ),
     overQuota: defineEvent(
@@ -243,8 +245,8 @@
         713,
         "removalDeferred",
         "info",
-        "Removals of targets are put off, as their records may have expired in a failure of the store; the line gives its age. "
-            + "Without an age: the records vanished together.",
+        "Removals of targets are put off, as their records may have expired in a failure of the store; the line gives its age, "
+            + "who saw it (own, or the peer that told of it) and the targets. Without an age: the records vanished together.",
     ),
     itemRefused: defineEvent(720, "itemRefused", "warn", "An item in the store is invalid; what is in force stays."),
     registered: defineEvent(721, "registered", "info", "This entry is registered in the store."),
--- a/packages/steer/src/observe/serviceLog.ts
+++ b/packages/steer/src/observe/serviceLog.ts
@@ -54,10 +54,13 @@
             coldMs: Math.round(options.workTimes.coldObjectMs(route)),
         });
     const writeWarmState = (service: ServiceId): void => {
-        const { warmShares, hottestObject, hottestTarget, copiesAdded } = options.warmStatistics.takeCounts(service);
+        const { warmShares, attemptShares, hottestObject, hottestTarget, copiesAdded } = options.warmStatistics.takeCounts(
+            service,
+        );
         log.write(logEvents.warmState, {
             service,
-            warmShares: Object.entries(warmShares).map(([region, share]) => `${region} ${share}`),
+            warmShares: describeShares(warmShares),
+            attemptShares: describeShares(attemptShares),
             hottestObject: hottestObject?.name,
             hottestObjectShare: hottestObject?.share,
             hottestTarget: hottestTarget?.name,
@@ -85,6 +88,7 @@
             pressure: rounded(options.pressure.levelOf(service)),
             farShare: rounded(options.remoteObjects.remoteFraction(service)),
             lent: options.spillover.describe(service),
+            areLoadsKnown: options.spillover.areLoadsKnown(service),
             objects: options.objectAffinity.activeObjectCount(service),
             memory: sum(targets, target => target.cache.capacity()),
         });
@@ -122,4 +126,7 @@
     return ages.length === 0 ? undefined : Math.round(ages.reduce((total, age) => total + age, 0) / ages.length);
 }
 
+const describeShares = (shares: Readonly<Record<string, number>>): string[] =>
+    Object.entries(shares).map(([region, share]) => `${region} ${share}`);
+
 const rounded = (value: number): number => Number(value.toFixed(2));
--- a/packages/steer/src/observe/warmStatistics.ts
+++ b/packages/steer/src/observe/warmStatistics.ts
@@ -20,6 +20,8 @@
 export interface WarmCounts {
     /** Share of the runs that were as fast as with a cached object, by region of their targets. */
     readonly warmShares: Readonly<Record<RegionId, number>>;
+    /** Share of all attempts, by region of their targets. */
+    readonly attemptShares: Readonly<Record<RegionId, number>>;
     /** Object with the most attempts, by the hash of its key, and target with the most, with their shares of all attempts. */
     readonly hottestObject: HottestItem | undefined;
     readonly hottestTarget: HottestItem | undefined;
@@ -38,6 +40,7 @@
 
 interface ServiceCounts {
     readonly runsByRegion: Map<RegionId, RunCount>;
+    readonly attemptsByRegion: Map<RegionId, number>;
     readonly attemptsByObject: Map<number, number>;
     readonly attemptsByTarget: Map<TargetId, number>;
     attempts: number;
@@ -49,6 +52,7 @@
 
 const createCounts = (): ServiceCounts => ({
     runsByRegion: new Map(),
+    attemptsByRegion: new Map(),
     attemptsByObject: new Map(),
     attemptsByTarget: new Map(),
     attempts: 0,
@@ -81,6 +85,7 @@
             const { objectId } = job.request;
             counts.attempts++;
             increment(counts.attemptsByTarget, target.record.id);
+            increment(counts.attemptsByRegion, target.record.region);
             if (!job.route.isSticky || objectId === undefined) {
                 return false;
             }
@@ -100,10 +105,15 @@
             runsByRegion.set(target.record.region, count);
         },
         takeCounts: service => {
-            const { runsByRegion, attemptsByObject, attemptsByTarget, attempts, copiesAdded } = countsOf(service);
+            const { runsByRegion, attemptsByRegion, attemptsByObject, attemptsByTarget, attempts, copiesAdded } = countsOf(
+                service,
+            );
             services.delete(service);
             return {
                 warmShares: Object.fromEntries([...runsByRegion].map(([region, count]) => [region, shareOf(count)])),
+                attemptShares: Object.fromEntries(
+                    [...attemptsByRegion].map(([region, count]) => [region, Number((count / attempts).toFixed(3))]),
+                ),
                 hottestObject: hottest(attemptsByObject, attempts, key => key.toString(16).padStart(8, "0")),
                 hottestTarget: hottest(attemptsByTarget, attempts, String),
                 copiesAdded,
--- a/packages/steer/src/store/__tests__/storeDeployment.ts
+++ b/packages/steer/src/store/__tests__/storeDeployment.ts
@@ -119,6 +119,7 @@
                 members,
                 self: id,
                 storeFailureAgeMs: () => replication.storeFailureAgeMs(),
+                storeFailureSource: () => replication.storeFailureSource(),
                 copyRevision: () => replication.copyRevision(),
                 onRegistrationLost: () => replication.markRegistrationLost(),
                 onDocumentAccepted: document => {
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -386,7 +386,7 @@
         const ageMs = from!.ageMs();
         timer.advance(100);
         if (ageMs !== undefined) {
-            to!.recordTold(ageMs, askedAt);
+            to!.recordTold("peer:1", ageMs, askedAt);
         }
     }
     assert.deepEqual(entries.map(failures => failures.ageMs()), [undefined, undefined]);
@@ -438,6 +438,7 @@
         members: createMembers(timer, self),
         self: self.id,
         storeFailureAgeMs: () => undefined,
+        storeFailureSource: () => "own",
         copyRevision: () => 0,
         onRegistrationLost: () => {},
         onDocumentAccepted: document => acceptedDocuments.push(document),
--- a/packages/steer/src/store/deferredRemovals.ts
+++ b/packages/steer/src/store/deferredRemovals.ts
@@ -15,7 +15,7 @@
     readonly isDraining: (id: TargetId) => boolean;
     readonly remove: (id: TargetId) => void;
     /** Called when removals of one batch are put off; without a failure of the store, as they came together. */
-    readonly onDeferred: (count: number, failureAgeMs: number | undefined) => void;
+    readonly onDeferred: (ids: readonly TargetId[], failureAgeMs: number | undefined) => void;
 }
 
 export interface DeferredRemovals {
@@ -71,7 +71,7 @@
             }
             const failureAgeMs = options.storeFailureAgeMs();
             if (failureAgeMs !== undefined || isExpiry()) {
-                options.onDeferred(scheduled.size, failureAgeMs);
+                options.onDeferred([...scheduled], failureAgeMs);
                 const delayMs = failureAgeMs === undefined ? batchRemovalDelayMs : removalDelayMs;
                 scheduled.forEach(id => defer(id, delayMs));
             }
--- a/packages/steer/src/store/peerSync.ts
+++ b/packages/steer/src/store/peerSync.ts
@@ -119,7 +119,7 @@
             return;
         }
         if (update.failureAgeMs !== undefined) {
-            failures.recordTold(update.failureAgeMs, askedAt);
+            failures.recordTold(peer, update.failureAgeMs, askedAt);
         }
         applyUpdate(peer, update);
     };
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -59,6 +59,8 @@
     copyRevision(): number;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     storeFailureAgeMs(): number | undefined;
+    /** Who saw the store's last failure: `own`, or the address of the peer that told of it. */
+    storeFailureSource(): string;
     /** Writes this entry's record again. */
     markRegistrationLost(): void;
     /** Removes this entry's record. */
@@ -168,6 +170,7 @@
         contactAgeMs: () => timer.now() - Math.max(startedAt, lastPeerAt, store.lastResponseAt()),
         copyRevision: replica.copyRevision,
         storeFailureAgeMs: failures.ageMs,
+        storeFailureSource: failures.lastSource,
         markRegistrationLost: registration.markLost,
         deregister: registration.deregister,
         stop: () => {
--- a/packages/steer/src/store/storeFailures.ts
+++ b/packages/steer/src/store/storeFailures.ts
@@ -8,7 +8,9 @@
     /** Records that the store did not serve a call at the given time, on the timer's clock. */
     record(at: number): void;
     /** Records a failure that a peer told of, with its age in milliseconds, in response to a request sent at `askedAt`. */
-    recordTold(ageMs: number, askedAt: number): void;
+    recordTold(peer: string, ageMs: number, askedAt: number): void;
+    /** Who saw the last failure: `own`, or the address of the peer that told of it. */
+    lastSource(): string;
     /** Time since the last failure, in milliseconds; `undefined` if there was none within `storeFailureWindowMs`. */
     ageMs(): number | undefined;
 }
@@ -16,15 +18,22 @@
 /** For this long after a store failure, a missing record may merely have expired. */
 export const storeFailureWindowMs = 4_000;
 
+const ownSource = "own";
+
 export function createStoreFailures(timer: Timer): StoreFailures {
     let lastAt = -Infinity;
-    const record = (at: number): void => {
-        lastAt = Math.max(lastAt, at);
+    let lastSource = ownSource;
+    const recordFrom = (source: string, at: number): void => {
+        if (at > lastAt) {
+            lastAt = at;
+            lastSource = source;
+        }
     };
     return {
-        record,
+        record: at => recordFrom(ownSource, at),
         // Counted from the request, as the response's way here must not make the failure younger.
-        recordTold: (ageMs, askedAt) => record(askedAt - ageMs),
+        recordTold: (peer, ageMs, askedAt) => recordFrom(peer, askedAt - ageMs),
+        lastSource: () => lastSource,
         ageMs: () => {
             const ageMs = timer.now() - lastAt;
             return ageMs < storeFailureWindowMs ? ageMs : undefined;
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -27,6 +27,8 @@
     readonly self: InstanceId;
     /** Time since the store's last failure, in milliseconds, if removed records may have expired in it. */
     readonly storeFailureAgeMs: () => number | undefined;
+    /** Who saw that failure: `own`, or the address of the peer that told of it. */
+    readonly storeFailureSource: () => string;
     /** Revision up to which items may stem from an older copy of the store; 0 if it never came back from one. */
     readonly copyRevision: () => number;
     /** Called when this entry's own record was removed from the store. */
@@ -46,6 +48,7 @@
 
 /** Faults logged of one document; the rest are counted and shown in the entry's status. */
 const maxLoggedFaults = 20;
+const maxLoggedTargets = 20;
 /** Time within which the entries that an older copy lacks register again: two renewals of a lease, and their way here. */
 const memberReturnMs = 6_000;
 /** Time within which the operator writes again what an older copy lacks. */
@@ -60,7 +63,13 @@
         targetCount: registry.count,
         isDraining: id => registry.find(id)?.record.isDraining === true,
         remove: id => removeTarget(id),
-        onDeferred: (count, failureAgeMs) => log.write(logEvents.removalDeferred, { count, failureAgeMs }),
+        onDeferred: (ids, failureAgeMs) =>
+            log.write(logEvents.removalDeferred, {
+                count: ids.length,
+                targets: ids.slice(0, maxLoggedTargets),
+                failureAgeMs,
+                failureSource: failureAgeMs === undefined ? undefined : options.storeFailureSource(),
+            }),
     });
     const delayed = createDelayedChanges(timer);
     const removed = createRemovalRecord(timer);
