--- a/packages/harness/src/steering/simulatedCallers.ts
+++ b/packages/harness/src/steering/simulatedCallers.ts
@@ -18,6 +18,8 @@
     start(): void;
     /** Ends the load; outstanding requests go on. */
     stop(): void;
+    /** From now on this fraction of a data centre's callers sends its requests to another data centre. */
+    move(from: string, to: string, fraction: number): void;
     /** Service time of a request that has no final response yet, for an object that is not cached. */
     workMsOf(request: string): number;
     classOutcome(name: string): ClassOutcome;
@@ -61,6 +63,7 @@
     const secondOutcomes: ClassOutcome[] = [];
     const workMsByRequest = new Map<string, number>();
     const startedAt = timer.now();
+    const moves = new Map<DataCentreId, { readonly to: DataCentreId; readonly fraction: number; }>();
     let requestCount = 0;
     let isLoadRunning = true;
 
@@ -128,7 +131,13 @@
         const phase = (timer.now() - startedAt) / waves.periodMs + waves.phaseStep * regions.indexOf(regionOf(dataCentre));
         return 1 + waves.swing * Math.sin(2 * Math.PI * phase);
     };
-    const startCaller = (trafficClass: TrafficClass, dataCentre: DataCentreId): void => {
+    /** Data centre to which a caller that is usually served by the given one sends its requests. */
+    const currentDataCentre = (usual: DataCentreId): DataCentreId => {
+        const move = moves.get(usual);
+        return move !== undefined && random.next() < move.fraction ? move.to : usual;
+    };
+    const startCaller = (trafficClass: TrafficClass, usualDataCentre: DataCentreId): void => {
+        const dataCentre = currentDataCentre(usualDataCentre);
         const caller: Caller = {
             trafficClass,
             object: drawObject(trafficClass, dataCentre),
@@ -157,6 +166,7 @@
         stop: () => {
             isLoadRunning = false;
         },
+        move: (from, to, fraction) => void moves.set(toDataCentreId(from), { to: toDataCentreId(to), fraction }),
         workMsOf: request => workMsByRequest.get(request)!,
         classOutcome: name => classOutcomes.get(name)!,
         secondOutcomes: () => secondOutcomes,
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -20,6 +20,7 @@
 import { emptyWorkspaceDirectory } from "@pimentospring/core/steering/workspaceDirectory";
 import { createVirtualTimer, type VirtualTimer } from "@pimentospring/core/time/virtualTimer";
 import { oneWayDelayMs, regionOf } from "./network.js";
+import { createRegionShiftMeter } from "./regionShiftMeter.js";
 import { createSharedTarget, type SharedTarget } from "./sharedTarget.js";
 import { createSimulatedCallers, simulatedHost } from "./simulatedCallers.js";
 import type {
@@ -46,7 +47,13 @@
      * incarnation takes its place after that time.
      */
     leaveTarget(service: string, index: number, newsDelayMs: number, successorDelayMs?: number): void;
+    /** Restarts this many of a data centre's entries. Their successors know the targets, and nothing of the load. */
+    restartEntries(dataCentre: string, count: number): void;
+    /** From now on this fraction of a data centre's callers sends its requests to another data centre. */
+    moveCallers(from: string, to: string, fraction: number): void;
     targetCount(service: string): number;
+    /** Largest fraction of the requests of a region's entries that changed the region in which they run within two seconds. */
+    largestRegionShift(region: string): number;
     classOutcome(name: string): ClassOutcome;
     /** Of the requests of a region's callers. */
     regionOutcome(region: string): ClassOutcome;
@@ -108,7 +115,9 @@
     const toldOfPause = new Map<string, { readonly at: number; readonly until: number; }>();
     /** Time at which a target told an entry that it leaves, by incarnation and entry. */
     const toldOfLeaving = new Map<string, number>();
+    const regionShiftMeter = createRegionShiftMeter(timer);
     let sampleCount = 0;
+    let isLoadRunning = true;
 
     /** Targets that crashed or were replaced. */
     const formerTargets: SharedTarget[] = [];
@@ -148,6 +157,9 @@
             const count = counts.get(record.service)!;
             count.sent++;
             countNoticesIgnored(entry, target);
+            if (isLoadRunning) {
+                regionShiftMeter.record(regionOf(entry.dataCentre), record.region);
+            }
             count.sentToFull += target.running() >= record.slots ? 1 : 0;
             const { request, route } = attempt.job;
             const abandon = target.accept({
@@ -326,6 +338,7 @@
         run: durationMs => {
             timer.advance(durationMs);
             callers.stop();
+            isLoadRunning = false;
             timer.advance(2 * maxDeadlineMs);
         },
         crashTargets: (service, dataCentre, count) => {
@@ -355,7 +368,16 @@
                 timer.after(successorDelayMs, () => startSuccessor(target));
             }
         },
+        restartEntries: (dataCentre, count) => {
+            const indices = [...entries.keys()].filter(index => entries[index]!.dataCentre === dataCentre).slice(0, count);
+            for (const index of indices) {
+                entries[index] = createEntry(records[index]!);
+                targets.forEach(({ record }) => entries[index]!.steering.registry.put(record));
+            }
+        },
+        moveCallers: callers.move,
         targetCount: service => targetsOf(service).length,
+        largestRegionShift: region => regionShiftMeter.largestShift(toRegionId(region)),
         classOutcome: callers.classOutcome,
         secondOutcomes: callers.secondOutcomes,
         regionOutcome: region => callers.regionOutcome(toRegionId(region)),
