fix(core): the slots in other regions follow from the fraction that leaves the region, which has one owner

Cause: remoteObjects moved the fraction of objects slowly, but the slots that they could fill followed each new plan in one step: 2 s after the first request from equal loads to reported ones, and whenever a region's load fell. Without slots, and without an allowed data centre, the objects went home at once. Class: a bound that is kept by one of two parts that decide the same. Change: regionFractions holds the fraction of a service's load by region, the same for all entries of a region, and moves it within the bound. Objects and the least number of slots follow from it. Objects that leave keep their region when another one runs out of spare slots. An entry that starts takes the fractions from the heartbeats of its region; older versions ignore them there. A region without usable targets is left at once. The plan is made for a region instead of a data centre: the test of proportional plans counts a region's slots now, with the same exactness, and checks that all its data centres plan the same.

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -140,7 +140,6 @@
     readonly retrySlack?: number;
     readonly maxAttempts?: number;
     readonly coldRateLimit?: number;
-    readonly remoteFraction?: number;
     readonly roundTripMs?: number;
     readonly workspaces?: () => WorkspaceDirectory;
     readonly areKeysStale?: () => boolean;
@@ -201,16 +200,13 @@
             availableSlots: (wanted, place) => registry.targetsIn(wanted, place).length * 2,
             dataCentres: registry.dataCentresOf,
             ownEntryCount: () => 1,
-            isOwnRegion: place => place === dataCentre,
+            regionOf: place => toRegionId(place.split("-")[0]!),
         }),
         regionShift,
         workTimes,
         objectAffinity,
-        remoteObjects: createRemoteObjects({
-            timer,
-            plannedFraction: () => options.remoteFraction ?? 0,
-            maxFractionChange: () => 0.15,
-        }),
+        remoteObjects: createRemoteObjects({ fractions: () => new Map() }),
+        remoteLoadSlots: () => 0,
         remoteRoundTripMs: 73,
         regionOf: place => toRegionId(place.split("-")[0]!),
         isEvacuated: () => false,
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -4,7 +4,6 @@
 import { test } from "node:test";
 import { hashText } from "../../hash/hash.js";
 import {
-    type DataCentreId,
     type Fingerprint,
     toDataCentreId,
     toInstanceId,
@@ -15,6 +14,7 @@
 } from "../../ids.js";
 import { createPoisonList } from "../../poison/poisonList.js";
 import { createRandom } from "../../random/random.js";
+import type { Timer } from "../../time/timer.js";
 import { createVirtualTimer } from "../../time/virtualTimer.js";
 import { createCacheCapacity } from "../cacheCapacity.js";
 import { coldRateLimitPerEntry } from "../coldTargetLimit.js";
@@ -22,6 +22,7 @@
 import { createMembers, type MemberRecord } from "../members.js";
 import { createObjectAffinity, type RegionHomes } from "../objectAffinity.js";
 import { createOfferedLoad } from "../offeredLoad.js";
+import { createRegionFractions, type RegionFractions } from "../regionFractions.js";
 import { createRegionShiftLimiter } from "../regionShiftLimiter.js";
 import { createRemoteObjects } from "../remoteObjects.js";
 import { createRetryBudget } from "../retryBudget.js";
@@ -257,20 +258,32 @@
     assert.equal(ofHalf! * 2, ofWhole);
 });
 
+const far = toRegionId("dbn");
+
+/** Fractions whose plan sends one part of the load to a single other region. */
+const fractionsFor = (timer: Timer, planned: () => number): RegionFractions =>
+    createRegionFractions({
+        timer,
+        plannedFractions: () => new Map([[far, planned()]]),
+        isServed: () => true,
+        maxFractionChange: () => 0.15,
+    });
+
 test("the planned fraction of whole objects is served in other regions from the first request, and it changes slowly", () => {
     const timer = createVirtualTimer();
     let planned = 0.5;
-    const remoteObjects = createRemoteObjects({ timer, plannedFraction: () => planned, maxFractionChange: () => 0.15 });
+    const remoteObjects = createRemoteObjects({ fractions: fractionsFor(timer, () => planned).current });
     const keys = Array.from({ length: 1_000 }, (_, index) => hashText(`o${index}`));
-    const remoteKeys = (): number[] => keys.filter(key => remoteObjects.isRemote(service, key));
+    const isRemote = (key: number): boolean => remoteObjects.regionOf(service, key) === far;
+    const remoteKeys = (): number[] => keys.filter(isRemote);
     const share = (): number => remoteKeys().length / keys.length;
     assert.ok(Math.abs(share() - 0.5) < 0.05);
     planned = 0.8;
     let before = share();
     for (let window = 0; window < 6; window++) {
-        const far = remoteKeys();
+        const earlier = remoteKeys();
         timer.advance(2_000);
-        assert.ok(share() - before <= 0.15 && far.every(key => remoteObjects.isRemote(service, key)));
+        assert.ok(share() - before <= 0.15 && earlier.every(isRemote));
         before = share();
     }
     assert.ok(Math.abs(share() - 0.8) < 0.08);
@@ -280,33 +293,39 @@
 });
 
 test("as long as the load is not known, some of the objects stay in their region", () => {
-    const remoteObjects = createRemoteObjects({
-        timer: createVirtualTimer(),
-        plannedFraction: () => 1,
-        maxFractionChange: () => 0.15,
-    });
-    const remote = Array.from({ length: 1_000 }, (_, index) => remoteObjects.isRemote(service, hashText(`o${index}`)));
-    assert.ok(remote.filter(Boolean).length <= 750);
+    const remoteObjects = createRemoteObjects({ fractions: fractionsFor(createVirtualTimer(), () => 1).current });
+    const regions = Array.from({ length: 1_000 }, (_, index) => remoteObjects.regionOf(service, hashText(`o${index}`)));
+    assert.ok(regions.filter(region => region === far).length <= 750);
 });
 
-test("load that exceeds a data centre's slots is planned for other regions in proportion to their spare slots", () => {
+test("load that exceeds a region's slots is planned for other regions, the same at all of its data centres", () => {
     const timer = createVirtualTimer();
-    const [own, near, far] = ["cpt-a", "cpt-b", "dbn-a"].map(toDataCentreId) as [DataCentreId, DataCentreId, DataCentreId];
-    const slots = new Map([[own, 4], [near, 12], [far, 16]]);
-    const spillover = createSpillover({
-        timer,
-        self: { entry: "me", dataCentre: own },
-        ownLoadSlots: () => 8,
-        loadAgeMs: () => 5_000,
-        pressure: () => 0,
-        availableSlots: (_, place) => slots.get(place)!,
-        dataCentres: () => slots.keys(),
-        ownEntryCount: () => 1,
-        isOwnRegion: place => place !== far,
-    });
-    spillover.recordPeerLoads(near, "near", [{ service, slots: 8 }]);
-    spillover.recordPeerLoads(far, "far", [{ service, slots: 4 }]);
-    assert.ok(Math.abs(spillover.remoteFraction(service) - 0.5 * (12 / 16)) < 1e-9);
+    const slots = new Map(
+        [["cpt-a", 4], ["cpt-b", 4], ["dbn-a", 16], ["jhb-a", 8]].map(([place, count]) =>
+            [toDataCentreId(place as string), count as number] as const
+        ),
+    );
+    const loads: readonly (readonly [string, number])[] = [["cpt-a", 4], ["cpt-b", 12], ["dbn-a", 4], ["jhb-a", 4]];
+    for (const own of ["cpt-a", "cpt-b"]) {
+        const spillover = createSpillover({
+            timer,
+            self: { entry: own, dataCentre: toDataCentreId(own) },
+            ownLoadSlots: () => loads.find(([place]) => place === own)![1],
+            loadAgeMs: () => 5_000,
+            pressure: () => 0,
+            availableSlots: (_, place) => slots.get(place)!,
+            dataCentres: () => slots.keys(),
+            ownEntryCount: () => 1,
+            regionOf: place => toRegionId(place.split("-")[0]!),
+        });
+        loads.filter(([place]) => place !== own).forEach(([place, count]) =>
+            spillover.recordPeerLoads(toDataCentreId(place), place, [{ service, slots: count }])
+        );
+        const planned = spillover.plannedFractions(service);
+        assert.ok(Math.abs(planned.get(toRegionId("dbn"))! - 0.5 * (16 / 24)) < 1e-9, own);
+        assert.ok(Math.abs(planned.get(toRegionId("jhb"))! - 0.5 * (8 / 24)) < 1e-9, own);
+        assert.equal(planned.size, 2);
+    }
 });
 
 test("offered load is estimated in full from the first second on", () => {
@@ -368,7 +387,7 @@
         availableSlots: () => 4,
         dataCentres: () => [toDataCentreId("cpt-a"), place],
         ownEntryCount: () => 1,
-        isOwnRegion: () => false,
+        regionOf: place => toRegionId(place),
     });
     spillover.recordPeerLoads(toDataCentreId("cpt-b"), "other", [{ service, slots: 1 }]);
     assert.equal(spillover.slotAllowance(service, place), undefined);
--- a/packages/core/src/steering/remoteObjects.ts
+++ b/packages/core/src/steering/remoteObjects.ts
@@ -1,61 +1,51 @@
 /**
- * Selects the objects that are served in other regions. When the spillover plan sends part of the load to other
- * regions, that part consists of whole objects, chosen by hash: each object stays in one region, so that targets there
- * keep it cached, and the fraction of load that leaves the region changes no faster than the limit on region shifts
- * allows.
+ * Selects the objects that are served in other regions, and the region of each. The part of a service's load that leaves the
+ * region consists of whole objects, chosen by hash: each stays in one region, so that targets there keep it cached.
  */
-import { mixHashes } from "../hash/hash.js";
-import type { ServiceId } from "../ids.js";
-import type { Timer } from "../time/timer.js";
+import { hashText, mixHashes } from "../hash/hash.js";
+import type { RegionId, ServiceId } from "../ids.js";
+import type { FractionsByRegion } from "./regionFractions.js";
 
 export interface RemoteObjects {
-    /** Whether the object is currently served in another region. */
-    isRemote(service: ServiceId, key: number): boolean;
-    /** Fraction of the objects that are served in other regions, from 0 to 1. */
-    remoteFraction(service: ServiceId): number;
+    /** Region in which the object is currently served; `undefined` if that is this entry's own. */
+    regionOf(service: ServiceId, key: number): RegionId | undefined;
 }
 
 export interface RemoteObjectsOptions {
-    readonly timer: Timer;
-    /** Fraction of the service's load that the plan sends to other regions. */
-    readonly plannedFraction: (service: ServiceId) => number;
-    /** Maximum change of the fraction between two windows of two seconds. */
-    readonly maxFractionChange: () => number;
+    readonly fractions: (service: ServiceId) => FractionsByRegion;
 }
 
-const windowMs = 2_000;
-/**
- * Fraction of the limit that is used; the rest is left for requests that move between regions because a target is full.
- */
-const usedChangeFraction = 0.6;
-/** Upper bound of the initial fraction, since the load is not known yet. Later changes are slow: it has to be high enough. */
-const maxInitialFraction = 0.7;
-/** Plans that differ from the current fraction by less than this change nothing. */
-const deadBandFraction = 0.04;
 const hashSeed = 0x5eed;
 const hashRange = 2 ** 32;
 
-export function createRemoteObjects(options: RemoteObjectsOptions): RemoteObjects {
-    const { timer, plannedFraction, maxFractionChange } = options;
-    const fractions = new Map<ServiceId, { fraction: number; at: number; }>();
-    const currentFraction = (service: ServiceId): number => {
-        const now = timer.now();
-        const known = fractions.get(service);
-        if (known === undefined) {
-            const initial = Math.min(maxInitialFraction, plannedFraction(service));
-            fractions.set(service, { fraction: initial, at: now });
-            return initial;
-        }
-        const difference = plannedFraction(service) - known.fraction;
-        const maxStep = (usedChangeFraction * maxFractionChange() * (now - known.at)) / windowMs;
-        known.at = now;
-        if (Math.abs(difference) > deadBandFraction) {
-            known.fraction += Math.max(-maxStep, Math.min(maxStep, difference));
-        }
-        return known.fraction;
-    };
+export function createRemoteObjects({ fractions }: RemoteObjectsOptions): RemoteObjects {
     return {
-        remoteFraction: currentFraction,
-        isRemote: (service, key) => mixHashes(key, hashSeed) / hashRange < currentFraction(service),
+        regionOf: (service, key) => {
+            const byRegion = fractions(service);
+            const position = mixHashes(key, hashSeed) / hashRange;
+            let sum = 0;
+            for (const fraction of byRegion.values()) {
+                sum += fraction;
+            }
+            return position < sum ? heaviestRegion(key, byRegion) : undefined;
+        },
     };
 }
+
+/** Weighted rendezvous hashing: when a region's weight changes, objects move only to or from that region. */
+function heaviestRegion(key: number, weights: FractionsByRegion): RegionId | undefined {
+    if (weights.size === 1) {
+        return weights.keys().next().value;
+    }
+    let best: RegionId | undefined;
+    let bestScore = -Infinity;
+    for (const [region, weight] of weights) {
+        const uniform = (mixHashes(key, hashText(region)) + 1) / (hashRange + 1);
+        const score = weight === 0 ? -Infinity : Math.log(uniform) / weight;
+        if (score > bestScore) {
+            best = region;
+            bestScore = score;
+        }
+    }
+    return best;
+}
--- a/packages/core/src/steering/spillover.ts
+++ b/packages/core/src/steering/spillover.ts
@@ -4,14 +4,17 @@
  * and those with spare slots lend them to those with too few, in proportion to need. This handles load that peaks where
  * slots are scarce, and a data centre that permanently has too few slots for its callers.
  */
-import type { DataCentreId, ServiceId } from "../ids.js";
+import type { DataCentreId, RegionId, ServiceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
+import type { FractionsByRegion } from "./regionFractions.js";
 
 /** Load that an entry's callers offer for a service. */
 export interface ServiceLoad {
     readonly service: ServiceId;
     /** Slots that serving all of the load would keep busy. */
     readonly slots: number;
+    /** Fractions of the load that the entry's region serves in other regions; absent in older versions. */
+    readonly remoteFractions?: FractionsByRegion;
 }
 
 export interface Spillover {
@@ -21,8 +24,10 @@
      * recently.
      */
     slotAllowance(service: ServiceId, dataCentre: DataCentreId): number | undefined;
-    /** Fraction of this entry's load that the plan serves in other regions. */
-    remoteFraction(service: ServiceId): number;
+    /** Fractions of the load of this entry's region that the plan serves in other regions. All entries of a region plan the same. */
+    plannedFractions(service: ServiceId): FractionsByRegion;
+    /** Part of this entry's load that the slots of all data centres suffice for, in slots. */
+    servedLoadSlots(service: ServiceId): number;
     /** Whether the plan rests on reported loads; otherwise on the assumption that all data centres have the same load. */
     areLoadsKnown(service: ServiceId): boolean;
     /** Summary of a service's slot allowances, for logs. */
@@ -43,7 +48,8 @@
     readonly dataCentres: (service: ServiceId) => Iterable<DataCentreId>;
     /** Entries in the local data centre, including this one. */
     readonly ownEntryCount: () => number;
-    readonly isOwnRegion: (dataCentre: DataCentreId) => boolean;
+    /** Region of a data centre, if it is known. */
+    readonly regionOf: (dataCentre: DataCentreId) => RegionId | undefined;
 }
 
 const loadRetentionMs = 3_000;
@@ -70,14 +76,18 @@
 interface Plan {
     readonly createdAt: number;
     readonly allowances: ReadonlyMap<DataCentreId, number>;
-    /** Fraction of this entry's load for which its own data centre has no slots. */
-    readonly shortfallFraction: number;
+    readonly fractions: FractionsByRegion;
+    /** Fraction of the total load that the slots can serve. */
+    readonly servedFraction: number;
 }
 
 export function createSpillover(options: SpilloverOptions): Spillover {
     const { timer, self } = options;
     const peerLoads = new Map<string, { readonly load: EntryLoad; readonly service: ServiceId; readonly receivedAt: number; }>();
     const plans = new Map<ServiceId, Plan>();
+    const ownRegion = (): RegionId | undefined => options.regionOf(self.dataCentre);
+    const isOwnRegion = (dataCentre: DataCentreId): boolean =>
+        dataCentre === self.dataCentre || options.regionOf(dataCentre) === ownRegion();
 
     const currentLoads = (service: ServiceId): EntryLoad[] => {
         const loads: EntryLoad[] = [{
@@ -100,12 +110,37 @@
             slots.set(dataCentre, options.availableSlots(service, dataCentre));
         }
         const loads = currentLoads(service);
-        if (!areLoadsKnown(service)) {
-            const allowances = initialAllowances(self.dataCentre, options.ownEntryCount(), slots);
-            return { createdAt: timer.now(), allowances, shortfallFraction: initialShortfallFraction(self.dataCentre, slots) };
+        const isLoadKnown = areLoadsKnown(service);
+        const allowances = isLoadKnown
+            ? computeAllowances(self.entry, loads, slots)
+            : initialAllowances(self.dataCentre, options.ownEntryCount(), slots);
+        return {
+            createdAt: timer.now(),
+            allowances,
+            fractions: divideByRegion(
+                isLoadKnown ? shortfallFractionOf(isOwnRegion, loads, slots) : initialShortfallFraction(isOwnRegion, slots),
+                isLoadKnown ? spareSlots(loads, slots) : initialSpareSlots(slots),
+                slots,
+            ),
+            servedFraction: servedFraction(loads, slots),
+        };
+    };
+    /** Divides a fraction of the load over the other regions that have slots to spare, in proportion to all of their slots. */
+    const divideByRegion = (
+        fraction: number,
+        spare: ReadonlyMap<DataCentreId, number>,
+        slots: ReadonlyMap<DataCentreId, number>,
+    ): FractionsByRegion => {
+        const slotsByRegion = new Map<RegionId, number>();
+        let sum = 0;
+        for (const [dataCentre, count] of slots) {
+            const region = options.regionOf(dataCentre);
+            if (region !== undefined && region !== ownRegion() && (spare.get(dataCentre) ?? 0) > 0) {
+                slotsByRegion.set(region, (slotsByRegion.get(region) ?? 0) + count);
+                sum += count;
+            }
         }
-        const allowances = computeAllowances(self.entry, loads, slots);
-        return { createdAt: timer.now(), allowances, shortfallFraction: shortfallFractionOf(self.dataCentre, loads, slots) };
+        return new Map([...slotsByRegion].map(([region, count]) => [region, sum === 0 ? 0 : (fraction * count) / sum]));
     };
     const planOf = (service: ServiceId): Plan => {
         const known = plans.get(service);
@@ -127,16 +162,8 @@
             }
         },
         slotAllowance: (service, dataCentre) => planOf(service).allowances.get(dataCentre),
-        remoteFraction: service => {
-            let remote = 0;
-            let total = 0;
-            const { allowances, shortfallFraction } = planOf(service);
-            for (const [dataCentre, slots] of allowances) {
-                total += slots;
-                remote += options.isOwnRegion(dataCentre) ? 0 : slots;
-            }
-            return total === 0 ? 0 : shortfallFraction * (remote / total);
-        },
+        plannedFractions: service => planOf(service).fractions,
+        servedLoadSlots: service => planOf(service).servedFraction * options.ownLoadSlots(service),
         areLoadsKnown,
         describe: service =>
             [...planOf(service).allowances]
@@ -153,18 +180,29 @@
     return load === 0 ? 1 : Math.min(1, totalSlots / load);
 }
 
-/** Fraction of the load that a data centre should serve and has no slots for, on average. */
-function shortfallFractionOf(own: DataCentreId, loads: readonly EntryLoad[], slots: ReadonlyMap<DataCentreId, number>): number {
-    const offered = loads.filter(load => load.dataCentre === own).reduce((sum, load) => sum + load.slots, 0);
+type DataCentreTest = (dataCentre: DataCentreId) => boolean;
+
+/** Fraction of the load that a region should serve and has no slots for, on average. */
+function shortfallFractionOf(
+    isOwnRegion: DataCentreTest,
+    loads: readonly EntryLoad[],
+    slots: ReadonlyMap<DataCentreId, number>,
+): number {
+    const offered = loads.filter(load => isOwnRegion(load.dataCentre)).reduce((sum, load) => sum + load.slots, 0);
     const servedLoad = servedFraction(loads, slots) * offered;
-    return servedLoad === 0 ? 0 : Math.max(0, 1 - (slots.get(own) ?? 0) / servedLoad);
+    return servedLoad === 0 ? 0 : Math.max(0, 1 - slotSum(slots, isOwnRegion) / servedLoad);
 }
 
-function initialShortfallFraction(own: DataCentreId, slots: ReadonlyMap<DataCentreId, number>): number {
+/** The same before the loads are known: as if all data centres had the same load. */
+function initialShortfallFraction(isOwnRegion: DataCentreTest, slots: ReadonlyMap<DataCentreId, number>): number {
     const mean = meanSlots(slots);
-    return mean === 0 ? 0 : Math.max(0, 1 - (slots.get(own) ?? 0) / mean);
+    const ownCount = [...slots.keys()].filter(isOwnRegion).length;
+    return mean === 0 ? 0 : Math.max(0, 1 - slotSum(slots, isOwnRegion) / (ownCount * mean));
 }
 
+const slotSum = (slots: ReadonlyMap<DataCentreId, number>, isIncluded: DataCentreTest): number =>
+    [...slots].reduce((sum, [dataCentre, count]) => sum + (isIncluded(dataCentre) ? count : 0), 0);
+
 const meanSlots = (slots: ReadonlyMap<DataCentreId, number>): number =>
     [...slots.values()].reduce((sum, count) => sum + count, 0) / Math.max(1, slots.size);
 
@@ -177,10 +215,7 @@
     loads: readonly EntryLoad[],
     slots: ReadonlyMap<DataCentreId, number>,
 ): ReadonlyMap<DataCentreId, number> {
-    const loadIn = new Map<DataCentreId, number>();
-    for (const load of loads) {
-        loadIn.set(load.dataCentre, (loadIn.get(load.dataCentre) ?? 0) + load.slots);
-    }
+    const loadIn = sumByDataCentre(loads);
     const served = servedFraction(loads, slots);
     const shortfallOf = (load: EntryLoad): number => {
         const offered = loadIn.get(load.dataCentre)!;
@@ -190,13 +225,32 @@
     const self = loads.find(load => load.entry === entry)!;
     const totalShortfall = loads.reduce((sum, load) => sum + shortfallOf(load), 0);
     const ownPart = totalShortfall === 0 ? 0 : shortfallOf(self) / totalShortfall;
-    const allowances = new Map<DataCentreId, number>();
-    for (const [dataCentre, offered] of loadIn) {
-        if (dataCentre !== self.dataCentre) {
-            allowances.set(dataCentre, ownPart * Math.max(0, (slots.get(dataCentre) ?? 0) - served * offered));
-        }
+    const others = [...spareSlots(loads, slots)].filter(([dataCentre]) => dataCentre !== self.dataCentre);
+    return new Map(others.map(([dataCentre, spare]) => [dataCentre, ownPart * spare]));
+}
+
+function sumByDataCentre(loads: readonly EntryLoad[]): ReadonlyMap<DataCentreId, number> {
+    const sums = new Map<DataCentreId, number>();
+    for (const load of loads) {
+        sums.set(load.dataCentre, (sums.get(load.dataCentre) ?? 0) + load.slots);
     }
-    return allowances;
+    return sums;
+}
+
+/** Slots that each data centre with an entry does not need for its own load. */
+function spareSlots(loads: readonly EntryLoad[], slots: ReadonlyMap<DataCentreId, number>): ReadonlyMap<DataCentreId, number> {
+    const served = servedFraction(loads, slots);
+    return new Map(
+        [...sumByDataCentre(loads)].map(([dataCentre, offered]) =>
+            [dataCentre, Math.max(0, (slots.get(dataCentre) ?? 0) - served * offered)] as const
+        ),
+    );
+}
+
+/** The same before the loads are known. */
+function initialSpareSlots(slots: ReadonlyMap<DataCentreId, number>): ReadonlyMap<DataCentreId, number> {
+    const mean = meanSlots(slots);
+    return new Map([...slots].map(([dataCentre, count]) => [dataCentre, Math.max(0, count - mean)]));
 }
 
 /**
@@ -213,6 +267,6 @@
     const totalShortfall = counts.reduce((sum, count) => sum + Math.max(0, mean - count), 0);
     const shortfall = Math.max(0, mean - (slots.get(own) ?? 0));
     const ownPart = totalShortfall === 0 ? 0 : shortfall / totalShortfall / Math.max(1, ownEntries);
-    const others = [...slots].filter(([dataCentre]) => dataCentre !== own);
-    return new Map(others.map(([dataCentre, count]) => [dataCentre, ownPart * Math.max(0, count - mean)]));
+    const others = [...initialSpareSlots(slots)].filter(([dataCentre]) => dataCentre !== own);
+    return new Map(others.map(([dataCentre, spare]) => [dataCentre, ownPart * spare]));
 }
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -15,8 +15,9 @@
 import { createObjectAffinity, type ObjectAffinity } from "./objectAffinity.js";
 import { createOfferedLoad, type OfferedLoad } from "./offeredLoad.js";
 import { createPeerAttempts, type PeerAttempts } from "./peerAttempts.js";
+import { createRegionFractions, type RegionFractions } from "./regionFractions.js";
 import { createRegionShiftLimiter } from "./regionShiftLimiter.js";
-import { createRemoteObjects, type RemoteObjects } from "./remoteObjects.js";
+import { createRemoteObjects } from "./remoteObjects.js";
 import { createRequestDispatcher, type RequestDispatcher } from "./requestDispatcher.js";
 import { createRetryBudget, type RetryLimit } from "./retryBudget.js";
 import type { RouteTable } from "./routeTable.js";
@@ -84,7 +85,7 @@
     readonly roundRobin: WeightedRoundRobin;
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
-    readonly remoteObjects: RemoteObjects;
+    readonly regionFractions: RegionFractions;
     readonly spillover: Spillover;
     readonly offeredLoad: OfferedLoad;
     readonly pressure: SlotPressure;
@@ -129,13 +130,20 @@
         availableSlots: (service, dataCentre) => options.isEvacuated(dataCentre) ? 0 : slotsIn(registry, service, dataCentre),
         dataCentres: registry.dataCentresOf,
         ownEntryCount: () => members.liveCountIn(self.dataCentre),
-        isOwnRegion: topology.isOwnRegion,
+        regionOf: topology.regionOf,
     });
-    const remoteObjects = createRemoteObjects({
+    const hasTargets = (service: ServiceId, dataCentre: DataCentreId): boolean =>
+        !options.isEvacuated(dataCentre) && registry.targetsIn(service, dataCentre).some(target => !target.isSuspect);
+    const regionFractions = createRegionFractions({
         timer,
-        plannedFraction: spillover.remoteFraction,
+        plannedFractions: spillover.plannedFractions,
+        isServed: (service, region) =>
+            [...registry.dataCentresOf(service)].some(dataCentre =>
+                topology.regionOf(dataCentre) === region && hasTargets(service, dataCentre)
+            ),
         maxFractionChange: maxRegionShift,
     });
+    const remoteObjects = createRemoteObjects({ fractions: regionFractions.current });
     const coldRateLimit = (target: Target): number => {
         const { dataCentre, service } = target.record;
         const limit = { requestsPerSecond: options.findService(service)?.maxColdRequestsPerSecond, ...bounds().cold };
@@ -168,6 +176,7 @@
         workTimes,
         objectAffinity,
         remoteObjects,
+        remoteLoadSlots: service => regionFractions.total(service) * spillover.servedLoadSlots(service),
         regionOf: topology.regionOf,
         isEvacuated: options.isEvacuated,
         coversDataCentre,
@@ -216,7 +225,7 @@
         roundRobin,
         workTimes,
         objectAffinity,
-        remoteObjects,
+        regionFractions,
         spillover,
         offeredLoad,
         pressure,
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -62,6 +62,8 @@
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
     readonly remoteObjects: RemoteObjects;
+    /** Slots that this entry's load of the objects that are served in other regions keeps busy. */
+    readonly remoteLoadSlots: (service: ServiceId) => number;
     /** Region of a data centre, if it is known. */
     readonly regionOf: (dataCentre: DataCentreId) => RegionId | undefined;
     readonly isEvacuated: (dataCentre: DataCentreId) => boolean;
@@ -167,9 +169,12 @@
         }
         return keyOfJob;
     };
-    const isRemoteObject = (job: Job<Answer>): boolean =>
+    /** Region in which the job's object is served; `undefined` if that is the entry's own. */
+    const remoteRegionOf = (job: Job<Answer>): RegionId | undefined =>
         job.route.isSticky && job.request.objectId !== undefined
-        && remoteObjects.isRemote(job.service, keyFor(job, job.request.objectId));
+            ? remoteObjects.regionOf(job.service, keyFor(job, job.request.objectId))
+            : undefined;
+    const isRemoteObject = (job: Job<Answer>): boolean => remoteRegionOf(job) !== undefined;
     const isInHomeRegion = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
         const homes = job.terms.homeRegions;
@@ -185,7 +190,8 @@
         && (mustLeaveRegion(job) || options.coversDataCentre(dataCentre) || allowanceIn(job, dataCentre) > 0);
     /**
      * Whether this entry may run another remote object. The allowances of all data centres count together: the objects are spread
-     * over them by hash, and the share of an entry in a single one is often below one slot.
+     * over them by hash, and the share of an entry in a single one is often below one slot. They are at least what the objects
+     * need, as those move to other regions and back slowly, whatever the plan says.
      */
     const hasRemoteRoom = (job: Job<Answer>): boolean => {
         let allowance = 0;
@@ -196,7 +202,7 @@
                 inFlight += options.inFlightCountAt(job.service, dataCentre);
             }
         }
-        return inFlight + 1 <= remoteBurstFactor * allowance + 1;
+        return inFlight + 1 <= remoteBurstFactor * Math.max(allowance, options.remoteLoadSlots(job.service)) + 1;
     };
     const mayUseDataCentre = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
@@ -306,12 +312,20 @@
     };
     /**
      * Targets in other regions in which this entry has an allowance, used up or not: an object's home must not move whenever
-     * the allowance of a data centre is used up.
+     * the allowance of a data centre is used up. An object that is served in a region stays there without an allowance too.
      */
-    const allowedInOtherRegions = (job: Job<Answer>): TargetGroup[] =>
-        [...registry.dataCentresOf(job.service)]
-            .filter(dataCentre => options.regionOf(dataCentre) !== self.region && isAllowed(job, dataCentre))
+    const allowedInOtherRegions = (job: Job<Answer>): TargetGroup[] => {
+        const remoteRegion = remoteRegionOf(job);
+        const remote = [...registry.dataCentresOf(job.service)].filter(dataCentre =>
+            options.regionOf(dataCentre) !== self.region
+            && (remoteRegion === undefined || mustLeaveRegion(job) || options.regionOf(dataCentre) === remoteRegion)
+        );
+        const allowed = remote.filter(dataCentre => isAllowed(job, dataCentre));
+        return (allowed.length > 0 || remoteRegion === undefined
+            ? allowed
+            : remote.filter(dataCentre => isInHomeRegion(job, dataCentre)))
             .map(dataCentre => registry.targetsIn(job.service, dataCentre));
+    };
     /** Targets of the service that are likely to have the request's object cached, whether or not they may be used. */
     const cachingTargets = (job: Job<Answer>): Target[] => {
         const { objectId } = job.request;
--- a/packages/steer/src/mesh/heartbeat.ts
+++ b/packages/steer/src/mesh/heartbeat.ts
@@ -6,12 +6,14 @@
     type TargetIncarnationId,
     toDataCentreId,
     toInstanceId,
+    toRegionId,
     toServiceId,
     toTargetIncarnationId,
 } from "@pimentospring/core/ids";
 import type { QuotaReport } from "@pimentospring/core/limits/quotaReport";
 import type { PoisonReport } from "@pimentospring/core/poison/poisonList";
 import type { MemberRecord } from "@pimentospring/core/steering/members";
+import type { FractionsByRegion } from "@pimentospring/core/steering/regionFractions";
 import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import { Packr } from "msgpackr";
 import { decodeMember, encodeMember } from "../store/storeItems.js";
@@ -45,11 +47,10 @@
     readonly quotaReport?: QuotaReport;
 }
 
-type LoadsRow = readonly [
-    dataCentre: string,
-    entry: string,
-    loads: readonly (readonly [service: string, slots: number])[],
-];
+type FractionRow = readonly [region: string, thousandths: number];
+/** Older versions send no fractions, and ignore them. */
+type LoadRow = readonly [service: string, slots: number, remoteFractions?: readonly FractionRow[]];
+type LoadsRow = readonly [dataCentre: string, entry: string, loads: readonly LoadRow[]];
 type PoisonRow = readonly [fingerprint: string, deaths: number, targetIncarnation: string, ageSeconds?: number];
 type HeartbeatRow = readonly [
     sender: string,
@@ -69,9 +70,10 @@
 const flags = { leaving: 1, following: 2, requestsRecord: 4 } as const;
 /** Loads are sent in tenths of a slot. */
 const slotUnitsPerSlot = 10;
+const fractionUnits = 1_000;
 const msPerSecond = 1_000;
 /** Rows of a kind that are taken from a datagram; entries send far fewer. */
-const maxRows = { loads: 512, poison: 64, leavingTargets: 64 } as const;
+const maxRows = { loads: 512, poison: 64, leavingTargets: 64, remoteFractions: 64 } as const;
 /** Longest id or fingerprint that a datagram may hold. */
 const maxNameLength = 256;
 /** Largest encoded record that is taken from a datagram. */
@@ -83,7 +85,7 @@
     const loads = heartbeat.loads.map((entryLoads): LoadsRow => [
         entryLoads.dataCentre,
         entryLoads.entry,
-        entryLoads.loads.map(load => [load.service, Math.round(load.slots * slotUnitsPerSlot)] as const),
+        entryLoads.loads.map(encodeLoad),
     ]);
     const poison = heartbeat.poison.map(({ fingerprint, isCleared, targetIncarnation, ageMs }): PoisonRow => [
         fingerprint,
@@ -112,6 +114,14 @@
     return packr.pack(heartbeat.record === undefined ? row : [...row, encodeRecord(heartbeat.record)]);
 }
 
+function encodeLoad({ service, slots, remoteFractions }: ServiceLoad): LoadRow {
+    const row = [service, Math.round(slots * slotUnitsPerSlot)] as const;
+    if (remoteFractions === undefined) {
+        return row;
+    }
+    return [...row, [...remoteFractions].map(([region, fraction]) => [region, Math.round(fraction * fractionUnits)] as const)];
+}
+
 const encodeRecord = (record: MemberRecord | undefined): Uint8Array =>
     record === undefined ? new Uint8Array() : encodeMember(record);
 
@@ -169,7 +179,7 @@
         loads: row[3].slice(0, maxRows.loads).map(([dataCentre, entry, loads]) => ({
             dataCentre: toDataCentreId(dataCentre),
             entry,
-            loads: loads.map(([service, slots]) => ({ service: toServiceId(service), slots: slots / slotUnitsPerSlot })),
+            loads: loads.map(toServiceLoad),
         })),
         poison: row[4].slice(0, maxRows.poison).filter(namesIncarnation).map((
             [fingerprint, deaths, targetIncarnation, ageSeconds = 0],
@@ -182,6 +192,25 @@
     };
 }
 
+function toServiceLoad([service, slots, rows]: LoadRow): ServiceLoad {
+    const load = { service: toServiceId(service), slots: slots / slotUnitsPerSlot };
+    const remoteFractions = toFractions(rows);
+    return remoteFractions === undefined ? load : { ...load, remoteFractions };
+}
+
+/** Invalid fractions count as absent. */
+function toFractions(rows: LoadRow[2]): FractionsByRegion | undefined {
+    if (!Array.isArray(rows) || rows.length > maxRows.remoteFractions || !rows.every(isFractionRow)) {
+        return undefined;
+    }
+    const fractions = new Map(rows.map(([region, thousandths]) => [toRegionId(region), thousandths / fractionUnits]));
+    const sum = rows.reduce((total, [, thousandths]) => total + thousandths, 0);
+    return sum <= fractionUnits + rows.length ? fractions : undefined;
+}
+
+const isFractionRow = (row: unknown): row is FractionRow =>
+    Array.isArray(row) && isName(row[0]) && Number.isFinite(row[1]) && row[1] >= 0;
+
 /** An invalid record counts as absent. */
 function toRecord(sender: string, bytes: Uint8Array): MemberRecord | undefined {
     const decoded = decodeMember(toInstanceId(sender), Buffer.from(bytes));
--- a/packages/steer/src/mesh/mesh.ts
+++ b/packages/steer/src/mesh/mesh.ts
@@ -12,6 +12,7 @@
 import type { PoisonReport } from "@pimentospring/core/poison/poisonList";
 import type { AttemptDigest } from "@pimentospring/core/steering/attemptDigest";
 import type { Member, MemberRecord, Members } from "@pimentospring/core/steering/members";
+import type { ServiceLoad } from "@pimentospring/core/steering/spillover";
 import type { Timer } from "@pimentospring/core/time/timer";
 import type { Log } from "@pimentospring/runtime/logs/log";
 import { logEvents } from "@pimentospring/runtime/logs/logEvents";
@@ -96,13 +97,17 @@
     readonly heardAt: number;
 }
 
-/** Sums the load of a data centre's entries under the data centre's own id. */
+/** Sums the load of a data centre's entries under the data centre's own id. The first entry's fractions stand for all. */
 export function aggregateLoads(dataCentre: DataCentreId, entries: readonly EntryLoads[]): EntryLoads {
     const slots = new Map<ServiceId, number>();
     for (const load of entries.flatMap(entry => entry.loads)) {
         slots.set(load.service, (slots.get(load.service) ?? 0) + load.slots);
     }
-    const loads = [...slots].map(([service, count]) => ({ service, slots: count }));
+    const first = entries[0]?.loads ?? [];
+    const loads = [...slots].map(([service, count]): ServiceLoad => {
+        const remoteFractions = first.find(load => load.service === service)?.remoteFractions;
+        return remoteFractions === undefined ? { service, slots: count } : { service, slots: count, remoteFractions };
+    });
     return { dataCentre, entry: dataCentre, loads };
 }
 
--- a/packages/steer/src/observe/serviceLog.ts
+++ b/packages/steer/src/observe/serviceLog.ts
@@ -5,7 +5,7 @@
 import type { DataCentreId, ServiceId } from "@pimentospring/core/ids";
 import type { ObjectAffinity } from "@pimentospring/core/steering/objectAffinity";
 import type { OfferedLoad } from "@pimentospring/core/steering/offeredLoad";
-import type { RemoteObjects } from "@pimentospring/core/steering/remoteObjects";
+import type { RegionFractions } from "@pimentospring/core/steering/regionFractions";
 import type { RequestDispatcher } from "@pimentospring/core/steering/requestDispatcher";
 import type { SlotPressure } from "@pimentospring/core/steering/slotPressure";
 import type { Spillover } from "@pimentospring/core/steering/spillover";
@@ -28,7 +28,7 @@
     readonly registry: TargetRegistry;
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
-    readonly remoteObjects: RemoteObjects;
+    readonly regionFractions: RegionFractions;
     readonly spillover: Spillover;
     readonly offeredLoad: OfferedLoad;
     readonly pressure: SlotPressure;
@@ -86,7 +86,7 @@
             reportAgeMs: meanReportAgeMs(targets, timer.now()),
             waiting: dispatcher.queuedCount(service),
             pressure: rounded(options.pressure.levelOf(service)),
-            farShare: rounded(options.remoteObjects.remoteFraction(service)),
+            farShare: rounded(options.regionFractions.total(service)),
             lent: options.spillover.describe(service),
             areLoadsKnown: options.spillover.areLoadsKnown(service),
             objects: options.objectAffinity.activeObjectCount(service),
--- a/packages/steer/src/observe/statusRoutes.ts
+++ b/packages/steer/src/observe/statusRoutes.ts
@@ -3,7 +3,7 @@
 import type { ReportedLimit } from "@pimentospring/core/limits/quotaLimit";
 import type { Members } from "@pimentospring/core/steering/members";
 import type { OfferedLoad } from "@pimentospring/core/steering/offeredLoad";
-import type { RemoteObjects } from "@pimentospring/core/steering/remoteObjects";
+import type { RegionFractions } from "@pimentospring/core/steering/regionFractions";
 import type { RequestDispatcher } from "@pimentospring/core/steering/requestDispatcher";
 import type { RouteTable } from "@pimentospring/core/steering/routeTable";
 import type { Spillover } from "@pimentospring/core/steering/spillover";
@@ -28,7 +28,7 @@
     readonly members: Members;
     readonly registry: TargetRegistry;
     readonly spillover: Spillover;
-    readonly remoteObjects: RemoteObjects;
+    readonly regionFractions: RegionFractions;
     readonly offeredLoad: OfferedLoad;
     readonly dispatcher: RequestDispatcher<TargetResponse>;
     readonly quotaLimit: Pick<ReportedLimit<WorkspaceId>, "status">;
@@ -70,7 +70,7 @@
         service,
         waiting: dispatcher.queuedCount(service),
         load: Number(options.offeredLoad.requiredSlots(service).toFixed(1)),
-        farShare: Number(options.remoteObjects.remoteFraction(service).toFixed(2)),
+        farShare: Number(options.regionFractions.total(service).toFixed(2)),
         agreedElsewhere: options.spillover.describe(service),
         targets: targetsOf(service),
     });
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -192,7 +192,7 @@
         cancel: targetSender.cancel,
         events: requestLog,
     });
-    const { dispatcher, registry, spillover, offeredLoad } = steering;
+    const { dispatcher, registry, spillover, offeredLoad, regionFractions } = steering;
     const projection = createStoreProjection({
         timer,
         log,
@@ -261,6 +261,9 @@
         heartbeat.loads.forEach(({ dataCentre, entry, loads }) => {
             members.recordDataCentreAlive(dataCentre);
             spillover.recordPeerLoads(dataCentre, entry, loads);
+            if (steering.topology.isOwnRegion(dataCentre)) {
+                regionFractions.recordPeerLoads(loads);
+            }
         });
         poisonReporting.receive(heartbeat.poison);
         heartbeat.leavingTargets.forEach(registry.markLeaving);
@@ -281,7 +284,11 @@
         ownLoads: () => ({
             dataCentre: settings.dataCentre,
             entry: settings.name,
-            loads: [...services.keys()].map(service => ({ service, slots: offeredLoad.requiredSlots(service) })),
+            loads: [...services.keys()].map(service => ({
+                service,
+                slots: offeredLoad.requiredSlots(service),
+                remoteFractions: regionFractions.known(service),
+            })),
         }),
         revision: replica.revision,
         leavingTargets: registry.recentlyLeaving,
