fix(core): requests that change their region because targets are full are limited by position, not by counts

Cause: each entry could send two requests beyond its fraction, which at dozens of entries with a few requests each is a large part of a window; and a request that was owed to the region was forgotten whenever the credit was empty, so that remote objects did not count. Neither limit knew of the other. Objects that came home because remote targets were full had no limit. Change: a request may change its region if its object's position in its group is below a threshold, which follows the fraction of arrivals that lately did. Nothing is counted per entry, so that the thresholds of many entries add up. What the planned moves have not used of the bound within two seconds is what these requests may use. The same limit holds for objects that come home. The test of the limiter keeps its bound and feeds positions instead of a credit.

--- a/packages/core/src/steering/__tests__/fixture.ts
+++ b/packages/core/src/steering/__tests__/fixture.ts
@@ -165,7 +165,7 @@
     const checks: Target[] = [];
     const responses = new Map<string, FinalResponse<string>>();
     const poisonList = createPoisonList({ timer, isTrialEntry: () => true });
-    const regionShift = createRegionShiftLimiter({ timer, maxFractionChange: () => 0.15 });
+    const createLimiter = () => createRegionShiftLimiter({ timer, maxFractionChange: () => 0.15 });
     const workTimes = createWorkTimes();
     const objectAffinity = createObjectAffinity(timer);
     const pressure = createSlotPressure(timer);
@@ -202,7 +202,8 @@
             ownEntryCount: () => 1,
             regionOf: place => toRegionId(place.split("-")[0]!),
         }),
-        regionShift,
+        leavingRequests: createLimiter(),
+        returningRequests: createLimiter(),
         workTimes,
         objectAffinity,
         remoteObjects: createRemoteObjects({ fractions: () => new Map() }),
@@ -227,7 +228,6 @@
         quotaLimit: options.quotaLimit ?? { tryTake: () => ({ kind: "admitted", giveBack: () => {} }) },
         roundRobin: createWeightedRoundRobin(),
         targetSelector,
-        regionShift,
         workTimes,
         objectAffinity,
         ownAttempts: createOwnAttempts(),
--- a/packages/core/src/steering/__tests__/parts.test.ts
+++ b/packages/core/src/steering/__tests__/parts.test.ts
@@ -103,6 +103,8 @@
     assert.equal(coldRateLimitPerEntry(bound, 0, 0), 0);
 });
 
+const goldenRatio = (Math.sqrt(5) - 1) / 2;
+
 test("the fraction of requests leaving a region changes by no more than the limit from window to window", () => {
     const timer = createVirtualTimer();
     const shift = createRegionShiftLimiter({ timer, maxFractionChange: () => 0.15 });
@@ -110,8 +112,13 @@
     for (let step = 0; step < 2_400; step++) {
         timer.advance(10);
         const wantsRemote = timer.now() > 4_000 && timer.now() < 14_000;
-        const isRemote = wantsRemote ? shift.mayLeaveRegion() : !shift.mayStayInRegion();
-        shift.recordSent(isRemote);
+        // Evenly distributed, as hashes of many objects are.
+        const position = (step * goldenRatio) % 1;
+        const isRemote = wantsRemote ? shift.mayMove(service, position) : shift.hasToMove(service, position);
+        shift.recordArrival(service);
+        if (isRemote) {
+            shift.recordMoved(service);
+        }
         sent.push({ at: timer.now(), isRemote });
     }
     const share = (from: number): number => {
--- a/packages/core/src/steering/regionFractions.ts
+++ b/packages/core/src/steering/regionFractions.ts
@@ -14,6 +14,8 @@
     current(service: ServiceId): FractionsByRegion;
     /** Fraction of the service's load that leaves the region. */
     total(service: ServiceId): number;
+    /** Part of the limit that the fractions have not used within two seconds. */
+    unusedChange(service: ServiceId): number;
     /** Current fractions for the entry's peers; `undefined` before its first request for the service. */
     known(service: ServiceId): FractionsByRegion | undefined;
     /** Records what another entry of the region reports. An entry that has just started continues from its fractions. */
@@ -43,17 +45,30 @@
 const peerRetentionMs = 3_000;
 /** An entry takes over its peers' fractions if it hears of them within this time of its first request. */
 const startMs = 2_000;
+const snapshotIntervalMs = 250;
+
+interface Snapshot {
+    readonly fractions: FractionsByRegion;
+    readonly at: number;
+}
 
 interface State {
     fractions: FractionsByRegion;
+    /** Earlier fractions, oldest first. */
+    readonly history: Snapshot[];
     /** The same without regions that have no target. */
     served: FractionsByRegion;
     updatedAt: number;
     readonly startedAt: number;
 }
 
-export const sumOfFractions = (fractions: FractionsByRegion): number =>
-    [...fractions.values()].reduce((sum, fraction) => sum + fraction, 0);
+export function sumOfFractions(fractions: FractionsByRegion): number {
+    let sum = 0;
+    for (const fraction of fractions.values()) {
+        sum += fraction;
+    }
+    return sum;
+}
 
 export function createRegionFractions(options: RegionFractionsOptions): RegionFractions {
     const { timer } = options;
@@ -76,7 +91,13 @@
         }
         const now = timer.now();
         const fractions = initialFractions(service);
-        const state: State = { fractions, served: servedPart(service, fractions), updatedAt: now, startedAt: now };
+        const state: State = {
+            fractions,
+            history: [{ fractions, at: now }],
+            served: servedPart(service, fractions),
+            updatedAt: now,
+            startedAt: now,
+        };
         states.set(service, state);
         return state;
     };
@@ -90,9 +111,20 @@
             state.updatedAt = timer.now();
             state.fractions = moveTowards(state.fractions, options.plannedFractions(service), maxStep);
             state.served = servedPart(service, state.fractions);
+            remember(state);
         }
         return state.served;
     };
+    const remember = ({ history, fractions }: State): void => {
+        const now = timer.now();
+        if (now - history.at(-1)!.at < snapshotIntervalMs) {
+            return;
+        }
+        history.push({ fractions, at: now });
+        while (history.length > 1 && history[1]!.at <= now - windowMs) {
+            history.shift();
+        }
+    };
     const recordPeer = (service: ServiceId, fractions: FractionsByRegion): void => {
         const state = states.get(service);
         if (state === undefined) {
@@ -107,6 +139,11 @@
     return {
         current,
         total: service => sumOfFractions(current(service)),
+        unusedChange: service => {
+            current(service);
+            const { history, fractions } = stateOf(service);
+            return Math.max(0, options.maxFractionChange() - changeBetween(history[0]!.fractions, fractions));
+        },
         known: service => states.has(service) ? current(service) : undefined,
         recordPeerLoads: loads => {
             for (const { service, remoteFractions } of loads) {
--- a/packages/core/src/steering/regionShiftLimiter.ts
+++ b/packages/core/src/steering/regionShiftLimiter.ts
@@ -1,98 +1,95 @@
 /**
- * Limits how fast an entry moves requests to other regions and back. The fraction of upcoming requests that leave the
- * region may differ only by a limited amount from the fraction of the last two seconds. Fractions of a request are
- * carried over, so that low request rates are distributed evenly too.
+ * Limits how fast requests change their region because targets are full, besides the objects that move as planned. Of a group
+ * of requests that usually run in one region, only those whose position is below a threshold may run in another one. The
+ * threshold follows the fraction that lately did, so that it changes by a limited amount; as it does not count requests, the
+ * limits of many entries with few requests each add up to no more than that of one with all of them.
  */
+import type { ServiceId } from "../ids.js";
 import type { Timer } from "../time/timer.js";
 
 export interface RegionShiftLimiter {
-    /** Whether one more request may be sent to another region. */
-    mayLeaveRegion(): boolean;
-    /** Whether one more request may stay in the region; false if too many would return at once. */
-    mayStayInRegion(): boolean;
-    /** Records that a request was sent to a target. */
-    recordSent(isLeaving: boolean): void;
+    /** Whether a request at a position from 0 to 1 in its group may run outside its usual region. */
+    mayMove(service: ServiceId, position: number): boolean;
+    /** Whether the request has to run outside its usual region if it can, as too many would return at once. */
+    hasToMove(service: ServiceId, position: number): boolean;
+    /** Fraction of the group's requests that have to run outside their usual region if they can. */
+    minMovedFraction(service: ServiceId): number;
+    /** Records a request of the group, whether or not it finds a target. */
+    recordArrival(service: ServiceId): void;
+    /** Records that a request of the group was sent to a target outside its usual region. */
+    recordMoved(service: ServiceId): void;
 }
 
 export interface RegionShiftLimiterOptions {
     readonly timer: Timer;
     /** Maximum change of the fraction between two windows of two seconds. */
-    readonly maxFractionChange: () => number;
+    readonly maxFractionChange: (service: ServiceId) => number;
 }
 
 const windowMs = 2_000;
 const sliceCount = 8;
+const sliceMs = windowMs / sliceCount;
 /**
  * Fraction of the limit by which the current fraction may differ from that of the previous window. A fraction that
  * changes steadily by this much changes by twice as much from window to window.
  */
 const usedChangeFraction = 0.45;
-/** Fraction that may leave from the first request on, if no requests were sent in the previous window. */
+/** Fraction that may move within the first window, before it is known how many do. */
 const initialFraction = 0.35;
-/** Maximum number of requests carried over after periods in which no target in other regions was free. */
-const maxCarriedRequests = 2;
 
 interface Slice {
     all: number;
-    leaving: number;
+    moved: number;
+}
+
+/** Requests of a service in the current slice and in the window before it. */
+interface Counts {
+    readonly past: Slice[];
+    current: Slice;
+    currentIndex: number;
+    /** Time of the first request; `undefined` before it. */
+    startedAt: number | undefined;
 }
 
 export function createRegionShiftLimiter(options: RegionShiftLimiterOptions): RegionShiftLimiter {
-    const { timer, maxFractionChange } = options;
-    const sliceMs = windowMs / sliceCount;
-    const past: Slice[] = [];
-    let current: Slice = { all: 0, leaving: 0 };
-    let currentSliceIndex = Math.floor(timer.now() / sliceMs);
-    /** Number of requests that may leave the region, and number that must leave it. */
-    let leaveCredit = 1;
-    let leaveDebt = 0;
-    /** Start of the current run of requests, after a window without any. */
-    let activeSince = -Infinity;
-    const advance = (): void => {
-        const sliceIndex = Math.floor(timer.now() / sliceMs);
-        const steps = Math.min(sliceIndex - currentSliceIndex, 2 * sliceCount);
+    const { timer } = options;
+    const countsByService = new Map<ServiceId, Counts>();
+    const countsOf = (service: ServiceId): Counts => {
+        const index = Math.floor(timer.now() / sliceMs);
+        const counts = countsByService.get(service)
+            ?? { past: [], current: { all: 0, moved: 0 }, currentIndex: index, startedAt: undefined };
+        countsByService.set(service, counts);
+        const steps = Math.min(index - counts.currentIndex, sliceCount + 1);
         for (let step = 0; step < steps; step++) {
-            past.push(current);
-            current = { all: 0, leaving: 0 };
+            counts.past.push(counts.current);
+            counts.current = { all: 0, moved: 0 };
         }
-        past.splice(0, Math.max(0, past.length - sliceCount));
-        currentSliceIndex = sliceIndex;
+        counts.past.splice(0, Math.max(0, counts.past.length - sliceCount));
+        counts.currentIndex = index;
+        return counts;
+    };
+    const sum = (slices: readonly Slice[]): Slice =>
+        slices.reduce((total, slice) => ({ all: total.all + slice.all, moved: total.moved + slice.moved }), { all: 0, moved: 0 });
+    const movedFraction = ({ past }: Counts): number => {
+        const { all, moved } = sum(past);
+        return all === 0 ? 0 : Math.min(1, moved / all);
     };
-    const sum = (part: readonly Slice[]): Slice =>
-        part.reduce((total, slice) => ({ all: total.all + slice.all, leaving: total.leaving + slice.leaving }), {
-            all: 0,
-            leaving: 0,
-        });
-    const lastWindow = (): Slice => sum(past.slice(-sliceCount));
+    const maxChange = (service: ServiceId): number => usedChangeFraction * options.maxFractionChange(service);
+    const maxMovedFraction = (service: ServiceId): number => {
+        const counts = countsOf(service);
+        const isFirstWindow = counts.startedAt === undefined || timer.now() - counts.startedAt < windowMs;
+        return Math.max(movedFraction(counts) + maxChange(service), isFirstWindow ? initialFraction : 0);
+    };
+    const minMovedFraction = (service: ServiceId): number => Math.max(0, movedFraction(countsOf(service)) - maxChange(service));
     return {
-        mayLeaveRegion: () => {
-            advance();
-            return leaveCredit >= 1;
-        },
-        mayStayInRegion: () => {
-            advance();
-            return leaveDebt < 1;
-        },
-        recordSent: isLeaving => {
-            advance();
-            const window = lastWindow();
-            const windowFraction = window.all === 0 ? 0 : window.leaving / window.all;
-            const leaving = isLeaving ? 1 : 0;
-            if (window.all + current.all === 0) {
-                activeSince = timer.now();
-            }
-            const isFirstWindow = timer.now() - activeSince < windowMs;
-            const maxLeavingFraction = Math.max(
-                windowFraction + usedChangeFraction * maxFractionChange(),
-                isFirstWindow ? initialFraction : 0,
-            );
-            leaveCredit = Math.min(maxCarriedRequests, Math.max(0, leaveCredit + maxLeavingFraction - leaving));
-            leaveDebt = Math.min(
-                maxCarriedRequests,
-                Math.max(0, leaveDebt + windowFraction - usedChangeFraction * maxFractionChange() - leaving),
-            );
-            current.all++;
-            current.leaving += leaving;
+        mayMove: (service, position) => position < maxMovedFraction(service),
+        hasToMove: (service, position) => position < minMovedFraction(service),
+        minMovedFraction,
+        recordArrival: service => {
+            const counts = countsOf(service);
+            counts.startedAt ??= timer.now();
+            counts.current.all++;
         },
+        recordMoved: service => void countsOf(service).current.moved++,
     };
 }
--- a/packages/core/src/steering/remoteObjects.ts
+++ b/packages/core/src/steering/remoteObjects.ts
@@ -4,11 +4,16 @@
  */
 import { hashText, mixHashes } from "../hash/hash.js";
 import type { RegionId, ServiceId } from "../ids.js";
-import type { FractionsByRegion } from "./regionFractions.js";
+import { type FractionsByRegion, sumOfFractions } from "./regionFractions.js";
 
 export interface RemoteObjects {
     /** Region in which the object is currently served; `undefined` if that is this entry's own. */
     regionOf(service: ServiceId, key: number): RegionId | undefined;
+    /**
+     * Position of the object, from 0 to 1, among those that are served in other regions, or among those that are not. The
+     * latter's begin with the objects that would be the next to leave.
+     */
+    positionOf(service: ServiceId, key: number): number;
 }
 
 export interface RemoteObjectsOptions {
@@ -22,16 +27,18 @@
     return {
         regionOf: (service, key) => {
             const byRegion = fractions(service);
-            const position = mixHashes(key, hashSeed) / hashRange;
-            let sum = 0;
-            for (const fraction of byRegion.values()) {
-                sum += fraction;
-            }
-            return position < sum ? heaviestRegion(key, byRegion) : undefined;
+            return hashPosition(key) < sumOfFractions(byRegion) ? heaviestRegion(key, byRegion) : undefined;
+        },
+        positionOf: (service, key) => {
+            const position = hashPosition(key);
+            const remote = sumOfFractions(fractions(service));
+            return position < remote ? position / remote : (position - remote) / (1 - remote);
         },
     };
 }
 
+const hashPosition = (key: number): number => mixHashes(key, hashSeed) / hashRange;
+
 /** Weighted rendezvous hashing: when a region's weight changes, objects move only to or from that region. */
 function heaviestRegion(key: number, weights: FractionsByRegion): RegionId | undefined {
     if (weights.size === 1) {
--- a/packages/core/src/steering/requestDispatcher.ts
+++ b/packages/core/src/steering/requestDispatcher.ts
@@ -19,7 +19,6 @@
 import type { ObjectAffinity } from "./objectAffinity.js";
 import type { OfferedLoad } from "./offeredLoad.js";
 import { createPoisonGate } from "./poisonGate.js";
-import type { RegionShiftLimiter } from "./regionShiftLimiter.js";
 import { createRequestQueue, type QueuedRequest } from "./requestQueue.js";
 import { classifyResponse, isRefusedWithFreeSlots, type ResponseAction } from "./responseAction.js";
 import type { RetryBudget } from "./retryBudget.js";
@@ -68,7 +67,6 @@
     /** Requests that may be at targets at the same time. */
     readonly maxAttempts: number;
     readonly targetSelector: TargetSelector<Answer>;
-    readonly regionShift: RegionShiftLimiter;
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
     readonly ownAttempts: OwnAttempts;
@@ -190,7 +188,7 @@
         adjustInFlight(attempt, 1);
         target.recentArrivals.add();
         target.isUntried = false;
-        options.regionShift.recordSent(!options.isOwnRegion(target));
+        targetSelector.recordSent(job, target);
         queue.recordSent(job);
         events.onAttemptStarted(attempt, selected);
         options.send(attempt);
@@ -409,6 +407,7 @@
             }
             const { job } = taken;
             completion.add(job, finish);
+            targetSelector.recordArrival(job);
             job.cancelTimeout = timer.after(job.responseDueAt - timer.now(), () => handleTimeout(job));
             enqueue(job);
             return () => {
--- a/packages/core/src/steering/steering.ts
+++ b/packages/core/src/steering/steering.ts
@@ -16,13 +16,13 @@
 import { createOfferedLoad, type OfferedLoad } from "./offeredLoad.js";
 import { createPeerAttempts, type PeerAttempts } from "./peerAttempts.js";
 import { createRegionFractions, type RegionFractions } from "./regionFractions.js";
-import { createRegionShiftLimiter } from "./regionShiftLimiter.js";
+import { createRegionShiftLimiter, type RegionShiftLimiter } from "./regionShiftLimiter.js";
 import { createRemoteObjects } from "./remoteObjects.js";
 import { createRequestDispatcher, type RequestDispatcher } from "./requestDispatcher.js";
 import { createRetryBudget, type RetryLimit } from "./retryBudget.js";
 import type { RouteTable } from "./routeTable.js";
 import { createSlotPressure, type SlotPressure } from "./slotPressure.js";
-import { createSpillover, type Spillover } from "./spillover.js";
+import { createSpillover, type ServiceLoad, type Spillover } from "./spillover.js";
 import type { Service } from "./steeringDocument.js";
 import type { SteeringEvents } from "./steeringEvents.js";
 import type { Target } from "./target.js";
@@ -93,8 +93,14 @@
     readonly peerAttempts: PeerAttempts;
     /** Limits the requests of each workspace, over all instances. */
     readonly quotaLimit: ReportedLimit<WorkspaceId>;
+    /** What this entry reports to its peers of each service. */
+    ownLoads(services: Iterable<ServiceId>): ServiceLoad[];
+    recordPeerLoads(dataCentre: DataCentreId, entry: string, loads: readonly ServiceLoad[]): void;
 }
 
+/** Smaller parts of a service's load are too small to matter for the limit on region shifts. */
+const minGroupFraction = 0.01;
+
 /** Bounds of quotas if the operator sets none. */
 const defaultQuotaBounds: QuotaBounds = { windowMs: 5_000, overshoot: 0.1, slack: 20 };
 
@@ -107,7 +113,6 @@
     const pressure = createSlotPressure(timer);
     const offeredLoad = createOfferedLoad(timer);
     const maxRegionShift = (): number => bounds().regionShift;
-    const regionShift = createRegionShiftLimiter({ timer, maxFractionChange: maxRegionShift });
     const registry = createTargetRegistry({ timer, onChanged: options.onTargetChanged });
     const peerAttempts = createPeerAttempts({ timer, registry, objectAffinity });
     const quotaLimit = createSharedLimit<WorkspaceId>({
@@ -143,6 +148,20 @@
             ),
         maxFractionChange: maxRegionShift,
     });
+    /** Limits requests that leave a group, which is the given part of the service's load; the planned moves go first. */
+    const createLimiter = (partOf: (service: ServiceId) => number): RegionShiftLimiter =>
+        createRegionShiftLimiter({
+            timer,
+            maxFractionChange: service => regionFractions.unusedChange(service) / Math.max(minGroupFraction, partOf(service)),
+        });
+    const leavingRequests = createLimiter(service => 1 - regionFractions.total(service));
+    const returningRequests = createLimiter(regionFractions.total);
+    /** Slots that keep busy what has to run in other regions. */
+    const remoteLoadSlots = (service: ServiceId): number => {
+        const planned = regionFractions.total(service);
+        const remote = planned + (1 - planned) * leavingRequests.minMovedFraction(service);
+        return remote * spillover.servedLoadSlots(service);
+    };
     const remoteObjects = createRemoteObjects({ fractions: regionFractions.current });
     const coldRateLimit = (target: Target): number => {
         const { dataCentre, service } = target.record;
@@ -172,11 +191,12 @@
         self,
         registry,
         spillover,
-        regionShift,
+        leavingRequests,
+        returningRequests,
         workTimes,
         objectAffinity,
         remoteObjects,
-        remoteLoadSlots: service => regionFractions.total(service) * spillover.servedLoadSlots(service),
+        remoteLoadSlots,
         regionOf: topology.regionOf,
         isEvacuated: options.isEvacuated,
         coversDataCentre,
@@ -197,7 +217,6 @@
         roundRobin,
         maxAttempts: options.maxAttempts ?? Infinity,
         targetSelector,
-        regionShift,
         workTimes,
         objectAffinity,
         ownAttempts,
@@ -232,6 +251,18 @@
         ownAttempts,
         peerAttempts,
         quotaLimit,
+        ownLoads: services =>
+            [...services].map(service => ({
+                service,
+                slots: offeredLoad.requiredSlots(service),
+                remoteFractions: regionFractions.known(service),
+            })),
+        recordPeerLoads: (dataCentre, entry, loads) => {
+            spillover.recordPeerLoads(dataCentre, entry, loads);
+            if (topology.isOwnRegion(dataCentre)) {
+                regionFractions.recordPeerLoads(loads);
+            }
+        },
     };
 }
 
--- a/packages/core/src/steering/targetSelector.ts
+++ b/packages/core/src/steering/targetSelector.ts
@@ -50,6 +50,9 @@
     opensAt(job: Job<Answer>): number;
     /** Work of the job at the target that is most likely to have its object cached, in milliseconds. */
     minWorkMs(job: Job<Answer>): number;
+    recordArrival(job: Job<Answer>): void;
+    /** Records that the job was sent to the target. */
+    recordSent(job: Job<Answer>, target: Target): void;
 }
 
 export interface TargetSelectorOptions {
@@ -58,7 +61,10 @@
     readonly self: Locality;
     readonly registry: TargetRegistry;
     readonly spillover: Spillover;
-    readonly regionShift: RegionShiftLimiter;
+    /** Limits the requests that leave the region although their objects are served in it. */
+    readonly leavingRequests: RegionShiftLimiter;
+    /** Limits the requests that run in the region although their objects are served in another one. */
+    readonly returningRequests: RegionShiftLimiter;
     readonly workTimes: WorkTimes;
     readonly objectAffinity: ObjectAffinity;
     readonly remoteObjects: RemoteObjects;
@@ -147,7 +153,8 @@
 }
 
 export function createTargetSelector<Answer>(options: TargetSelectorOptions): TargetSelector<Answer> {
-    const { timer, random, self, registry, spillover, regionShift, workTimes, objectAffinity, remoteObjects } = options;
+    const { timer, random, self, registry, spillover, workTimes, objectAffinity, remoteObjects } = options;
+    const { leavingRequests, returningRequests } = options;
 
     /** If a region has no target left, all requests that arrive there must leave it at once. */
     const hasOwnRegionTarget = (service: ServiceId): boolean => {
@@ -175,6 +182,13 @@
             ? remoteObjects.regionOf(job.service, keyFor(job, job.request.objectId))
             : undefined;
     const isRemoteObject = (job: Job<Answer>): boolean => remoteRegionOf(job) !== undefined;
+    /** Position of the job, from 0 to 1, among those whose objects are served in the same region as its own. */
+    const positionOf = (job: Job<Answer>): number =>
+        job.route.isSticky && job.request.objectId !== undefined
+            ? remoteObjects.positionOf(job.service, keyFor(job, job.request.objectId))
+            : hashText(job.request.id) / hashRange;
+    /** Limits the jobs that run in another region than the one in which their objects are served. */
+    const limiterOf = (job: Job<Answer>): RegionShiftLimiter => isRemoteObject(job) ? returningRequests : leavingRequests;
     const isInHomeRegion = (job: Job<Answer>, dataCentre: DataCentreId): boolean => {
         const region = options.regionOf(dataCentre);
         const homes = job.terms.homeRegions;
@@ -212,16 +226,20 @@
         if (mustLeaveRegion(job)) {
             return true;
         }
+        // Within a region load reports are recent, and its few entries use the same targets anyway.
+        if (region === self.region) {
+            return true;
+        }
         // The limit on region shifts is applied to remote objects where they are selected.
-        const isShiftLimited = region !== self.region && !isRemoteObject(job) && hasOwnRegionTarget(job.service);
-        if (isShiftLimited && !regionShift.mayLeaveRegion()) {
+        const isRemote = isRemoteObject(job);
+        const isShiftLimited = !isRemote && hasOwnRegionTarget(job.service);
+        if (isShiftLimited && !leavingRequests.mayMove(job.service, positionOf(job))) {
             return false;
         }
-        // Within a region load reports are recent, and its few entries use the same targets anyway.
-        if (region === self.region || options.coversDataCentre(dataCentre)) {
+        if (options.coversDataCentre(dataCentre)) {
             return true;
         }
-        return isRemoteObject(job)
+        return isRemote || leavingRequests.hasToMove(job.service, positionOf(job))
             ? hasRemoteRoom(job)
             : options.inFlightCountAt(job.service, dataCentre) + 1 <= allowanceIn(job, dataCentre);
     };
@@ -348,10 +366,9 @@
         const key = keyFor(job, objectId);
         const remoteHome = objectAffinity.homeInOtherRegion(key, allowedInOtherRegions(job), isUsable);
         const isRemoteHomeOpen = remoteHome !== undefined && dataCentres.has(remoteHome.record.dataCentre);
-        if (
-            remoteHome !== undefined && isRemoteObject(job) &&
-            now < job.request.arrivedAt + remoteHoldRatio * job.route.objectiveMs
-        ) {
+        const mayReturn = now >= job.request.arrivedAt + remoteHoldRatio * job.route.objectiveMs
+            && returningRequests.mayMove(job.service, positionOf(job));
+        if (remoteHome !== undefined && isRemoteObject(job) && !mayReturn) {
             return { targets: isRemoteHomeOpen ? [remoteHome] : [], copy: undefined };
         }
         const objectCount = objectAffinity.activeObjectCount(job.service);
@@ -386,7 +403,7 @@
                     bestRemote = target.record.region === self.region ? bestRemote : higherScored(bestRemote, scored);
                 }
             }
-            return bestRemote !== undefined && !regionShift.mayStayInRegion()
+            return bestRemote !== undefined && !isRemoteObject(job) && leavingRequests.hasToMove(job.service, positionOf(job))
                 ? { bestFree: bestRemote, bestFullScore: -Infinity }
                 : { bestFree, bestFullScore };
         },
@@ -416,6 +433,17 @@
             }
             return openingAt === Infinity && !registry.isServiceLeaving(job.service) ? now : openingAt;
         },
+        recordArrival: job => {
+            if (!mustLeaveRegion(job)) {
+                limiterOf(job).recordArrival(job.service);
+            }
+        },
+        recordSent: (job, target) => {
+            const isInOwnRegion = target.record.region === self.region;
+            if (!mustLeaveRegion(job) && isInOwnRegion === isRemoteObject(job)) {
+                limiterOf(job).recordMoved(job.service);
+            }
+        },
         minWorkMs: job => {
             if (isRemoteObject(job)) {
                 return workTimes.warmMs(job.route) + options.remoteRoundTripMs;
--- a/packages/harness/src/steering/__tests__/targetNotices.test.ts
+++ b/packages/harness/src/steering/__tests__/targetNotices.test.ts
@@ -13,7 +13,7 @@
 const disturbedMs = 10_000;
 /** The classes of the service whose targets are disturbed. */
 const classNames = ["token-check", "token-redeem"];
-const seeds = [1, 2, 3, 4, 5, 6];
+const seeds = Array.from({ length: 18 }, (_, index) => index + 1);
 
 interface Outcome {
     /** Value earned of what was owed, mean of the classes. */
--- a/packages/harness/src/steering/steeringSimulation.ts
+++ b/packages/harness/src/steering/steeringSimulation.ts
@@ -280,20 +280,13 @@
     };
     const broadcastLoads = (): void => {
         for (const entry of entries) {
-            const { offeredLoad, regionFractions } = entry.steering;
-            const loads = services.map(({ id }) => ({
-                service: id,
-                slots: offeredLoad.requiredSlots(id),
-                remoteFractions: regionFractions.known(id),
-            }));
+            const loads = entry.steering.ownLoads(services.map(({ id }) => id));
             const name = records[entries.indexOf(entry)]!.id;
             for (const other of entries.filter(peer => peer !== entry)) {
-                timer.after(oneWayDelayMs(entry.dataCentre, other.dataCentre), () => {
-                    other.steering.spillover.recordPeerLoads(entry.dataCentre, name, loads);
-                    if (regionOf(entry.dataCentre) === regionOf(other.dataCentre)) {
-                        other.steering.regionFractions.recordPeerLoads(loads);
-                    }
-                });
+                timer.after(
+                    oneWayDelayMs(entry.dataCentre, other.dataCentre),
+                    () => other.steering.recordPeerLoads(entry.dataCentre, name, loads),
+                );
             }
         }
     };
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -192,7 +192,7 @@
         cancel: targetSender.cancel,
         events: requestLog,
     });
-    const { dispatcher, registry, spillover, offeredLoad, regionFractions } = steering;
+    const { dispatcher, registry } = steering;
     const projection = createStoreProjection({
         timer,
         log,
@@ -260,10 +260,7 @@
         members.recordDataCentreAlive(sender.record.dataCentre);
         heartbeat.loads.forEach(({ dataCentre, entry, loads }) => {
             members.recordDataCentreAlive(dataCentre);
-            spillover.recordPeerLoads(dataCentre, entry, loads);
-            if (steering.topology.isOwnRegion(dataCentre)) {
-                regionFractions.recordPeerLoads(loads);
-            }
+            steering.recordPeerLoads(dataCentre, entry, loads);
         });
         poisonReporting.receive(heartbeat.poison);
         heartbeat.leavingTargets.forEach(registry.markLeaving);
@@ -284,11 +281,7 @@
         ownLoads: () => ({
             dataCentre: settings.dataCentre,
             entry: settings.name,
-            loads: [...services.keys()].map(service => ({
-                service,
-                slots: offeredLoad.requiredSlots(service),
-                remoteFractions: regionFractions.known(service),
-            })),
+            loads: steering.ownLoads(services.keys()),
         }),
         revision: replica.revision,
         leavingTargets: registry.recentlyLeaving,
