fix(steer): a failure of the store that only a peer saw keeps no target in use

What callers saw: requests reached a target more than 2,500 ms after its removal (DRAIN). Cause: an entry that the store turns away records a failure at each call and passes its age on with the changes that it tells. Whoever took changes from it, or from one that had, put off every removal by 2,600 ms, though the store served it throughout. Class: somebody else's doubt is taken for one's own, and the wait is longer than the promise it stands against. Change: where the store has served the entry throughout (no failure of its own, and a response within the time between two renewals of its lease), a removed target is out of use at once if two thirds of its service's targets in the region remain, after 1,900 ms otherwise. It stays known until its record may no longer come back, and is used again as soon as that is written. Where many vanish together, or the entry saw a failure itself, targets stay in use as before.

--- a/packages/runtime/src/logs/logEvents.ts
+++ b/packages/runtime/src/logs/logEvents.ts
@@ -246,7 +246,7 @@
         "removalDeferred",
         "info",
         "Removals of targets are put off, as their records may have expired in a failure of the store; the line gives its age, "
-            + "who saw it (own, or the peer that told of it) and the targets. Without an age: the records vanished together.",
+            + "who saw it (own, or the peer that told of it), the targets and how many of them stay in use. Without an age: the records vanished together.",
     ),
     itemRefused: defineEvent(720, "itemRefused", "warn", "An item in the store is invalid; what is in force stays."),
     registered: defineEvent(721, "registered", "info", "This entry is registered in the store."),
--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -201,6 +201,7 @@
         members,
         self: instance,
         storeFailureAgeMs: () => replication.storeFailureAgeMs(),
+        isServedByStore: () => replication.isServedByStore(),
         storeFailureSource: () => replication.storeFailureSource(),
         copyRevision: () => replication.copyRevision(),
         onRegistrationLost: () => replication.markRegistrationLost(),
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -262,6 +262,9 @@
         isDraining: () => false,
         onDeferred: () => {},
         remove: id => removedIds.push(id),
+        isServed: () => false,
+        isDispensable: () => false,
+        retire: () => {},
     });
     removals.schedule(toTargetId("live"));
     removals.schedule(toTargetId("dead"));
@@ -281,6 +284,9 @@
         isDraining: () => false,
         onDeferred: () => {},
         remove: id => removedIds.push(id),
+        isServed: () => false,
+        isDispensable: () => false,
+        retire: () => {},
     });
     removals.schedule(toTargetId("one"));
     removals.decide();
@@ -298,6 +304,9 @@
             isDraining: () => false,
             onDeferred: () => {},
             remove: id => removedIds.push(id),
+            isServed: () => false,
+            isDispensable: () => false,
+            retire: () => {},
         });
         leaving.forEach(removals.schedule);
         removals.decide();
@@ -315,6 +324,9 @@
         isDraining: () => false,
         onDeferred: () => {},
         remove: id => removedIds.push(id),
+        isServed: () => false,
+        isDispensable: () => false,
+        retire: () => {},
     });
     const ids = Array.from({ length: 32 }, (_, index) => toTargetId(`t${index}`));
     ids.forEach(removals.schedule);
@@ -333,6 +345,9 @@
         targetCount: () => 32,
         isDraining: id => id !== "t0",
         remove: id => removedIds.push(id),
+        isServed: () => false,
+        isDispensable: () => false,
+        retire: () => {},
         onDeferred: () => {},
     });
     const ids = Array.from({ length: 12 }, (_, index) => toTargetId(`t${index}`));
@@ -438,6 +453,7 @@
         members: createMembers(timer, self),
         self: self.id,
         storeFailureAgeMs: () => undefined,
+        isServedByStore: () => true,
         storeFailureSource: () => "own",
         copyRevision: () => 0,
         onRegistrationLost: () => {},
--- a/packages/steer/src/store/deferredRemovals.ts
+++ b/packages/steer/src/store/deferredRemovals.ts
@@ -1,6 +1,7 @@
 /**
- * Defers removals of targets shortly after a store outage: live targets rewrite records that expired meanwhile within
- * about two seconds.
+ * Defers removals of targets whose records may merely have expired, shortly after a store outage: live targets write them again
+ * within about two seconds. Where only a peer saw the outage, the target stays known, but it is out of use at once if the others
+ * can do its work: a target that leaves must get nothing after the drain time.
  */
 import type { TargetId } from "@pimentospring/core/ids";
 import type { Cancel, Timer } from "@pimentospring/core/time/timer";
@@ -9,13 +10,26 @@
     readonly timer: Timer;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     readonly storeFailureAgeMs: () => number | undefined;
+    /** Whether the store served this entry throughout, so that a failure that a peer saw may be that of the peer's link alone. */
+    readonly isServed: () => boolean;
     /** Targets that are known now. */
     readonly targetCount: () => number;
     /** Whether the target said that it leaves, so that its removal was to be expected. */
     readonly isDraining: (id: TargetId) => boolean;
+    /** Whether the targets that remain in use can do its work. */
+    readonly isDispensable: (id: TargetId) => boolean;
+    /** Takes the target out of use until its record is written again. */
+    readonly retire: (id: TargetId) => void;
     readonly remove: (id: TargetId) => void;
     /** Called when removals of one batch are put off; without a failure of the store, as they came together. */
-    readonly onDeferred: (ids: readonly TargetId[], failureAgeMs: number | undefined) => void;
+    readonly onDeferred: (batch: DeferredBatch) => void;
+}
+
+export interface DeferredBatch {
+    readonly ids: readonly TargetId[];
+    /** Targets among them that stay in use for now. */
+    readonly inUse: readonly TargetId[];
+    readonly failureAgeMs: number | undefined;
 }
 
 export interface DeferredRemovals {
@@ -31,7 +45,10 @@
 
 /** Time within which an expired record may be written again and read here. */
 export const removalDelayMs = 2_600;
-/** The same for records that vanish together while the store works: a target that leaves must be out of use in 2,500 ms. */
+/**
+ * Time for which targets stay in use that the others can't replace, and for which records that vanish together while the store
+ * works may be written again. A target that leaves must be out of use in 2,500 ms, with the time to read its removal.
+ */
 export const batchRemovalDelayMs = 1_900;
 /**
  * Time within which targets that an older copy of the store lacks write themselves again, and entries that don't watch the
@@ -46,7 +63,7 @@
 const minExpiries = 4;
 
 export function createDeferredRemovals(options: DeferredRemovalsOptions): DeferredRemovals {
-    const { timer, remove } = options;
+    const { timer, remove, retire } = options;
     const pending = new Map<TargetId, Cancel>();
     const scheduled = new Set<TargetId>();
     const defer = (id: TargetId, delayMs: number): void => {
@@ -57,6 +74,44 @@
         };
         pending.set(id, timer.after(delayMs, removeNow));
     };
+    const cancelPending = (id: TargetId): void => {
+        pending.get(id)?.();
+        pending.delete(id);
+    };
+    /** Keeps the target known until its record may no longer come back, and in use for the first part of that time. */
+    const deferInUse = (id: TargetId, inUseMs: number): void => {
+        cancelPending(id);
+        const takeOut = (): void => {
+            retire(id);
+            defer(id, removalDelayMs - inUseMs);
+        };
+        pending.set(id, timer.after(inUseMs, takeOut));
+    };
+    const deferOutOfUse = (id: TargetId): void => {
+        retire(id);
+        defer(id, removalDelayMs);
+    };
+    /**
+     * Records that vanish after a failure of the store may have expired in it. Where it served this entry, a target leaves, unless
+     * many vanish together. Returns the targets that stay in use.
+     */
+    const deferAfterFailure = (ids: readonly TargetId[], areExpired: boolean): TargetId[] => {
+        if (areExpired || !options.isServed()) {
+            ids.forEach(id => defer(id, removalDelayMs));
+            return [...ids];
+        }
+        const inUse: TargetId[] = [];
+        for (const id of ids) {
+            if (options.isDispensable(id)) {
+                deferOutOfUse(id);
+            }
+            else {
+                deferInUse(id, batchRemovalDelayMs);
+                inUse.push(id);
+            }
+        }
+        return inUse;
+    };
     const isExpiry = (): boolean => {
         const unexpectedCount = [...scheduled].filter(id => !options.isDraining(id)).length;
         return unexpectedCount >= Math.max(minExpiries, minExpiryFraction * options.targetCount());
@@ -69,21 +124,25 @@
             if (scheduled.size === 0) {
                 return;
             }
+            const ids = [...scheduled];
             const failureAgeMs = options.storeFailureAgeMs();
-            if (failureAgeMs !== undefined || isExpiry()) {
-                options.onDeferred([...scheduled], failureAgeMs);
-                const delayMs = failureAgeMs === undefined ? batchRemovalDelayMs : removalDelayMs;
-                scheduled.forEach(id => defer(id, delayMs));
+            const areExpired = isExpiry();
+            scheduled.clear();
+            if (failureAgeMs !== undefined) {
+                const inUse = deferAfterFailure(ids, areExpired);
+                options.onDeferred({ ids, inUse, failureAgeMs });
+            }
+            else if (areExpired) {
+                ids.forEach(id => defer(id, batchRemovalDelayMs));
+                options.onDeferred({ ids, inUse: ids, failureAgeMs });
             }
             else {
-                scheduled.forEach(remove);
+                ids.forEach(remove);
             }
-            scheduled.clear();
         },
         cancel: id => {
             scheduled.delete(id);
-            pending.get(id)?.();
-            pending.delete(id);
+            cancelPending(id);
         },
     };
 }
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -59,6 +59,8 @@
     copyRevision(): number;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     storeFailureAgeMs(): number | undefined;
+    /** Whether the store has served this entry throughout, whatever peers tell of failures. */
+    isServedByStore(): boolean;
     /** Who saw the store's last failure: `own`, or the address of the peer that told of it. */
     storeFailureSource(): string;
     /** Writes this entry's record again. */
@@ -77,6 +79,9 @@
  */
 const watcherRetryIntervalMs = 800;
 
+/** An entry renews its lease more often than this, so that the store has failed for it if it has not responded for longer. */
+const maxQuietMs = 2_600;
+
 /** For this long after a failure of the store, or its own start, an entry tells other data centres at once what it reads. */
 const recoveryMs = 10_000;
 
@@ -170,6 +175,7 @@
         contactAgeMs: () => timer.now() - Math.max(startedAt, lastPeerAt, store.lastResponseAt()),
         copyRevision: replica.copyRevision,
         storeFailureAgeMs: failures.ageMs,
+        isServedByStore: () => failures.ownAgeMs() === undefined && timer.now() - store.lastResponseAt() < maxQuietMs,
         storeFailureSource: failures.lastSource,
         markRegistrationLost: registration.markLost,
         deregister: registration.deregister,
--- a/packages/steer/src/store/storeFailures.ts
+++ b/packages/steer/src/store/storeFailures.ts
@@ -13,6 +13,8 @@
     lastSource(): string;
     /** Time since the last failure, in milliseconds; `undefined` if there was none within `storeFailureWindowMs`. */
     ageMs(): number | undefined;
+    /** The same for the failures that this entry saw itself. */
+    ownAgeMs(): number | undefined;
 }
 
 /** For this long after a store failure, a missing record may merely have expired. */
@@ -22,7 +24,12 @@
 
 export function createStoreFailures(timer: Timer): StoreFailures {
     let lastAt = -Infinity;
+    let lastOwnAt = -Infinity;
     let lastSource = ownSource;
+    const ageOf = (at: number): number | undefined => {
+        const ageMs = timer.now() - at;
+        return ageMs < storeFailureWindowMs ? ageMs : undefined;
+    };
     const recordFrom = (source: string, at: number): void => {
         if (at > lastAt) {
             lastAt = at;
@@ -30,13 +37,14 @@
         }
     };
     return {
-        record: at => recordFrom(ownSource, at),
+        record: at => {
+            lastOwnAt = Math.max(lastOwnAt, at);
+            recordFrom(ownSource, at);
+        },
         // Counted from the request, as the response's way here must not make the failure younger.
         recordTold: (peer, ageMs, askedAt) => recordFrom(peer, askedAt - ageMs),
         lastSource: () => lastSource,
-        ageMs: () => {
-            const ageMs = timer.now() - lastAt;
-            return ageMs < storeFailureWindowMs ? ageMs : undefined;
-        },
+        ageMs: () => ageOf(lastAt),
+        ownAgeMs: () => ageOf(lastOwnAt),
     };
 }
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -27,6 +27,8 @@
     readonly self: InstanceId;
     /** Time since the store's last failure, in milliseconds, if removed records may have expired in it. */
     readonly storeFailureAgeMs: () => number | undefined;
+    /** Whether the store has served this entry throughout, whatever peers tell of failures. */
+    readonly isServedByStore: () => boolean;
     /** Who saw that failure: `own`, or the address of the peer that told of it. */
     readonly storeFailureSource: () => string;
     /** Revision up to which items may stem from an older copy of the store; 0 if it never came back from one. */
@@ -60,12 +62,21 @@
     const removals = createDeferredRemovals({
         timer,
         storeFailureAgeMs: options.storeFailureAgeMs,
+        isServed: options.isServedByStore,
         targetCount: registry.count,
         isDraining: id => registry.find(id)?.record.isDraining === true,
         remove: id => removeTarget(id),
-        onDeferred: (ids, failureAgeMs) =>
+        isDispensable: id => isDispensable(registry, id),
+        retire: id => {
+            const target = registry.find(id);
+            if (target !== undefined) {
+                registry.retire(target);
+            }
+        },
+        onDeferred: ({ ids, inUse, failureAgeMs }) =>
             log.write(logEvents.removalDeferred, {
                 count: ids.length,
+                inUse: inUse.length,
                 targets: ids.slice(0, maxLoggedTargets),
                 failureAgeMs,
                 failureSource: failureAgeMs === undefined ? undefined : options.storeFailureSource(),
@@ -267,3 +278,20 @@
         isEvacuated: dataCentre => evacuatedDataCentres.has(dataCentre),
     };
 }
+
+/** Fraction of a service's targets in a region that can do the work of all of them. */
+const minRemainingFraction = 2 / 3;
+
+/** Whether the service's targets that remain in use in the target's region can do its work. */
+function isDispensable(registry: TargetRegistry, id: TargetId): boolean {
+    const target = registry.find(id);
+    if (target === undefined) {
+        return true;
+    }
+    const { service, region } = target.record;
+    const known = [...registry.all()].filter(({ record }) => record.service === service && record.region === region);
+    const remaining = known.filter(other =>
+        other !== target && !other.isRemoved && !other.isLeaving && !other.isSuspect && !other.record.isDraining
+    );
+    return remaining.length >= minRemainingFraction * known.length;
+}
