fix(steer): a removed target is out of use in time once the entry's own failure of the store is nearly over

Change: the target stays in use until the failure is 4,000 ms old, 1,900 ms at least and 2,600 ms at most, and is known as long as before.

--- a/packages/steer/src/steer.ts
+++ b/packages/steer/src/steer.ts
@@ -201,7 +201,7 @@
         members,
         self: instance,
         storeFailureAgeMs: () => replication.storeFailureAgeMs(),
-        isServedByStore: () => replication.isServedByStore(),
+        ownStoreFailureAgeMs: () => replication.ownStoreFailureAgeMs(),
         storeFailureSource: () => replication.storeFailureSource(),
         copyRevision: () => replication.copyRevision(),
         onRegistrationLost: () => replication.markRegistrationLost(),
--- a/packages/steer/src/store/__tests__/deferredRemovals.test.ts
+++ b/packages/steer/src/store/__tests__/deferredRemovals.test.ts
@@ -25,7 +25,7 @@
     const removals = createDeferredRemovals({
         timer,
         storeFailureAgeMs: () => undefined,
-        isServed: () => false,
+        ownFailureAgeMs: () => 0,
         targetCount: () => 32,
         isDraining: () => false,
         isDispensable: () => false,
@@ -57,7 +57,7 @@
 test("where the store served the entry throughout, targets that others can replace are out of use at once, and the rest in time", () => {
     const { timer, removals, retiredIds, removedIds } = createTestBench({
         storeFailureAgeMs: () => 0,
-        isServed: () => true,
+        ownFailureAgeMs: () => undefined,
         isDispensable: id => id === dead,
     });
     [live, dead].forEach(removals.schedule);
@@ -74,7 +74,7 @@
 test("records that vanish together stay in use after a failure that a peer saw, whoever could replace them", () => {
     const { timer, removals, retiredIds, removedIds } = createTestBench({
         storeFailureAgeMs: () => 0,
-        isServed: () => true,
+        ownFailureAgeMs: () => undefined,
         isDispensable: () => true,
     });
     const ids = createIds(32);
--- a/packages/steer/src/store/__tests__/removalsBesideTurnedAway.test.ts
+++ b/packages/steer/src/store/__tests__/removalsBesideTurnedAway.test.ts
@@ -6,6 +6,8 @@
 import { createDeployment, type DeployedEntry, type Deployment } from "./storeDeployment.js";
 
 const drainMs = 2_500;
+/** Time after which an entry that the store serves again counts as in touch. */
+const settleMs = 4_000;
 const startMs = 12_000;
 const removalCount = 10;
 const gapMs = 1_000;
@@ -58,6 +60,29 @@
     }
 }
 
+for (const [entryCount, dataCentreCount] of [[8, 6], [27, 9]] as const) {
+    // Guards against DRAIN: entries kept removed targets in use too long while their own failures were nearly forgotten.
+    test(`targets removed while ${entryCount} entries are served again get nothing after the drain time once all are in touch`, async () => {
+        for (const seed of [1, 2, 3]) {
+            const deployment = createDeployment({ entryCount, dataCentreCount, seed });
+            const { store, entries, timer, run } = deployment;
+            targets.forEach(id => store.put(targetKey(id), formatTarget(false)));
+            entries.forEach(entry => timer.after(deployment.random.below(300), entry.start));
+            await run(startMs);
+            const turnedAway = entries.slice(0, Math.ceil(entryCount / 3));
+            turnedAway.forEach(({ index }) => store.setMode(index, "busy"));
+            await run(8_000);
+            turnedAway.forEach(({ index }) => store.setMode(index, "up"));
+            await run(settleMs - drainMs + gapMs);
+            store.remove(targetKey(targets[0]!));
+            await run(drainMs);
+            const inUse = entries.filter(entry => !entry.isLeaving(targets[0]!));
+            entries.forEach(entry => entry.kill());
+            assert.deepEqual(inUse.map(({ index }) => index), [], `seed ${seed}`);
+        }
+    });
+}
+
 test("a target that was put out of use for a peer's failure of the store is used again once its record is written", async () => {
     const deployment = createDeployment({ entryCount: 8, dataCentreCount: 6, seed: 1 });
     const { store, entries, run } = deployment;
--- a/packages/steer/src/store/__tests__/storeDeployment.ts
+++ b/packages/steer/src/store/__tests__/storeDeployment.ts
@@ -119,7 +119,7 @@
                 members,
                 self: id,
                 storeFailureAgeMs: () => replication.storeFailureAgeMs(),
-                isServedByStore: () => replication.isServedByStore(),
+                ownStoreFailureAgeMs: () => replication.ownStoreFailureAgeMs(),
                 storeFailureSource: () => replication.storeFailureSource(),
                 copyRevision: () => replication.copyRevision(),
                 onRegistrationLost: () => replication.markRegistrationLost(),
--- a/packages/steer/src/store/__tests__/storeReplication.test.ts
+++ b/packages/steer/src/store/__tests__/storeReplication.test.ts
@@ -348,7 +348,7 @@
         members: createMembers(timer, self),
         self: self.id,
         storeFailureAgeMs: () => undefined,
-        isServedByStore: () => true,
+        ownStoreFailureAgeMs: () => undefined,
         storeFailureSource: () => "own",
         copyRevision: () => 0,
         onRegistrationLost: () => {},
--- a/packages/steer/src/store/deferredRemovals.ts
+++ b/packages/steer/src/store/deferredRemovals.ts
@@ -5,13 +5,17 @@
  */
 import type { TargetId } from "@pimentospring/core/ids";
 import type { Cancel, Timer } from "@pimentospring/core/time/timer";
+import { storeFailureWindowMs } from "./storeFailures.js";
 
 export interface DeferredRemovalsOptions {
     readonly timer: Timer;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     readonly storeFailureAgeMs: () => number | undefined;
-    /** Whether the store served this entry throughout, so that a failure that a peer saw may be that of the peer's link alone. */
-    readonly isServed: () => boolean;
+    /**
+     * Time since the store last failed this entry itself, in milliseconds; `undefined` if it served the entry throughout, so that a
+     * failure that a peer saw may be that of the peer's link alone.
+     */
+    readonly ownFailureAgeMs: () => number | undefined;
     /** Targets that are known now. */
     readonly targetCount: () => number;
     /** Whether the target said that it leaves, so that its removal was to be expected. */
@@ -62,6 +66,10 @@
 const minExpiryFraction = 1 / 3;
 const minExpiries = 4;
 
+/** Once the failure is long enough past, a target that leaves must be out of use in time again. */
+const inUseAfterFailureMs = (failureAgeMs: number): number =>
+    Math.min(removalDelayMs, Math.max(batchRemovalDelayMs, storeFailureWindowMs - failureAgeMs));
+
 export function createDeferredRemovals(options: DeferredRemovalsOptions): DeferredRemovals {
     const { timer, remove, retire } = options;
     const pending = new Map<TargetId, Cancel>();
@@ -80,6 +88,10 @@
     };
     /** Keeps the target known until its record may no longer come back, and in use for the first part of that time. */
     const deferInUse = (id: TargetId, inUseMs: number): void => {
+        if (inUseMs >= removalDelayMs) {
+            defer(id, removalDelayMs);
+            return;
+        }
         cancelPending(id);
         const takeOut = (): void => {
             retire(id);
@@ -96,8 +108,10 @@
      * many vanish together. Returns the targets that stay in use.
      */
     const deferAfterFailure = (ids: readonly TargetId[], areExpired: boolean): TargetId[] => {
-        if (areExpired || !options.isServed()) {
-            ids.forEach(id => defer(id, removalDelayMs));
+        const ownFailureAgeMs = options.ownFailureAgeMs();
+        if (areExpired || ownFailureAgeMs !== undefined) {
+            const inUseMs = areExpired ? removalDelayMs : inUseAfterFailureMs(ownFailureAgeMs!);
+            ids.forEach(id => deferInUse(id, inUseMs));
             return [...ids];
         }
         const inUse: TargetId[] = [];
--- a/packages/steer/src/store/replication.ts
+++ b/packages/steer/src/store/replication.ts
@@ -59,8 +59,8 @@
     copyRevision(): number;
     /** Time since the store's last failure, in milliseconds, if a removed record may merely have expired in it. */
     storeFailureAgeMs(): number | undefined;
-    /** Whether the store has served this entry throughout, whatever peers tell of failures. */
-    isServedByStore(): boolean;
+    /** Time since the store last failed this entry itself, whatever peers tell; `undefined` if it served the entry throughout. */
+    ownStoreFailureAgeMs(): number | undefined;
     /** Who saw the store's last failure: `own`, or the address of the peer that told of it. */
     storeFailureSource(): string;
     /** Writes this entry's record again. */
@@ -175,7 +175,7 @@
         contactAgeMs: () => timer.now() - Math.max(startedAt, lastPeerAt, store.lastResponseAt()),
         copyRevision: replica.copyRevision,
         storeFailureAgeMs: failures.ageMs,
-        isServedByStore: () => failures.ownAgeMs() === undefined && timer.now() - store.lastResponseAt() < maxQuietMs,
+        ownStoreFailureAgeMs: () => timer.now() - store.lastResponseAt() < maxQuietMs ? failures.ownAgeMs() : 0,
         storeFailureSource: failures.lastSource,
         markRegistrationLost: registration.markLost,
         deregister: registration.deregister,
--- a/packages/steer/src/store/storeProjection.ts
+++ b/packages/steer/src/store/storeProjection.ts
@@ -27,8 +27,8 @@
     readonly self: InstanceId;
     /** Time since the store's last failure, in milliseconds, if removed records may have expired in it. */
     readonly storeFailureAgeMs: () => number | undefined;
-    /** Whether the store has served this entry throughout, whatever peers tell of failures. */
-    readonly isServedByStore: () => boolean;
+    /** Time since the store last failed this entry itself, whatever peers tell; `undefined` if it served the entry throughout. */
+    readonly ownStoreFailureAgeMs: () => number | undefined;
     /** Who saw that failure: `own`, or the address of the peer that told of it. */
     readonly storeFailureSource: () => string;
     /** Revision up to which items may stem from an older copy of the store; 0 if it never came back from one. */
@@ -62,7 +62,7 @@
     const removals = createDeferredRemovals({
         timer,
         storeFailureAgeMs: options.storeFailureAgeMs,
-        isServed: options.isServedByStore,
+        ownFailureAgeMs: options.ownStoreFailureAgeMs,
         targetCount: registry.count,
         isDraining: id => registry.find(id)?.record.isDraining === true,
         remove: id => removeTarget(id),
