review: case 6, changes of a large configuration end every daemon

Cause: a daemon keeps the last 1,000 changes of the store with their whole values, so that its memory grows with each version of the configuration. Change: a script, with stand-ins of the store, servers and clients.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# The stand-ins of the cases 6 to 10 are plain modules without dependencies: nothing is built, they are only checked.
+set -e
+cd "$(dirname "$0")"
+for file in standins-2/*.mjs 6/*.mjs 7/*.mjs 8/*.mjs; do
+    node --check "$file"
+done
