--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,101 +1,122 @@
 /**
- * Two daemons and two servers. One server sends a second answer behind one in twenty of its answers: late, when the connection's
- * next request has arrived, and broken off at the end of its status line. Requests for spent tokens get a 409 of the server.
+ * Three daemons in one zone and a large configuration. One daemon stands still for five seconds while the configuration changes in
+ * quick succession. Afterwards a route is moved to another service, and a server leaves without having said so before: its entry is
+ * removed, and it serves on.
  */
 import { createCaller } from "../standins-2/callers.mjs";
 import { delay, runCase } from "../standins-2/case.mjs";
-import { createVersions, route } from "../standins-2/configuration.mjs";
+import { createVersions, idleRoutes, route } from "../standins-2/configuration.mjs";
 import { startDaemons } from "../standins-2/daemons.mjs";
-import { stamp, startServer } from "../standins-2/servers.mjs";
+import { startServer } from "../standins-2/servers.mjs";
 import { startStore } from "../standins-2/store.mjs";
 
-const network = "127.0.84";
-const garbleMs = 5_500;
-const garbleRounds = 3;
-const pauseMs = 2_000;
-const answersPerExtra = 20;
-const brokenAnswer = "HTTP/1.1 200 OK";
-const callerCount = 10;
-const askIntervalMs = 60;
+const network = "127.0.82";
+const settleWindowMs = 4_000;
+const configApplyMs = 2_500;
+const drainMs = 2_500;
+const freezeMs = 5_000;
+/** A storm has a change each 80 ms for 2 s. */
+const stormChanges = 25;
+const stormGapMs = 80;
+const pauseMs = 300;
+const idleRouteCount = 2_200;
+const quietMs = 15_000;
+const askIntervalMs = 100;
 
 runCase(import.meta.url, async ({ hasTrouble, say, note, onEnd }) => {
     const store = await startStore(`${network}.9`);
     onEnd(store.close);
-    let isGarbling = false;
-    let answers = 0;
-    let extras = 0;
-    const owed = new WeakSet();
-    const refuseSpent = (request, response, run, id) => {
-        const text = `spent ${run.requestId}`;
-        run.status = 409;
-        response.writeHead(409, {
-            "X-Request-Id": run.requestId,
-            "X-Server-Stamp": stamp(id, run.requestId),
-            "X-Server-Load": "1,0,8,100",
-            "Content-Length": text.length,
-        });
-        response.end(text);
-    };
-    const answerOf = (id, isFaulty) => (request, response, usual, run) => {
-        if (owed.delete(request.socket)) {
-            request.socket.write(brokenAnswer);
-            extras++;
-        }
-        if (request.url.includes("spent")) {
-            refuseSpent(request, response, run, id);
-        }
-        else {
-            usual();
-            if (isFaulty && isGarbling && ++answers % answersPerExtra === 0) {
-                owed.add(request.socket);
-            }
-        }
-    };
-    const servers = await Promise.all([["i-sound", false, 20], ["i-faulty", true, 21]].map(([id, isFaulty, host]) =>
-        startServer({ host: `${network}.${host}`, id, service: "tokens", zone: "cpt-a", slots: 4, answer: answerOf(id, isFaulty) })
-    ));
+    const place = { zone: "cpt-a", slots: 8, workMs: 20 };
+    const servers = [
+        await startServer({ ...place, host: `${network}.20`, id: "i-old1", service: "old" }),
+        await startServer({ ...place, host: `${network}.21`, id: "i-old2", service: "old" }),
+        await startServer({ ...place, host: `${network}.22`, id: "i-new1", service: "new" }),
+        await startServer({ ...place, host: `${network}.23`, id: "i-new2", service: "new" }),
+    ];
     servers.forEach(server => onEnd(server.close));
     servers.forEach(server => store.put(`servers/${server.id}`, server.entry("ready")));
-    const redeem = route({ name: "r-redeem", prefix: "/redeem/", kind: "unsafe", service: "tokens" });
-    store.put("op/config", createVersions()([redeem], ["tokens"]));
-    const fleet = await startDaemons({
-        places: [1, 2].map(n => ({ name: `front-cpt-a-${n}`, host: `${network}.${n}`, zone: "cpt-a", region: "cpt" })),
-        storeAddress: store.address,
-    });
+    const nextVersion = createVersions();
+    const idle = idleRoutes(idleRouteCount, "old");
+    const configuration = moved =>
+        nextVersion([
+            route({ name: "r-moved", prefix: "/moved/", service: moved }),
+            route({ name: "r-kept", prefix: "/kept/", service: "new" }),
+            ...idle,
+        ], ["old", "new"]);
+    const first = configuration("old");
+    store.put("op/config", first);
+    say(`the configuration has ${JSON.stringify(first).length} bytes`);
+
+    const names = [1, 2, 3];
+    const places = names.map(n => ({ name: `front-cpt-a-${n}`, host: `${network}.${n}`, zone: "cpt-a", region: "cpt" }));
+    const fleet = await startDaemons({ places, storeAddress: store.address });
     onEnd(fleet.stop);
     await fleet.awaitReady();
-    await delay(2_000);
-
     const sent = [];
+    const callers = fleet.daemons.map(createCaller);
+    callers.forEach(caller => onEnd(caller.close));
     let isAsking = true;
-    const ask = async index => {
-        const caller = createCaller();
-        onEnd(caller.close);
-        for (let count = index; isAsking; count++) {
-            const path = count % 3 === 0 ? "/redeem/spent" : "/redeem/1";
-            const { callers: address } = fleet.daemons[index % fleet.daemons.length];
-            sent.push(await caller.send(address, { method: "POST", path, body: `{"token":${count}}` }));
+    const ask = async (daemon, caller) => {
+        while (isAsking) {
+            for (const path of ["/moved/1", "/kept/1"]) {
+                void caller.send(daemon.callers, { path, deadlineMs: 2_000 }).then(request =>
+                    sent.push({ ...request, daemon: daemon.name })
+                );
+            }
             await delay(askIntervalMs);
         }
     };
-    const asking = Array.from({ length: callerCount }, (_, index) => ask(index));
-    for (let round = 0; round < garbleRounds; round++) {
-        isGarbling = hasTrouble;
-        await delay(garbleMs);
-        isGarbling = false;
+    const asking = fleet.daemons.map((daemon, index) => ask(daemon, callers[index]));
+    await delay(quietMs / 3);
+
+    const frozen = fleet.daemons[2];
+    if (hasTrouble) {
+        frozen.signal("SIGSTOP");
+        say(`${frozen.name} stands still`);
+        setTimeout(() => frozen.signal("SIGCONT"), freezeMs);
+    }
+    const frozenAt = performance.now();
+    for (let storm = 0; storm < 2; storm++) {
+        for (let change = 0; change < stormChanges; change++) {
+            store.put("op/config", configuration("old"));
+            await delay(stormGapMs);
+        }
+        say(`${stormChanges} changes were made`);
         await delay(pauseMs);
     }
+    await delay(frozenAt + freezeMs - performance.now());
+    const settledAt = performance.now() + settleWindowMs;
+    say(`${frozen.name} runs; it is in touch again after ${settleWindowMs} ms`);
+    await delay(settleWindowMs + 500);
+
+    const last = configuration("new");
+    const movedAt = store.put("op/config", last);
+    say(`version ${last.version} moves /moved/ to new`);
+    const { id: keptId } = sent.findLast(({ daemon, path, status }) => daemon === frozen.name && path === "/kept/1" && status === 200);
+    const lastKept = servers.flatMap(server => server.runs).find(({ requestId }) => requestId === keptId);
+    const leavingAt = store.remove(`servers/${lastKept.server}`);
+    say(`the entry of ${lastKept.server} is removed; it serves on`);
+    await delay(quietMs);
     isAsking = false;
     await Promise.all(asking);
+    await delay(2_000);
 
     const runs = new Map(servers.flatMap(server => server.runs).map(run => [run.requestId, run]));
-    const isFalse = ({ id, status }) => status >= 200 && status < 300 && runs.get(id)?.status !== 200;
+    const isStale = ({ id, path, at }) =>
+        path === "/moved/1" && at > Math.max(settledAt, movedAt + configApplyMs) && runs.get(id)?.service === "old";
+    const isLate = ({ id, at }) =>
+        at > settledAt && runs.get(id)?.server === lastKept.server && runs.get(id).at > leavingAt + drainMs;
     for (const request of sent) {
-        const { id, path, status = request.error, reason = "", stamp: signature = "none" } = request;
-        const run = runs.get(id);
-        const ending = run === undefined ? "not run" : `${run.server} answered ${run.status}`;
-        note(`${id} ${path} ${ending}; client got ${status} (${reason}), stamp ${signature}${isFalse(request) ? " MIXED" : ""}`);
+        const { id, daemon, path, status = request.error, at } = request;
+        const server = runs.get(id)?.server ?? "none";
+        const judgement = isStale(request) ? " CONFIG" : isLate(request) ? " DRAIN" : "";
+        note(`${id} ${daemon} ${path} sent ${((at - movedAt) / 1_000).toFixed(3)} answered ${status} run by ${server}${judgement}`);
+    }
+    for (const { name } of fleet.daemons) {
+        const own = sent.filter(({ daemon }) => daemon === name);
+        const asked = own.filter(({ path, at }) => path === "/moved/1" && at > Math.max(settledAt, movedAt + configApplyMs));
+        say(`${name}: ${asked.length} requests on the moved route later than configApply, ${own.filter(isStale).length} run by old`);
+        say(`${name}: ${own.filter(isLate).length} requests reached ${lastKept.server} later than drain`);
     }
-    say(`${sent.length} requests, ${extras} second answers broken off, ${sent.filter(isFalse).length} failures turned into successes`);
-    return sent.filter(isFalse).length;
+    return sent.filter(request => isStale(request) || isLate(request)).length;
 });
--- a/review/standins-2/servers.mjs
+++ b/review/standins-2/servers.mjs
@@ -3,16 +3,22 @@
 
 export const stamp = (id, requestId) => `stamp.${id}.${requestId}`;
 
-/** `answer` may take the place of the usual answer; it gets the request, its response and a function that sends the usual one. */
-export async function startServer({ host, id, service, zone, slots = 8, workMs = 50, answer = (_request, _response, usual) => usual() }) {
+/**
+ * `answer` may take the place of the usual answer; it gets the request, its response, a function that sends the usual one, and the run,
+ * or what stands for it where the request was rejected. `isShed` tells whether the next request is rejected though there is room.
+ */
+export async function startServer({ host, id, service, zone, slots = 8, workMs = 50, isShed = () => false, answer = (_request, _response, usual) => usual() }) {
     const runs = [];
     const queue = [];
     let running = 0;
     const load = () => `${running},${queue.length},${slots},100`;
     const baseHeaders = requestId => ({ "X-Request-Id": requestId, "X-Server-Load": load() });
-    const reject = (response, status, requestId) => {
-        response.writeHead(status, { ...baseHeaders(requestId), "X-Not-Run": "1", "Content-Length": 0 });
-        response.end();
+    const reject = (request, response, status, requestId) => {
+        const usual = () => {
+            response.writeHead(status, { "X-Not-Run": "1", ...baseHeaders(requestId), "Content-Length": 0 });
+            response.end();
+        };
+        answer(request, response, usual, { requestId, server: id, status });
     };
     const finish = (request, response, run, body) => {
         running--;
@@ -53,7 +59,10 @@
                 response.end();
             }
             else if (request.headers["x-expect-instance"] !== id) {
-                reject(response, 421, requestId);
+                reject(request, response, 421, requestId);
+            }
+            else if (isShed()) {
+                reject(request, response, 503, requestId);
             }
             else if (running < slots) {
                 start(request, response, requestId, Buffer.concat(chunks));
@@ -62,7 +71,7 @@
                 queue.push(() => start(request, response, requestId, Buffer.concat(chunks)));
             }
             else {
-                reject(response, 503, requestId);
+                reject(request, response, 503, requestId);
             }
         });
     });
