--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -19,14 +19,14 @@
 const stormChanges = 25;
 const stormGapMs = 80;
 const pauseMs = 300;
-const idleRouteCount = 2_200;
+const idleRouteCount = 2_100;
 const quietMs = 15_000;
 const askIntervalMs = 100;
 
 runCase(import.meta.url, async ({ hasTrouble, say, note, onEnd }) => {
     const store = await startStore(`${network}.9`);
     onEnd(store.close);
-    const place = { zone: "cpt-a", slots: 8, workMs: 20 };
+    const place = { zone: "accra-a", slots: 8, workMs: 20 };
     const servers = [
         await startServer({ ...place, host: `${network}.20`, id: "i-old1", service: "old" }),
         await startServer({ ...place, host: `${network}.21`, id: "i-old2", service: "old" }),
@@ -48,7 +48,7 @@
     say(`the configuration has ${JSON.stringify(first).length} bytes`);
 
     const names = [1, 2, 3];
-    const places = names.map(n => ({ name: `front-cpt-a-${n}`, host: `${network}.${n}`, zone: "cpt-a", region: "cpt" }));
+    const places = names.map(n => ({ name: `front-accra-a-${n}`, host: `${network}.${n}`, zone: "accra-a", region: "accra" }));
     const fleet = await startDaemons({ places, storeAddress: store.address });
     onEnd(fleet.stop);
     await fleet.awaitReady();
