--- a/review/standins-2/case.mjs
+++ b/review/standins-2/case.mjs
@@ -21,10 +21,10 @@
 }
 
 /**
- * Runs a case. `play` gets `hasTrouble`, `say`, which writes a line to the record and to the output, `note`, which writes to the
+ * Runs a case. `hasTrouble` tells whether it is played with its disruption. `play` gets `say`, which writes a line to the record and to the output, `note`, which writes to the
  * record only, and `onEnd`, which takes what is to be closed. It resolves to the number of times that the rule was broken.
  */
-export function runCase(url, play) {
+export function runCase(url, hasTrouble, play) {
     const startedAt = performance.now();
     const record = createWriteStream(fileURLToPath(new URL("record.txt", url)));
     const closers = [];
@@ -37,13 +37,12 @@
         await Promise.allSettled(closers.map(close => close()));
         record.end(() => process.exit(code));
     };
-    const hasTrouble = process.env.TROUBLE !== "0";
     setTimeout(() => {
         say("the case took too long");
         void end(exitCodes.notRun);
     }, timeLimitMs);
     say(hasTrouble ? "with the disruption" : "without the disruption");
-    play({ hasTrouble, say, note, onEnd: close => closers.push(close) }).then(
+    play({ say, note, onEnd: close => closers.push(close) }).then(
         brokenCount => {
             say(brokenCount > 0 ? `rule broken: ${brokenCount} times` : "the rule held");
             return end(brokenCount > 0 ? exitCodes.broken : exitCodes.held);
