--- a/review/standins-2/zoneServer.mjs
+++ b/review/standins-2/zoneServer.mjs
@@ -4,6 +4,7 @@
 
 export async function startZoneServer({ host, id, service, zone, slots = 8, workMs }) {
     const queue = [];
+    const runs = [];
     let running = 0;
     let isDark = false;
     let born = Date.now();
@@ -16,6 +17,7 @@
     };
     const start = (response, requestId) => {
         running++;
+        runs.push(requestId);
         const ownBorn = born;
         setTimeout(() => {
             if (isDark || born !== ownBorn) {
@@ -57,6 +59,8 @@
     const address = `${host}:${server.address().port}`;
     return {
         id,
+        /** Ids of the requests that it has begun to run. */
+        runs,
         /** Its entry in the store. */
         entry: () => ({ service, address, zone, version: "1", slots, state: "ready", coldRemaining: `${coldMs()}ms`, sequence: 1, born }),
         /** Loses power: what it runs is lost. */
