--- a/review/standins-2/case.mjs
+++ b/review/standins-2/case.mjs
@@ -41,6 +41,8 @@
         say("the case took too long");
         void end(exitCodes.notRun);
     }, timeLimitMs);
+    // Ends with the processes that it started, as `exit` does.
+    ["SIGINT", "SIGTERM"].forEach(signal => process.once(signal, () => process.exit(exitCodes.notRun)));
     say(hasTrouble ? "with the disruption" : "without the disruption");
     play({ say, note, onEnd: close => closers.push(close) }).then(
         brokenCount => {
